Set down the layout, the kernel, the core types and the interfaces

Cause: the repository is empty; the shape of the code has to stand before parts are built in parallel. Conclusion: the parts behind the interfaces can be built independently.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+KEEP ?= 0
+
+.PHONY: setup format test demo bench
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python -m pytest
+
+demo: setup
+	$(BIN)/python -m scripts.demo --keep=$(KEEP)
--- /dev/null
+++ b/src/ebonyladder/endpoint.py
@@ -0,0 +1,179 @@
+"""Interfaces to database endpoints; a protocol is one plug-in behind them."""
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from ebonyladder.types import (
+    Address,
+    EndpointId,
+    LogPosition,
+    OrganisationId,
+    Position,
+    Role,
+    Statement,
+    Term,
+    VmId,
+)
+
+
+class EndpointReport(msgspec.Struct, frozen=True, kw_only=True):
+    """State that an endpoint reports about itself.
+
+    Attributes
+    ----------
+    endpoint : EndpointId
+        Reporting endpoint.
+    role : Role
+        Role it believes to have.
+    fence_term : Term
+        Highest term that it has voted for or follows.
+    log_term : Term
+        Term of the last entry or term start in its log.
+    term_start : LogPosition
+        Position at which ``log_term`` began.
+    received : LogPosition
+        Last position in its log.
+    applied : LogPosition
+        Last position that reads observe.
+    primary_contact_age_s : float
+        Seconds since the last replication message of its primary.
+    probe : int
+        Number of the probe that this report answers, 0 for none.
+    """
+
+    endpoint: EndpointId
+    role: Role
+    fence_term: Term
+    log_term: Term
+    term_start: LogPosition
+    received: LogPosition
+    applied: LogPosition
+    primary_contact_age_s: float
+    probe: int = 0
+
+
+class EndpointAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Whole answer of an endpoint to one statement.
+
+    Attributes
+    ----------
+    rows : list
+        Rows of the answer, complete.
+    at : Position
+        Position at which the statement ran.
+    role : Role
+        Role in which the endpoint ran it.
+    """
+
+    rows: list
+    at: Position
+    role: Role
+
+
+class FenceVote(msgspec.Struct, frozen=True, kw_only=True):
+    """Vote of an endpoint for one promoter in one term."""
+
+    endpoint: EndpointId
+    log_term: Term
+    received: LogPosition
+
+
+class EndpointConnection(ABC):
+    """One connection to an endpoint; it runs one statement at a time.
+
+    Methods raise ``EndpointError``; its outcome is NOT_RUN only where the
+    endpoint refused the statement or nothing was sent.
+    """
+
+    @abstractmethod
+    async def execute(
+        self, *, organisation: OrganisationId, statement: Statement
+    ) -> EndpointAnswer:
+        """Run one statement, inside the open transaction if there is one."""
+
+    @abstractmethod
+    async def begin(self, *, organisation: OrganisationId) -> None:
+        """Open a transaction."""
+
+    @abstractmethod
+    async def commit(self) -> EndpointAnswer:
+        """Commit the open transaction."""
+
+    @abstractmethod
+    async def rollback(self) -> None:
+        """Roll back; returns once the endpoint has confirmed it."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the connection; the endpoint rolls back what is open."""
+
+    @property
+    @abstractmethod
+    def is_open(self) -> bool:
+        """Tell whether the connection can be used."""
+
+
+class ReportStream(ABC):
+    """Stream of an endpoint's reports over a connection of its own."""
+
+    @abstractmethod
+    def reports(self) -> AsyncIterator[EndpointReport]:
+        """Yield reports until the connection ends."""
+
+    @abstractmethod
+    async def probe(self, number: int) -> None:
+        """Ask for a report that carries ``number``."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close the stream."""
+
+
+class EndpointDriver(ABC):
+    """Open connections to endpoints and run the promotion calls."""
+
+    @abstractmethod
+    async def connect(
+        self, *, endpoint: EndpointId, address: Address
+    ) -> EndpointConnection:
+        """Open a connection; raises ``EndpointError`` CONNECT_FAILED."""
+
+    @abstractmethod
+    async def watch(self, *, endpoint: EndpointId, address: Address) -> ReportStream:
+        """Open a report stream; raises ``EndpointError`` CONNECT_FAILED."""
+
+    @abstractmethod
+    async def fence(
+        self, *, endpoint: EndpointId, address: Address, term: Term, promoter: VmId
+    ) -> FenceVote:
+        """Ask for the endpoint's vote for ``promoter`` in ``term``.
+
+        From its vote on the endpoint accepts nothing of lower terms. It votes
+        for one promoter in a term; others get ``EndpointError`` FENCED.
+        """
+
+    @abstractmethod
+    async def promote(
+        self,
+        *,
+        endpoint: EndpointId,
+        address: Address,
+        term: Term,
+        promoter: VmId,
+        followers: dict[EndpointId, Address],
+    ) -> Position:
+        """Make the endpoint primary of ``term``; returns the term's start."""
+
+    @abstractmethod
+    async def follow(
+        self,
+        *,
+        endpoint: EndpointId,
+        address: Address,
+        term: Term,
+        primary: EndpointId,
+        primary_address: Address,
+    ) -> None:
+        """Make the endpoint replicate from ``primary`` in ``term``."""
--- /dev/null
+++ b/src/ebonyladder/execution.py
@@ -0,0 +1,31 @@
+"""Interfaces of statement execution: at the owner and across VMs."""
+
+from abc import ABC, abstractmethod
+
+from ebonyladder.messages import (
+    Forward,
+    ForwardAnswer,
+    GroupStateAnswer,
+    TransactionStep,
+)
+from ebonyladder.types import GroupId
+
+
+class StatementExecutor(ABC):
+    """Run statements at the endpoints that this VM owns."""
+
+    @abstractmethod
+    async def run(self, forward: Forward) -> ForwardAnswer:
+        """Run one statement; raises ``EbonyladderError``."""
+
+    @abstractmethod
+    async def run_step(self, step: TransactionStep) -> ForwardAnswer:
+        """Run one step of an interactive transaction."""
+
+    @abstractmethod
+    async def group_state(self, group: GroupId, *, wait_s: float) -> GroupStateAnswer:
+        """Return the state of a group of which this VM owns an endpoint.
+
+        Waits up to ``wait_s`` seconds for a primary to be known. Raises
+        ``RequestError`` NOT_OWNER if this VM does not watch the group.
+        """
--- /dev/null
+++ b/src/ebonyladder/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Kernel: plug-in registry, life cycle, errors, steps and clocks."""
--- /dev/null
+++ b/src/ebonyladder/keys.py
@@ -0,0 +1,32 @@
+"""Organisations' keys, kept as digests only."""
+
+import hashlib
+from abc import ABC, abstractmethod
+from typing import NamedTuple
+
+from ebonyladder.kernel.step import Step
+from ebonyladder.types import KeyDigest, OrganisationId
+
+
+def digest_of(key: str) -> KeyDigest:
+    """Return the SHA-256 digest of a key, in hex."""
+    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
+
+
+class KeyHolder(NamedTuple):
+    """Organisation that a key belongs to, with the key's digest."""
+
+    organisation: OrganisationId
+    digest: KeyDigest
+
+
+class KeyRing(ABC):
+    """Keys in force on this VM."""
+
+    @abstractmethod
+    def holder_of(self, key: str) -> KeyHolder:
+        """Return who holds the key; raises ``RequestError`` KEY_REFUSED."""
+
+    @abstractmethod
+    def require_valid(self, digest: KeyDigest, step: Step) -> None:
+        """Raise ``RequestError`` KEY_REFUSED if the key has been withdrawn."""
--- /dev/null
+++ b/src/ebonyladder/membership.py
@@ -0,0 +1,55 @@
+"""View of the VMs and the owners of endpoints."""
+
+from abc import ABC, abstractmethod
+
+from ebonyladder.messages import PeerRecord
+from ebonyladder.routing import rendezvous_order
+from ebonyladder.types import Address, EndpointId, VmId, VmState, ZoneId
+
+
+class Membership(ABC):
+    """Live VMs as far as this VM knows."""
+
+    @abstractmethod
+    def members(self) -> list[PeerRecord]:
+        """Return the live VMs, this one included, by name."""
+
+    @abstractmethod
+    def address_of(self, vm: VmId) -> Address | None:
+        """Return the peer address of a VM, None if it is unknown."""
+
+    @abstractmethod
+    def is_zone_in(self, zone: ZoneId) -> bool:
+        """Tell whether VMs of the zone may take work."""
+
+    @abstractmethod
+    def suspect(self, vm: VmId) -> None:
+        """Note that a call to the VM failed, so that it is checked at once."""
+
+    def workers(self) -> list[PeerRecord]:
+        """Return the live VMs that take new work."""
+        return [
+            member
+            for member in self.members()
+            if member.state is VmState.ACTIVE and self.is_zone_in(member.zone)
+        ]
+
+    def owner_of(self, endpoint: EndpointId, zone: ZoneId) -> VmId | None:
+        """Return the VM that owns the connections to an endpoint.
+
+        Parameters
+        ----------
+        endpoint : EndpointId
+            Endpoint to look up.
+        zone : ZoneId
+            Zone of the endpoint; VMs there are preferred, so that the last
+            hop stays within the zone.
+        """
+        order = self.owner_order(endpoint, zone)
+        return order[0] if order else None
+
+    def owner_order(self, endpoint: EndpointId, zone: ZoneId) -> list[VmId]:
+        """Return the VMs that may own the endpoint, the owner first."""
+        workers = self.workers()
+        local = [member.vm for member in workers if member.zone == zone]
+        return rendezvous_order(endpoint, local or [member.vm for member in workers])
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ebonyladder."""
--- /dev/null
+++ b/tests/test_kernel.py
@@ -0,0 +1,133 @@
+"""Tests of the kernel: registry, life cycle and error table."""
+
+import asyncio
+from abc import ABC
+
+import pytest
+
+from ebonyladder.kernel.error import ErrorCode, Outcome, error_code
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.registry import Registry
+from ebonyladder.settings import Settings
+
+SETTINGS = Settings(
+    vm="vm-1",
+    zone="zone-a",
+    caller="127.0.0.1:0",
+    peer="127.0.0.1:0",
+    operator="127.0.0.1:0",
+    store="127.0.0.1:0",
+    fleet_secret_file="none",
+)
+
+
+class Clockwork(ABC):  # noqa: B024
+    """Interface that the plug-ins of these tests provide."""
+
+
+class TestRegistry:
+    """Guards against wrong start order and unnoticed missing providers."""
+
+    def test_provider_starts_before_the_plugin_that_requires_it(self):
+        registry = Registry()
+
+        @registry.register
+        class Consumer(Plugin):
+            name = "a-consumer"
+            requires = (Clockwork,)
+
+        @registry.register
+        class Provider(Plugin):
+            name = "b-provider"
+            provides = (Clockwork,)
+
+        assert registry.select() == [Provider, Consumer]
+
+    def test_highest_priority_provider_replaces_the_others(self):
+        registry = Registry()
+
+        @registry.register
+        class Builtin(Plugin):
+            name = "builtin"
+            provides = (Clockwork,)
+
+        @registry.register
+        class ThirdParty(Plugin):
+            name = "third-party"
+            provides = (Clockwork,)
+            priority = 1
+
+        assert registry.select() == [ThirdParty]
+
+    def test_missing_provider_is_an_error(self):
+        registry = Registry()
+
+        @registry.register
+        class Consumer(Plugin):
+            name = "consumer"
+            requires = (Clockwork,)
+
+        with pytest.raises(LookupError, match="Clockwork"):
+            registry.select()
+
+    def test_name_used_twice_is_an_error(self):
+        registry = Registry()
+        registry.register(type("First", (Plugin,), {"name": "same"}))
+        with pytest.raises(ValueError, match="same"):
+            registry.register(type("Second", (Plugin,), {"name": "same"}))
+
+
+class TestLifeCycle:
+    """Guards against plug-ins that outlive the providers they use."""
+
+    def test_plugins_drain_and_stop_in_reverse_order(self):
+        events = []
+        registry = Registry()
+
+        class Recording(Plugin):
+            async def start(self):
+                events.append(("start", self.name))
+
+            async def drain(self):
+                events.append(("drain", self.name))
+
+            async def stop(self):
+                events.append(("stop", self.name))
+
+        @registry.register
+        class Provider(Recording):
+            name = "provider"
+            provides = (Clockwork,)
+
+        @registry.register
+        class Consumer(Recording):
+            name = "consumer"
+            requires = (Clockwork,)
+
+        async def run():
+            kernel = Kernel(settings=SETTINGS, registry=registry)
+            await kernel.start()
+            await kernel.drain()
+            await kernel.stop()
+
+        asyncio.run(run())
+        assert events == [
+            ("start", "provider"),
+            ("start", "consumer"),
+            ("drain", "consumer"),
+            ("drain", "provider"),
+            ("stop", "consumer"),
+            ("stop", "provider"),
+        ]
+
+
+class TestErrorCode:
+    """Guards against codes that two errors share."""
+
+    def test_codes_are_unique(self):
+        codes = [member.value.code for member in ErrorCode]
+        assert len(codes) == len(set(codes))
+
+    def test_unknown_code_of_a_newer_peer_has_unknown_outcome(self):
+        assert error_code("from-the-future").value.outcome is Outcome.UNKNOWN
