Add stand-ins for the store and for endpoints

Cause: the daemon needs outside systems to talk to, and none but our own may be used. Ruled out: comparing logs by term of the follower's role; only the last entry's term makes the newest log comparable, so a term begins with an entry of its own.

--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts that start processes for demos and pages."""
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,363 @@
+"""Start a store, endpoints and daemons as processes on loopback."""
+
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from pathlib import Path
+from typing import NamedTuple
+
+from websockets.sync.client import connect
+
+READY_LIMIT_S = 30.0
+POLL_S = 0.05
+OPERATOR_KEY = "operator-key-of-the-demo"
+
+
+class Site(NamedTuple):
+    """Deployment of one user: names, sizes and delays."""
+
+    service: str
+    zones: tuple[str, ...]
+    regions: tuple[str, ...]
+    slots: int
+    connections: int
+    connect_ms: float
+    statement_ms: float
+    lag_ms: float
+    network_ms: float
+    organisations: dict[str, tuple[float, float]]
+
+
+ORGANISATIONS = {
+    "org-large-1": (2000.0, 400.0),
+    "org-large-2": (2000.0, 400.0),
+    **{f"org-{number}": (400.0, 80.0) for number in range(1, 7)},
+}
+SIALC_STRYD = Site(
+    service="square-ledger",
+    zones=("caerdydd-a", "bangor-a", "aber-a"),
+    regions=("caerdydd", "bangor", "aber"),
+    slots=5,
+    connections=30,
+    connect_ms=10.0,
+    statement_ms=1.0,
+    lag_ms=200.0,
+    network_ms=1.0,
+    organisations=ORGANISATIONS,
+)
+CARONI_BALLAST = SIALC_STRYD._replace(
+    service="order-ledger",
+    zones=("arima-a", "couva-a", "fernando-a"),
+    regions=("arima", "couva", "fernando"),
+    slots=3,
+    connections=40,
+    network_ms=1.5,
+)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for found in sockets:
+        found.bind(("127.0.0.1", 0))
+    ports = [found.getsockname()[1] for found in sockets]
+    for found in sockets:
+        found.close()
+    return ports
+
+
+def wait_until(condition, what: str, limit_s: float = READY_LIMIT_S) -> None:
+    """Wait for a condition; raises ``TimeoutError`` that names it."""
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        if condition():
+            return
+        time.sleep(POLL_S)
+    raise TimeoutError(f"{what} did not happen within {limit_s:.0f} s")
+
+
+class Vm(NamedTuple):
+    """One daemon of a deployment."""
+
+    name: str
+    zone: str
+    caller: str
+    peer: str
+    operator: str
+
+    @property
+    def url(self) -> str:
+        """Base address for callers."""
+        return f"http://{self.caller}"
+
+
+class Deployment:
+    """Processes of one deployment.
+
+    Parameters
+    ----------
+    site : Site
+        Names, sizes and delays.
+    vms : int
+        Number of daemons, spread over the zones.
+    groups : int
+        Number of database groups, each with one endpoint in each zone.
+    log_level : str
+        Log level of the daemons.
+    """
+
+    def __init__(
+        self,
+        *,
+        site: Site = SIALC_STRYD,
+        vms: int = 3,
+        groups: int = 3,
+        log_level: str = "info",
+    ) -> None:
+        self.site = site
+        self.folder = Path(tempfile.mkdtemp(prefix="ebonyladder-"))
+        self.log_level = log_level
+        self.processes: dict[str, subprocess.Popen] = {}
+        self.keys = {name: f"key-of-{name}" for name in site.organisations}
+        ports = iter(free_ports(1 + 3 * groups + 3 * vms))
+        self.store = f"127.0.0.1:{next(ports)}"
+        self.endpoints = {
+            f"g{group}-{zone}": (f"127.0.0.1:{next(ports)}", zone, f"g{group}")
+            for group in range(1, groups + 1)
+            for zone in site.zones
+        }
+        self.vms = [
+            Vm(
+                f"vm-{number + 1}",
+                site.zones[number % len(site.zones)],
+                *(f"127.0.0.1:{next(ports)}" for _ in range(3)),
+            )
+            for number in range(vms)
+        ]
+
+    def __enter__(self) -> "Deployment":
+        """Start all processes and wait until they serve."""
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        """End all processes."""
+        self.stop()
+
+    def start(self) -> None:
+        """Start store, endpoints and daemons; returns once all serve."""
+        self.start_store()
+        for name in self.endpoints:
+            self.start_endpoint(name)
+        wait_until(self._store_answers, "the start of the store")
+        self.list_vms()
+        self._put_configuration()
+        (self.folder / "secret").write_text("fleet-secret-of-the-demo")
+        for vm in self.vms:
+            self.start_vm(vm)
+        for vm in self.vms:
+            wait_until(lambda vm=vm: self.is_healthy(vm), f"the start of {vm.name}")
+
+    def stop(self) -> None:
+        """End all processes by id."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    # Processes.
+
+    def _spawn(self, name: str, *command: str) -> subprocess.Popen:
+        log = (self.folder / f"{name}.log").open("a")
+        process = subprocess.Popen(
+            [sys.executable, *command],
+            stdout=log,
+            stderr=log,
+            cwd=Path(__file__).parent.parent,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+        log.close()
+        self.processes[name] = process
+        return process
+
+    def start_store(self) -> None:
+        """Start the store stand-in."""
+        port = self.store.rpartition(":")[2]
+        self._spawn("store", "-m", "standins.store", f"--port={port}")
+
+    def start_endpoint(self, name: str) -> None:
+        """Start one endpoint stand-in, with the log of its earlier run."""
+        site = self.site
+        self._spawn(
+            name,
+            "-m",
+            "standins.endpoint",
+            f"--name={name}",
+            f"--port={self.endpoints[name][0].rpartition(':')[2]}",
+            f"--slots={site.slots}",
+            f"--connections={site.connections}",
+            f"--connect_ms={site.connect_ms}",
+            f"--statement_ms={site.statement_ms}",
+            f"--lag_ms={site.lag_ms}",
+            f"--network_ms={site.network_ms}",
+            f"--data={self.folder / (name + '.data')}",
+        )
+
+    def start_vm(self, vm: Vm) -> None:
+        """Start one daemon."""
+        settings = {
+            "vm": vm.name,
+            "zone": vm.zone,
+            "caller": vm.caller,
+            "peer": vm.peer,
+            "operator": vm.operator,
+            "store": self.store,
+            "seeds": [other.peer for other in self.vms if other != vm],
+            "fleet_secret_file": str(self.folder / "secret"),
+            "operator_key_digests": [digest_of(OPERATOR_KEY)],
+            "log_level": self.log_level,
+        }
+        path = self.folder / f"{vm.name}.json"
+        path.write_text("// Settings of one daemon.\n" + json.dumps(settings, indent=2))
+        self._spawn(vm.name, "-m", "ebonyladder.daemon", f"--settings={path}")
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill one process and wait for its end."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    # Store and configuration.
+
+    def _store_answers(self) -> bool:
+        try:
+            self.control_store()
+        except OSError:
+            return False
+        return True
+
+    def control_store(self, **fields: object) -> None:
+        """Change outages, delays or the VM list of the store."""
+        request = urllib.request.Request(
+            f"http://{self.store}/control",
+            data=json.dumps(fields).encode(),
+            headers={"Content-Type": "application/json"},
+        )
+        urllib.request.urlopen(request, timeout=5).close()
+
+    def store_calls(self) -> dict[str, int]:
+        """Return the number of calls on the store by kind."""
+        with urllib.request.urlopen(f"http://{self.store}/calls", timeout=5) as answer:
+            return json.load(answer)
+
+    def list_vms(self, without: tuple[str, ...] = ()) -> None:
+        """Set the platform's list."""
+        listed = [
+            {
+                "vm": vm.name,
+                "zone": vm.zone,
+                "peer_address": vm.peer,
+                "state": "active",
+            }
+            for vm in self.vms
+            if vm.name not in without
+        ]
+        self.control_store(vms=listed)
+
+    def configuration(self) -> str:
+        """Return the configuration text of the deployment."""
+        site = self.site
+        groups: dict[str, dict] = {}
+        for name, (_, _, group) in self.endpoints.items():
+            groups.setdefault(group, {"endpoints": []})["endpoints"].append(name)
+        content = {
+            "services": {
+                site.service: {"groups": sorted(groups), "depends_on": []},
+                "booking-site": {"depends_on": [site.service]},
+            },
+            "groups": groups,
+            "endpoints": {
+                name: {
+                    "address": address,
+                    "zone": zone,
+                    "slots": site.slots,
+                    "connections": site.connections,
+                }
+                for name, (address, zone, _) in self.endpoints.items()
+            },
+            "zones": {
+                zone: {"region": region}
+                for zone, region in zip(site.zones, site.regions, strict=True)
+            },
+            "organisations": {
+                name: {
+                    "rate_per_s": rate,
+                    "burst": burst,
+                    "key_digests": [digest_of(self.keys[name])],
+                }
+                for name, (rate, burst) in site.organisations.items()
+            },
+        }
+        return "// Configuration of the demo.\n" + json.dumps(content, indent=2)
+
+    def _put_configuration(self) -> None:
+        document = {"text": self.configuration(), "submissions": [], "digest": ""}
+        request = urllib.request.Request(
+            f"http://{self.store}/objects/configuration",
+            data=json.dumps(document).encode(),
+            headers={"X-Expected-Version": "0"},
+            method="PUT",
+        )
+        urllib.request.urlopen(request, timeout=5).close()
+
+    # Looks from outside.
+
+    def is_healthy(self, vm: Vm) -> bool:
+        """Tell whether a daemon takes new work."""
+        try:
+            with urllib.request.urlopen(f"{vm.url}/healthz", timeout=2):
+                return True
+        except OSError:
+            return False
+
+    def admin(self, endpoint: str, **fields: object) -> dict:
+        """Change faults of an endpoint or read its record."""
+        address = self.endpoints[endpoint][0]
+        with connect(f"ws://{address}/admin", max_size=None) as link:
+            link.send(json.dumps(fields))
+            return json.loads(link.recv())
+
+    def primary_of(self, group: str) -> str | None:
+        """Return the primary of a group by the endpoints' own word."""
+        found: list[tuple[int, str]] = []
+        for name, (_, _, of_group) in self.endpoints.items():
+            if of_group != group or self.processes[name].poll() is not None:
+                continue
+            try:
+                report = self.admin(name)["report"]
+            except OSError:
+                continue
+            if report["role"] == "primary":
+                found.append((report["log_term"], name))
+        return max(found)[1] if found else None
+
+
+def digest_of(key: str) -> str:
+    """Return the digest by which the configuration names a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
