--- /dev/null
+++ b/src/ebonyladder/_handshake.py
@@ -0,0 +1,24 @@
+"""Proofs by which VMs show each other that they know the fleet secret."""
+
+import hashlib
+import hmac
+
+from ebonyladder.kernel.error import ErrorCode, PeerError
+from ebonyladder.kernel.step import Step
+from ebonyladder.types import VmId
+
+
+def proof_of(secret: bytes, nonce: bytes, vm: VmId) -> bytes:
+    """Return the proof of ``vm`` over the other side's nonce."""
+    return hmac.digest(secret, nonce + vm.encode(), hashlib.sha256)
+
+
+def require_proof(secret: bytes, nonce: bytes, vm: VmId, proof: bytes) -> None:
+    """Raise ``PeerError`` PEER_REFUSED if the proof is wrong."""
+    if not hmac.compare_digest(proof_of(secret, nonce, vm), proof):
+        raise PeerError(
+            code=ErrorCode.PEER_REFUSED,
+            step=Step.PEER_HELLO,
+            peer=vm,
+            message=f"VM {vm} does not know the fleet secret",
+        )
--- /dev/null
+++ b/src/ebonyladder/plugins/peer_links.py
@@ -0,0 +1,336 @@
+"""Links between VMs: websockets with CBOR, one task for each link."""
+
+import asyncio
+import secrets
+import time
+from typing import ClassVar
+
+from absl import logging
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from ebonyladder._codec import (
+    FRAME_LIMIT_BYTES,
+    decode,
+    encode,
+    error_of,
+    failure_of,
+)
+from ebonyladder._handshake import proof_of, require_proof
+from ebonyladder.kernel.error import EbonyladderError, ErrorCode, PeerError
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.registry import register
+from ebonyladder.kernel.step import Step
+from ebonyladder.membership import Membership
+from ebonyladder.messages import Failure, Hello, Message, Proof, Welcome
+from ebonyladder.peer import Handler, PeerIdentity, PeerLinks
+from ebonyladder.settings import split_address
+from ebonyladder.types import Address, HopId, Incarnation, VmId
+
+OPEN_TIMEOUT_S = 1.0
+CLOSE_TIMEOUT_S = 0.2
+PING_INTERVAL_S = 2.0
+PING_TIMEOUT_S = 4.0
+NONCE_BYTES = 16
+HELLO_NUMBER = 0
+
+
+class PeerLink:
+    """Open link to one peer; answers are matched to calls by number.
+
+    Parameters
+    ----------
+    socket : Connection
+        Authenticated WebSocket.
+    identity : PeerIdentity
+        Peer at the other end.
+    """
+
+    def __init__(self, *, socket: Connection, identity: PeerIdentity) -> None:
+        self.socket = socket
+        self.identity = identity
+        self.number = 0
+        self.waiting: dict[int, asyncio.Future[Message]] = {}
+
+    async def call(self, message: Message, timeout_s: float) -> Message:
+        """Send one message and return the answer to it."""
+        self.number += 1
+        number = self.number
+        answer = asyncio.get_running_loop().create_future()
+        self.waiting[number] = answer
+        try:
+            await self.socket.send(encode(number, message))
+            async with asyncio.timeout(timeout_s):
+                return await answer
+        except (ConnectionClosed, TimeoutError) as error:
+            raise PeerError(
+                code=ErrorCode.PEER_LOST,
+                step=Step.PEER_CALL,
+                peer=self.identity.vm,
+                message=f"no answer from the peer: {error!r}",
+            ) from error
+        finally:
+            del self.waiting[number]
+
+    async def read_answers(self) -> None:
+        """Hand each answer to its call until the link ends."""
+        try:
+            async for data in self.socket:
+                frame = decode(data, peer=self.identity.vm)
+                answer = self.waiting.get(frame.number)
+                if answer is None or answer.done():
+                    continue
+                if isinstance(frame.message, Failure):
+                    answer.set_exception(error_of(frame.message))
+                else:
+                    answer.set_result(frame.message)
+        except (ConnectionClosed, PeerError) as error:
+            logging.info(
+                "[peer] Link has ended. peer=%s error=%s", self.identity.vm, error
+            )
+        finally:
+            await self.socket.close()
+            self._fail_waiting()
+
+    def _fail_waiting(self) -> None:
+        for answer in self.waiting.values():
+            if not answer.done():
+                answer.set_exception(
+                    PeerError(
+                        code=ErrorCode.PEER_LOST,
+                        step=Step.PEER_CALL,
+                        peer=self.identity.vm,
+                    )
+                )
+
+
+@register
+class WebSocketPeerLinks(Plugin, PeerLinks):
+    """Calls between VMs over authenticated WebSockets.
+
+    A link is opened by the first call to a peer and carries calls in one
+    direction, so a one-way cut affects only one of the two links.
+    """
+
+    name: ClassVar[str] = "peer-links"
+    provides: ClassVar[tuple[type, ...]] = (PeerLinks,)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        # Milliseconds keep a restarted daemon's start number above the old one.
+        self.incarnation = Incarnation(time.time_ns() // 1_000_000)
+        self.secret = kernel.settings.fleet_secret()
+        self.handlers: dict[type[Message], Handler] = {}
+        self.links: dict[Address, PeerLink] = {}
+        self.opening: dict[Address, asyncio.Task[PeerLink]] = {}
+        self.server: Server | None = None
+        self.hops = 0
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        host, port = split_address(self.kernel.settings.peer)
+        self.server = await serve(
+            self._accept,
+            host,
+            port,
+            max_size=FRAME_LIMIT_BYTES,
+            compression=None,
+            close_timeout=CLOSE_TIMEOUT_S,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+        )
+
+    async def stop(self) -> None:
+        """Close all links."""
+        for link in list(self.links.values()):
+            await link.socket.close()
+        if self.server is not None:
+            self.server.close()
+            await self.server.wait_closed()
+
+    def handle(self, message_type: type[Message], handler: Handler) -> None:
+        """Answer messages of one type with ``handler``."""
+        self.handlers[message_type] = handler
+
+    def next_hop(self) -> HopId:
+        """Return a hop id that was never used before."""
+        self.hops += 1
+        return HopId(
+            vm=self.kernel.settings.vm, incarnation=self.incarnation, number=self.hops
+        )
+
+    async def call(self, vm: VmId, message: Message, *, timeout_s: float) -> Message:
+        """Send a message to a VM and return its answer."""
+        address = self.kernel.get(Membership).address_of(vm)
+        if address is None:
+            raise _unreachable(vm, "address of the VM is not known")
+        return await self.call_address(address, message, timeout_s=timeout_s)
+
+    async def call_address(
+        self, address: Address, message: Message, *, timeout_s: float
+    ) -> Message:
+        """Send a message to an address and return the answer."""
+        link = self.links.get(address)
+        if link is None:
+            link = await self._open_once(address, timeout_s)
+        return await link.call(message, timeout_s)
+
+    async def _open_once(self, address: Address, timeout_s: float) -> PeerLink:
+        task = self.opening.get(address)
+        if task is None:
+            task = self.kernel.spawn(self._open(address), name=f"open-link-{address}")
+            self.opening[address] = task
+            task.add_done_callback(lambda _: self.opening.pop(address, None))
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            raise _unreachable(address, "opening the link timed out") from None
+
+    async def _open(self, address: Address) -> PeerLink:
+        """Open and authenticate a link, then start its reading task."""
+        try:
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                socket = await connect(
+                    f"ws://{address}/",
+                    max_size=FRAME_LIMIT_BYTES,
+                    compression=None,
+                    proxy=None,
+                    close_timeout=CLOSE_TIMEOUT_S,
+                    ping_interval=PING_INTERVAL_S,
+                    ping_timeout=PING_TIMEOUT_S,
+                )
+                identity = await self._introduce(socket, address)
+        except (OSError, TimeoutError, WebSocketException) as error:
+            raise _unreachable(address, f"link could not be opened: {error!r}") from (
+                error
+            )
+        link = PeerLink(socket=socket, identity=identity)
+        self.links[address] = link
+        task = self.kernel.spawn(link.read_answers(), name=f"link-{identity.vm}")
+        task.add_done_callback(lambda _: self._forget(address, link))
+        return link
+
+    def _forget(self, address: Address, link: PeerLink) -> None:
+        if self.links.get(address) is link:
+            del self.links[address]
+
+    async def _introduce(self, socket: Connection, address: Address) -> PeerIdentity:
+        """Exchange proofs of the fleet secret; returns the peer."""
+        settings = self.kernel.settings
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        hello = Hello(
+            vm=settings.vm,
+            zone=settings.zone,
+            incarnation=self.incarnation,
+            address=settings.peer,
+            nonce=nonce,
+        )
+        await socket.send(encode(HELLO_NUMBER, hello))
+        welcome = decode(await socket.recv(), peer=address).message
+        if isinstance(welcome, Failure):
+            raise error_of(welcome)
+        if not isinstance(welcome, Welcome):
+            raise _refused(address, "expected a welcome")
+        require_proof(self.secret, nonce, welcome.vm, welcome.proof)
+        proof = Proof(proof=proof_of(self.secret, welcome.nonce, settings.vm))
+        await socket.send(encode(HELLO_NUMBER, proof))
+        return PeerIdentity(welcome.vm, welcome.zone, welcome.incarnation, address)
+
+    async def _accept(self, socket: ServerConnection) -> None:
+        """Authenticate one peer and answer its calls until the link ends."""
+        try:
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                identity = await self._welcome(socket)
+        except EbonyladderError as error:
+            logging.warning("[peer] Peer was refused. error=%s", error)
+            failure = failure_of(error, peer=self.kernel.settings.vm)
+            await socket.send(encode(HELLO_NUMBER, failure))
+            return
+        except (ConnectionClosed, TimeoutError):
+            return
+        try:
+            await self._answer_calls(socket, identity)
+        except ConnectionClosed:
+            pass
+        except PeerError as error:
+            logging.warning("[peer] Frame was refused. error=%s", error)
+            failure = failure_of(error, peer=self.kernel.settings.vm)
+            await socket.send(encode(HELLO_NUMBER, failure))
+
+    async def _welcome(self, socket: ServerConnection) -> PeerIdentity:
+        settings = self.kernel.settings
+        hello = decode(await socket.recv(), peer="unknown").message
+        if not isinstance(hello, Hello):
+            raise _refused("unknown", "expected a hello")
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        welcome = Welcome(
+            vm=settings.vm,
+            zone=settings.zone,
+            incarnation=self.incarnation,
+            nonce=nonce,
+            proof=proof_of(self.secret, hello.nonce, settings.vm),
+        )
+        await socket.send(encode(HELLO_NUMBER, welcome))
+        proof = decode(await socket.recv(), peer=hello.vm).message
+        if not isinstance(proof, Proof):
+            raise _refused(hello.vm, "expected a proof")
+        require_proof(self.secret, nonce, hello.vm, proof.proof)
+        return PeerIdentity(hello.vm, hello.zone, hello.incarnation, hello.address)
+
+    async def _answer_calls(
+        self, socket: ServerConnection, identity: PeerIdentity
+    ) -> None:
+        """Run one task for each call; a slow call delays no other."""
+        async with asyncio.TaskGroup() as calls:
+            async for data in socket:
+                frame = decode(data, peer=identity.vm)
+                calls.create_task(
+                    self._answer(socket, identity, frame.number, frame.message)
+                )
+
+    async def _answer(
+        self,
+        socket: ServerConnection,
+        identity: PeerIdentity,
+        number: int,
+        message: Message,
+    ) -> None:
+        answer: Message
+        try:
+            handler = self.handlers.get(type(message))
+            if handler is None:
+                raise _refused(identity.vm, f"no handler for {type(message).__name__}")
+            answer = await handler(identity, message)
+        except EbonyladderError as error:
+            answer = failure_of(error, peer=self.kernel.settings.vm)
+        except Exception as error:  # noqa: BLE001
+            logging.exception("[peer] Call failed. peer=%s", identity.vm)
+            answer = failure_of(
+                PeerError(
+                    code=ErrorCode.INTERNAL, step=Step.PEER_CALL, message=repr(error)
+                ),
+                peer=self.kernel.settings.vm,
+            )
+        try:
+            await socket.send(encode(number, answer))
+        except ConnectionClosed:
+            logging.info("[peer] Answer was not delivered. peer=%s", identity.vm)
+
+
+def _refused(peer: str, message: str) -> PeerError:
+    return PeerError(
+        code=ErrorCode.PEER_REFUSED, step=Step.PEER_HELLO, peer=peer, message=message
+    )
+
+
+def _unreachable(peer: str, message: str) -> PeerError:
+    return PeerError(
+        code=ErrorCode.PEER_UNREACHABLE,
+        step=Step.PEER_CALL,
+        peer=peer,
+        message=message,
+    )
