Add the fair queue, the retry budget and the duplicate table

Ruled out: counting requests instead of slot time in the deficit, since an organisation with slow statements would then hold most slots; forgetting hops after their lifetime without a lower bound, since a repeated hop could then run again. Conclusion: the parts can be used by the owner and the entry side.

--- /dev/null
+++ b/src/ebonyladder/dedup.py
@@ -0,0 +1,178 @@
+"""Duplicate table of an owner: a repeated hop never runs again."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.kernel.error import ErrorCode, Outcome, RequestError
+from ebonyladder.kernel.step import Step
+from ebonyladder.messages import Message
+from ebonyladder.types import HopId, Incarnation, VmId
+
+LIFETIME_S = 60.0
+DEFAULT_MAX_HOPS = 4_096
+DEFAULT_MAX_BYTES = 16 * 1024 * 1024
+
+
+class HopRecord:
+    """First delivery of one hop.
+
+    Parameters
+    ----------
+    task : asyncio.Task
+        Run of the hop; its result is the answer.
+    """
+
+    def __init__(self, *, task: "asyncio.Task[Message]") -> None:
+        self.task = task
+        self.ended_s: float | None = None
+        self.size_bytes = 0
+
+    def is_expired(self, limit_s: float) -> bool:
+        """Tell whether the run ended at or before ``limit_s``."""
+        return self.ended_s is not None and self.ended_s <= limit_s
+
+
+class PeerHops:
+    """Hops of one incarnation of a VM, in order of arrival.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+        Newest known incarnation of the VM.
+    """
+
+    def __init__(self, *, incarnation: Incarnation) -> None:
+        self.incarnation = incarnation
+        self.records: dict[int, HopRecord] = {}
+        self.size_bytes = 0
+        # Highest number among the records dropped; a hop at or below it that
+        # has no record may have run before.
+        self.dropped_up_to = -1
+
+    def drop(self, number: int) -> None:
+        """Forget a finished hop."""
+        record = self.records.pop(number)
+        self.size_bytes -= record.size_bytes
+        self.dropped_up_to = max(self.dropped_up_to, number)
+
+
+class DuplicateTable:
+    """Run each hop at most once and answer repeated deliveries.
+
+    A run continues if the delivery that began it is cancelled, so that the
+    answer is there when the hop is delivered again over a new link.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the records' lifetime.
+    max_hops : int
+        Bound on the records of each peer.
+    max_bytes : int
+        Bound on the encoded size of the kept answers of each peer.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        max_hops: int = DEFAULT_MAX_HOPS,
+        max_bytes: int = DEFAULT_MAX_BYTES,
+    ) -> None:
+        self.clock = clock
+        self.max_hops = max_hops
+        self.max_bytes = max_bytes
+        self.peers: dict[VmId, PeerHops] = {}
+        self.running: set[asyncio.Task[Message]] = set()
+
+    async def run(self, hop: HopId, work: Callable[[], Awaitable[Message]]) -> Message:
+        """Return the answer of the hop's first run, starting it if need be.
+
+        Parameters
+        ----------
+        hop : HopId
+            Identity of the delivery.
+        work : callable
+            Runs the request; called for the first delivery only.
+
+        Raises
+        ------
+        RequestError
+            DUPLICATE (UNKNOWN) for a hop of an older incarnation or one whose
+            record was dropped; OVERLOADED (NOT_RUN) if the table is full of
+            hops that run.
+        EbonyladderError
+            The failure of the first run, also for repeated deliveries.
+        """
+        peer = self._peer_of(hop)
+        record = peer.records.get(hop.number)
+        if record is None:
+            record = self._start(peer, hop, work)
+        return await asyncio.shield(record.task)
+
+    async def drain(self) -> None:
+        """Return once no hop runs."""
+        while self.running:
+            await asyncio.wait(self.running)
+
+    def _peer_of(self, hop: HopId) -> PeerHops:
+        peer = self.peers.get(hop.vm)
+        if peer is None or peer.incarnation < hop.incarnation:
+            peer = self.peers[hop.vm] = PeerHops(incarnation=hop.incarnation)
+        elif peer.incarnation > hop.incarnation:
+            raise self._error(ErrorCode.DUPLICATE, hop, Outcome.UNKNOWN)
+        return peer
+
+    def _start(
+        self, peer: PeerHops, hop: HopId, work: Callable[[], Awaitable[Message]]
+    ) -> HopRecord:
+        self._drop_expired(peer)
+        if hop.number <= peer.dropped_up_to:
+            raise self._error(ErrorCode.DUPLICATE, hop, Outcome.UNKNOWN)
+        if len(peer.records) >= self.max_hops and not self._drop_oldest(peer):
+            raise self._error(ErrorCode.OVERLOADED, hop, Outcome.NOT_RUN)
+        task = asyncio.ensure_future(self._run(work))
+        record = peer.records[hop.number] = HopRecord(task=task)
+        self.running.add(task)
+        task.add_done_callback(lambda _: self._end(peer, record))
+        return record
+
+    @staticmethod
+    async def _run(work: Callable[[], Awaitable[Message]]) -> Message:
+        return await work()
+
+    def _end(self, peer: PeerHops, record: HopRecord) -> None:
+        self.running.discard(record.task)
+        record.ended_s = self.clock.now_s()
+        if not record.task.cancelled() and record.task.exception() is None:
+            record.size_bytes = len(msgspec.msgpack.encode(record.task.result()))
+            peer.size_bytes += record.size_bytes
+        while peer.size_bytes > self.max_bytes and self._drop_oldest(peer):
+            pass
+
+    def _drop_expired(self, peer: PeerHops) -> None:
+        """Drop the oldest records up to the first that has not expired."""
+        limit_s = self.clock.now_s() - LIFETIME_S
+        while True:
+            number = self._oldest_finished(peer)
+            if number is None or not peer.records[number].is_expired(limit_s):
+                return
+            peer.drop(number)
+
+    def _drop_oldest(self, peer: PeerHops) -> bool:
+        number = self._oldest_finished(peer)
+        if number is None:
+            return False
+        peer.drop(number)
+        return True
+
+    @staticmethod
+    def _oldest_finished(peer: PeerHops) -> int | None:
+        return next((n for n, r in peer.records.items() if r.task.done()), None)
+
+    @staticmethod
+    def _error(code: ErrorCode, hop: HopId, outcome: Outcome) -> RequestError:
+        return RequestError(code=code, step=Step.QUEUE, peer=hop.vm, outcome=outcome)
--- /dev/null
+++ b/src/ebonyladder/queue.py
@@ -0,0 +1,274 @@
+"""Fair queue of one endpoint: slots shared among organisations."""
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.kernel.error import ErrorCode, Outcome, RequestError
+from ebonyladder.kernel.step import Step
+from ebonyladder.types import EndpointId, OrganisationId
+
+INITIAL_SERVICE_S = 0.005
+# Keeps the mean above zero where the clock does not move within a call.
+MIN_SERVICE_S = 1e-6
+MEAN_WEIGHT = 0.05
+# A single slow statement must not delay an organisation for many rounds.
+MAX_COST_QUANTA = 10.0
+DEFAULT_MAX_WAITING = 1_000
+
+
+class Waiter:
+    """Request that waits for a slot.
+
+    Parameters
+    ----------
+    deadline_s : float
+        Time on the queue's clock at which the request expires.
+    """
+
+    def __init__(self, *, deadline_s: float) -> None:
+        self.deadline_s = deadline_s
+        self.granted: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+
+class OrganisationQueue:
+    """Waiting requests of one organisation with its deficit.
+
+    Parameters
+    ----------
+    mean_s : float
+        Initial moving average of the time that its requests hold a slot.
+    """
+
+    def __init__(self, *, mean_s: float) -> None:
+        self.waiters: deque[Waiter] = deque()
+        self.mean_s = mean_s
+        self.deficit = 0.0
+
+    @property
+    def work_s(self) -> float:
+        """Slot time in seconds that the waiting requests are expected to need."""
+        return len(self.waiters) * self.mean_s
+
+
+class FairQueue:
+    """Share an endpoint's slots by deficit round robin over organisations.
+
+    The deficit counts slot time, in units of the mean service time, so an
+    organisation with slow statements runs fewer of them.
+
+    Parameters
+    ----------
+    endpoint : EndpointId
+        Endpoint whose slots are shared; the peer in errors.
+    slots : int
+        Statements that the endpoint runs at once.
+    clock : Clock
+        Clock of deadlines and service times.
+    max_waiting : int
+        Bound on the waiting requests of each organisation.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint: EndpointId,
+        slots: int,
+        clock: Clock,
+        max_waiting: int = DEFAULT_MAX_WAITING,
+    ) -> None:
+        self.endpoint = endpoint
+        self.slots = slots
+        self.clock = clock
+        self.max_waiting = max_waiting
+        self.running = 0
+        self.mean_s = INITIAL_SERVICE_S
+        self.organisations: dict[OrganisationId, OrganisationQueue] = {}
+        self.ring: deque[OrganisationQueue] = deque()
+        self.draining = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests that wait for a slot."""
+        return sum(len(queue.waiters) for queue in self.ring)
+
+    @asynccontextmanager
+    async def slot(
+        self, *, organisation: OrganisationId, deadline_s: float
+    ) -> AsyncIterator[None]:
+        """Hold a slot within the block.
+
+        Parameters
+        ----------
+        organisation : OrganisationId
+            Organisation on whose behalf the request runs.
+        deadline_s : float
+            Time on the queue's clock at which the caller stops waiting.
+
+        Raises
+        ------
+        RequestError
+            OVERLOADED, DEADLINE or DRAINING, each NOT_RUN, before the block.
+        """
+        queue = self._queue_of(organisation)
+        await self._acquire(queue, deadline_s)
+        started_s = self.clock.now_s()
+        try:
+            yield
+        finally:
+            self._measure(queue, self.clock.now_s() - started_s)
+            self._release()
+
+    async def drain(self) -> None:
+        """Refuse new requests and return once those admitted have ended."""
+        self.draining = True
+        await self.idle.wait()
+
+    def resize(self, slots: int) -> None:
+        """Change the number of slots; those in use stay in use."""
+        self.slots = slots
+        self._dispatch()
+
+    def expected_wait_s(self, organisation: OrganisationId) -> float:
+        """Return the expected seconds until a new request would get a slot."""
+        return self._expected_wait_s(self._queue_of(organisation))
+
+    def _queue_of(self, organisation: OrganisationId) -> OrganisationQueue:
+        queue = self.organisations.get(organisation)
+        if queue is None:
+            queue = OrganisationQueue(mean_s=self.mean_s)
+            self.organisations[organisation] = queue
+        return queue
+
+    def _expected_wait_s(self, queue: OrganisationQueue) -> float:
+        if self.running < self.slots and not self.ring:
+            return 0.0
+        # Round robin gives each other organisation at most the slot time that
+        # this one gets up to the new request, plus one turn.
+        own_s = queue.work_s
+        others_s = sum(
+            min(other.work_s, own_s + max(self.mean_s, other.mean_s))
+            for other in self.ring
+            if other is not queue
+        )
+        return (own_s + others_s + self.mean_s) / max(self.slots, 1)
+
+    async def _acquire(self, queue: OrganisationQueue, deadline_s: float) -> None:
+        left_s = deadline_s - self.clock.now_s()
+        self._require_admissible(queue, left_s)
+        if self.running < self.slots and not self.ring:
+            self.running += 1
+            self.idle.clear()
+            return
+        waiter = self._enqueue(queue, deadline_s)
+        try:
+            async with asyncio.timeout(left_s):
+                granted = await waiter.granted
+        except TimeoutError:
+            self._abandon(queue, waiter)
+            raise self._expired() from None
+        except BaseException:
+            self._abandon(queue, waiter)
+            raise
+        if not granted:
+            raise self._expired()
+
+    def _require_admissible(self, queue: OrganisationQueue, left_s: float) -> None:
+        if self.draining:
+            raise self._error(ErrorCode.DRAINING)
+        if left_s <= 0:
+            raise self._expired()
+        wait_s = self._expected_wait_s(queue)
+        if wait_s and wait_s + queue.mean_s > left_s:
+            turn_s = self.mean_s / max(self.slots, 1)
+            late_s = wait_s + queue.mean_s - left_s
+            raise self._error(ErrorCode.OVERLOADED, max(late_s, turn_s))
+        if len(queue.waiters) >= self.max_waiting:
+            raise self._error(ErrorCode.OVERLOADED, wait_s)
+
+    def _enqueue(self, queue: OrganisationQueue, deadline_s: float) -> Waiter:
+        waiter = Waiter(deadline_s=deadline_s)
+        if not queue.waiters:
+            queue.deficit = 0.0
+            self.ring.append(queue)
+        queue.waiters.append(waiter)
+        self.idle.clear()
+        return waiter
+
+    def _abandon(self, queue: OrganisationQueue, waiter: Waiter) -> None:
+        """Take back a waiter that was cancelled, or the slot it was given."""
+        if waiter.granted.done() and not waiter.granted.cancelled():
+            if waiter.granted.result():
+                self._release()
+            return
+        # A dispatch between the cancellation and this call has removed it.
+        if waiter in queue.waiters:
+            queue.waiters.remove(waiter)
+            if not queue.waiters:
+                self.ring.remove(queue)
+        self._note_idle()
+
+    def _release(self) -> None:
+        self.running -= 1
+        self._dispatch()
+
+    def _dispatch(self) -> None:
+        while self.running < self.slots and self.ring:
+            queue = self._turn()
+            waiter = queue.waiters.popleft()
+            if not waiter.granted.done():
+                self._grant(queue, waiter)
+            if not queue.waiters:
+                self.ring.popleft()
+            elif queue.deficit <= 0:
+                self.ring.rotate(-1)
+        self._note_idle()
+
+    def _turn(self) -> OrganisationQueue:
+        """Return the organisation whose turn it is, at the ring's head.
+
+        An organisation is served while its deficit is above zero and may
+        overdraw it once, so a lone request is served on its first turn.
+        """
+        while True:
+            queue = self.ring[0]
+            if queue.deficit <= 0:
+                queue.deficit += 1.0
+            if queue.deficit > 0:
+                return queue
+            self.ring.rotate(-1)
+
+    def _grant(self, queue: OrganisationQueue, waiter: Waiter) -> None:
+        """Give the slot to a waiter; one that has expired is only woken."""
+        in_time = waiter.deadline_s > self.clock.now_s()
+        waiter.granted.set_result(in_time)
+        if in_time:
+            self.running += 1
+            queue.deficit -= min(queue.mean_s / self.mean_s, MAX_COST_QUANTA)
+
+    def _note_idle(self) -> None:
+        if not self.running and not self.ring:
+            self.idle.set()
+
+    def _measure(self, queue: OrganisationQueue, seconds: float) -> None:
+        seconds = max(seconds, MIN_SERVICE_S)
+        queue.mean_s += MEAN_WEIGHT * (seconds - queue.mean_s)
+        self.mean_s += MEAN_WEIGHT * (seconds - self.mean_s)
+
+    def _expired(self) -> RequestError:
+        return self._error(ErrorCode.DEADLINE)
+
+    def _error(
+        self, code: ErrorCode, retry_after_s: float | None = None
+    ) -> RequestError:
+        return RequestError(
+            code=code,
+            step=Step.QUEUE,
+            peer=self.endpoint,
+            outcome=Outcome.NOT_RUN,
+            retry_after_s=retry_after_s,
+        )
--- /dev/null
+++ b/src/ebonyladder/retry.py
@@ -0,0 +1,144 @@
+"""Retry budget of organisations and the errors that may be retried."""
+
+from collections import deque
+from enum import Enum
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.kernel.error import EbonyladderError, ErrorCode, Outcome
+from ebonyladder.types import OrganisationId
+
+WINDOW_S = 10
+BUDGET_SHARE = 0.1
+# An organisation with few requests may still retry through one failover.
+MINIMUM_RETRIES = 3
+
+# Another endpoint or owner may serve what these refused.
+SERVED_ELSEWHERE = frozenset(
+    {
+        ErrorCode.OVERLOADED,
+        ErrorCode.REPLICA_BEHIND,
+        ErrorCode.NO_PRIMARY,
+        ErrorCode.NOT_OWNER,
+        ErrorCode.CONNECT_FAILED,
+        ErrorCode.PEER_UNREACHABLE,
+        ErrorCode.PEER_REFUSED,
+        ErrorCode.STALE_CONFIGURATION,
+        ErrorCode.DRAINING,
+        ErrorCode.FENCED,
+    }
+)
+# The request may have run; only an idempotent one is sent again.
+LOST = frozenset(
+    {
+        ErrorCode.CONNECTION_LOST,
+        ErrorCode.PEER_LOST,
+        ErrorCode.NOT_CONFIRMED,
+        ErrorCode.STALE_TERM,
+        ErrorCode.DUPLICATE,
+    }
+)
+
+
+class RetryDecision(Enum):
+    """Tell whether a failed request is sent again."""
+
+    RETRY = "retry"
+    NOT_RETRYABLE = "not-retryable"
+    NO_TIME = "no-time"
+    NO_BUDGET = "no-budget"
+
+
+def is_retryable(error: EbonyladderError, *, idempotent: bool) -> bool:
+    """Tell whether sending the request again is safe and may help."""
+    if error.outcome is Outcome.NOT_RUN:
+        return error.code in SERVED_ELSEWHERE | LOST
+    return idempotent and error.code in SERVED_ELSEWHERE | LOST
+
+
+class SecondCount:
+    """Requests and retries of one second.
+
+    Parameters
+    ----------
+    second : int
+        Whole second on the budget's clock.
+    """
+
+    def __init__(self, *, second: int) -> None:
+        self.second = second
+        self.requests = 0
+        self.retries = 0
+
+
+class RetryBudget:
+    """Limit each organisation's retries to a share of its recent requests.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the window.
+    share : float
+        Retries per request within the window.
+    minimum : int
+        Retries within the window that are always allowed.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        share: float = BUDGET_SHARE,
+        minimum: int = MINIMUM_RETRIES,
+    ) -> None:
+        self.clock = clock
+        self.share = share
+        self.minimum = minimum
+        self.counts: dict[OrganisationId, deque[SecondCount]] = {}
+
+    def note_request(self, organisation: OrganisationId) -> None:
+        """Count a caller's request; retries of it are not counted here."""
+        self._current(organisation).requests += 1
+
+    def decide(
+        self,
+        error: EbonyladderError,
+        *,
+        organisation: OrganisationId,
+        idempotent: bool,
+        deadline_left_s: float,
+    ) -> RetryDecision:
+        """Decide on a failed attempt; RETRY takes from the budget.
+
+        Parameters
+        ----------
+        error : EbonyladderError
+            Failure of the attempt.
+        organisation : OrganisationId
+            Organisation of the request.
+        idempotent : bool
+            True for reads and for writes that the caller declared idempotent.
+        deadline_left_s : float
+            Seconds that the caller still waits.
+        """
+        if not is_retryable(error, idempotent=idempotent):
+            return RetryDecision.NOT_RETRYABLE
+        if deadline_left_s <= 0:
+            return RetryDecision.NO_TIME
+        current = self._current(organisation)
+        counts = self.counts[organisation]
+        requests = sum(count.requests for count in counts)
+        retries = sum(count.retries for count in counts)
+        if retries + 1 > self.minimum + self.share * requests:
+            return RetryDecision.NO_BUDGET
+        current.retries += 1
+        return RetryDecision.RETRY
+
+    def _current(self, organisation: OrganisationId) -> SecondCount:
+        """Return this second's count after dropping those past the window."""
+        second = int(self.clock.now_s())
+        counts = self.counts.setdefault(organisation, deque())
+        while counts and counts[0].second <= second - WINDOW_S:
+            counts.popleft()
+        if not counts or counts[-1].second != second:
+            counts.append(SecondCount(second=second))
+        return counts[-1]
