--- a/src/ebonyladder/group.py
+++ b/src/ebonyladder/group.py
@@ -127,10 +127,10 @@
         return self.probe_number
 
     def _answer_probe(self, report: EndpointReport) -> None:
-        for probe in self.probes:
-            if probe.number == report.probe:
-                probe.answers[report.endpoint] = report
-                self._conclude_probe(probe)
+        probe = next((p for p in self.probes if p.number == report.probe), None)
+        if probe is not None:
+            probe.answers[report.endpoint] = report
+            self._conclude_probe(probe)
 
     def _conclude_probe(self, probe: Probe) -> None:
         """Turn a probe into evidence once a majority confirms its primary.
--- a/src/ebonyladder/plugins/peer_links.py
+++ b/src/ebonyladder/plugins/peer_links.py
@@ -181,15 +181,20 @@
     async def _open_once(self, address: Address, timeout_s: float) -> PeerLink:
         task = self.opening.get(address)
         if task is None:
-            task = self.kernel.spawn(self._open(address), name=f"open-link-{address}")
+            task = asyncio.create_task(self._open(address))
             self.opening[address] = task
-            task.add_done_callback(lambda _: self.opening.pop(address, None))
+            task.add_done_callback(lambda done: self._opened(address, done))
         try:
             async with asyncio.timeout(timeout_s):
                 return await asyncio.shield(task)
         except TimeoutError:
             raise _unreachable(address, "opening the link timed out") from None
 
+    def _opened(self, address: Address, task: asyncio.Task[PeerLink]) -> None:
+        self.opening.pop(address, None)
+        if not task.cancelled() and task.exception() is not None:
+            logging.info("[peer] No link. error=%s", task.exception())
+
     async def _open(self, address: Address) -> PeerLink:
         """Open and authenticate a link, then start its reading task."""
         try:
@@ -203,7 +208,11 @@
                     ping_interval=PING_INTERVAL_S,
                     ping_timeout=PING_TIMEOUT_S,
                 )
-                identity = await self._introduce(socket, address)
+                try:
+                    identity = await self._introduce(socket, address)
+                except BaseException:
+                    socket.transport.abort()
+                    raise
         except (OSError, TimeoutError, WebSocketException) as error:
             raise _unreachable(address, f"link could not be opened: {error!r}") from (
                 error
