--- a/src/ebonyladder/membership.py
+++ b/src/ebonyladder/membership.py
@@ -2,10 +2,13 @@
 
 from abc import ABC, abstractmethod
 
+from ebonyladder._members import Member, MemberTable
 from ebonyladder.messages import PeerRecord
 from ebonyladder.routing import rendezvous_order
 from ebonyladder.types import Address, EndpointId, VmId, VmState, ZoneId
 
+__all__ = ["Member", "MemberTable", "Membership"]
+
 
 class Membership(ABC):
     """Live VMs as far as this VM knows."""
--- a/src/ebonyladder/messages.py
+++ b/src/ebonyladder/messages.py
@@ -131,11 +131,33 @@
     request_id: str = ""
 
 
+class SubtreeReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a VM's subtree of the relay tree has in force.
+
+    Attributes
+    ----------
+    count : int
+        VMs of the subtree, the sender included, that have the sender's version.
+    behind : list of VmId
+        Some of the VMs of the subtree that have an older version.
+    """
+
+    count: int
+    behind: list[VmId] = []
+
+
 class Sync(Message, tag="sync"):
-    """Ask for the configuration above ``version``; the answer may wait."""
+    """Ask for the configuration above ``version``; the answer may wait.
+
+    Attributes
+    ----------
+    subtree : SubtreeReport, optional
+        Sent to the first parent only, so that no VM is counted twice.
+    """
 
     version: ConfigurationVersion
     wait_s: float
+    subtree: SubtreeReport | None = None
 
 
 class SyncAnswer(Message, tag="sync-answer"):
@@ -147,18 +169,37 @@
         Whole configuration text where the asker's version is unknown.
     changes : bytes, optional
         Changes since the asker's version.
-    age_s : float
-        Seconds since the sender's evidence that the version was current.
+    age_s : float, optional
+        Seconds from the sender's evidence that the version was current to the
+        arrival of the question; negative for newer evidence, absent without.
     outage_s : float, optional
-        Seconds since the sender's evidence that most relay roots cannot
-        reach the store; absent if there is none.
+        The same for the evidence that most relay roots cannot reach the store.
+    is_store_lost : bool
+        The sender's last call on the store failed.
+    roots : list of VmId
+        Relay roots as the sender knows them; sent along with a whole text.
     """
 
     version: ConfigurationVersion
-    age_s: float
+    age_s: float | None = None
     text: str | None = None
     changes: bytes | None = None
     outage_s: float | None = None
+    is_store_lost: bool = False
+    roots: list[VmId] = []
+
+
+class ConfirmationRequest(Message, tag="confirmation-request"):
+    """Ask a relay root how much of its subtree has a version in force."""
+
+    version: ConfigurationVersion
+
+
+class ConfirmationAnswer(Message, tag="confirmation"):
+    """VMs of a root's subtree that have the version, and some that do not."""
+
+    count: int
+    behind: list[VmId]
 
 
 class GrantRequest(Message, tag="grant-request"):
@@ -192,13 +233,15 @@
     """Confirm that observations are held."""
 
 
-class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """What a VM knows of another one.
+class PeerRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """What a VM knows of another one; an array on the wire, which is compact.
 
     Attributes
     ----------
     heard_ago_s : float
         Seconds since somebody heard from the VM, as far as the sender knows.
+    is_silent : bool
+        The VM has not answered those that ping it.
     """
 
     vm: VmId
@@ -207,13 +250,21 @@
     incarnation: Incarnation
     state: VmState
     heard_ago_s: float
+    is_silent: bool = False
 
 
 class Ping(Message, tag="ping"):
-    """Check of a peer; carries some of the sender's records."""
+    """Check of a peer; carries some of the sender's records.
+
+    Attributes
+    ----------
+    is_whole : bool
+        Ask for all records; set by a VM that has just started.
+    """
 
     sender: PeerRecord
     records: list[PeerRecord]
+    is_whole: bool = False
 
 
 class Pong(Message, tag="pong"):
--- /dev/null
+++ b/src/ebonyladder/plugins/membership.py
@@ -0,0 +1,187 @@
+"""Plug-in that keeps the view of VMs up to date."""
+
+import asyncio
+from random import Random
+
+from absl import logging
+
+from ebonyladder._members import (
+    PING_INTERVAL_S,
+    MemberTable,
+)
+from ebonyladder.configuration import ConfigurationSource
+from ebonyladder.kernel.error import EbonyladderError, StoreError
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.registry import register
+from ebonyladder.membership import Membership
+from ebonyladder.messages import Message, PeerRecord, Ping, Pong
+from ebonyladder.peer import PeerIdentity, PeerLinks
+from ebonyladder.routing import rendezvous_order
+from ebonyladder.store import PlatformStore
+from ebonyladder.types import Address, VmId, VmState, ZoneId
+
+PING_TIMEOUT_S = 1.0
+SEED_TIMEOUT_S = 2.0
+# Three readers every 3 s make one store call a second at any fleet size.
+LIST_READERS = 3
+LIST_INTERVAL_S = 3.0
+
+
+@register
+class MembershipPlugin(Plugin, Membership):
+    """Keep the view from the platform's list, pings and operators' word."""
+
+    name = "membership"
+    provides = (Membership,)
+    requires = (PlatformStore, PeerLinks, ConfigurationSource)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        settings = kernel.settings
+        self.vm = settings.vm
+        self.random = Random(f"{settings.vm}/{kernel.clock.wall_s()}")
+        self.table = MemberTable(vm=self.vm, clock=kernel.clock, random=self.random)
+        self.targets: set[VmId] = set()
+        self.tasks: dict[VmId, asyncio.Task] = {}
+        self.is_started = False
+
+    async def start(self) -> None:
+        """Start answering and sending pings and reading the list."""
+        self.kernel.get(PeerLinks).handle(Ping, self._answer_ping)
+        self.is_started = True
+        await self._read_list()
+        self.kernel.spawn(self._join(), name="membership-join")
+        self.kernel.spawn(self._choose_targets(), name="membership-targets")
+        self.kernel.spawn(self._follow_list(), name="membership-list")
+
+    def members(self) -> list[PeerRecord]:
+        """Return the live VMs, this one included, by name."""
+        records = [self._own_record()]
+        records += [self.table.record_of(member) for member in self.table.live()]
+        return sorted((self._by_operators(r) for r in records), key=lambda r: r.vm)
+
+    def address_of(self, vm: VmId) -> Address | None:
+        """Return the peer address of a VM, None if it is unknown."""
+        if vm == self.vm:
+            return self.kernel.settings.peer
+        member = self.table.members.get(vm)
+        return member.address if member else None
+
+    def is_zone_in(self, zone: ZoneId) -> bool:
+        """Tell whether VMs of the zone may take work."""
+        return self.kernel.get(ConfigurationSource).current.is_zone_in(zone)
+
+    def suspect(self, vm: VmId) -> None:
+        """Ping the VM at once and each second until it answers."""
+        member = self.table.members.get(vm)
+        if member is None or not self.is_started:
+            return
+        self.table.failed(vm, sent_at_s=self.kernel.clock.now_s())
+        self._ping_peer(vm)
+
+    def _own_record(self) -> PeerRecord:
+        settings = self.kernel.settings
+        state = VmState.DRAIN if self.kernel.draining else VmState.ACTIVE
+        return PeerRecord(
+            vm=self.vm,
+            zone=settings.zone,
+            address=settings.peer,
+            incarnation=self.kernel.get(PeerLinks).incarnation,
+            state=state,
+            heard_ago_s=0.0,
+        )
+
+    def _by_operators(self, record: PeerRecord) -> PeerRecord:
+        spec = self.kernel.get(ConfigurationSource).current.vms.get(record.vm)
+        if spec is None or spec.state is record.state or spec.state is VmState.ACTIVE:
+            return record
+        return PeerRecord(
+            vm=record.vm,
+            zone=record.zone,
+            address=record.address,
+            incarnation=record.incarnation,
+            state=spec.state,
+            heard_ago_s=record.heard_ago_s,
+        )
+
+    async def _answer_ping(self, peer: PeerIdentity, message: Message) -> Message:
+        assert isinstance(message, Ping)
+        self.table.hear(message.sender)
+        better = self.table.better(message.records)
+        records = (
+            [self.table.record_of(member) for member in self.table.live()]
+            if message.is_whole
+            else better + self.table.take_news()
+        )
+        return Pong(sender=self._own_record(), records=records)
+
+    async def _choose_targets(self) -> None:
+        """Choose each second whom to ping, one task for each."""
+        while True:
+            self.table.review()
+            self.targets = set(self.table.targets())
+            for vm in self.targets:
+                self._ping_peer(vm)
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    def _ping_peer(self, vm: VmId) -> None:
+        self.targets.add(vm)
+        if vm not in self.tasks:
+            task = self.kernel.spawn(self._follow_peer(vm), name=f"membership-{vm}")
+            self.tasks[vm] = task
+            task.add_done_callback(lambda _: self.tasks.pop(vm, None))
+
+    async def _follow_peer(self, vm: VmId) -> None:
+        """Ping one peer each second while it is a target."""
+        while vm in self.targets:
+            await self._ping(vm)
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    async def _ping(self, vm: VmId) -> None:
+        sent_at_s = self.kernel.clock.now_s()
+        ping = Ping(sender=self._own_record(), records=self.table.take_news())
+        links = self.kernel.get(PeerLinks)
+        try:
+            pong = await links.call(vm, ping, timeout_s=PING_TIMEOUT_S)
+        except EbonyladderError:
+            self.table.failed(vm, sent_at_s=sent_at_s)
+            return
+        self._merge_pong(pong, sent_at_s)
+
+    def _merge_pong(self, pong: Message, sent_at_s: float) -> None:
+        assert isinstance(pong, Pong)
+        self.table.answered(pong.sender, sent_at_s=sent_at_s)
+        self.table.better(pong.records)
+
+    async def _join(self) -> None:
+        """Get the records of a peer, so that a new VM has the whole view."""
+        listed = [self.table.members[vm].address for vm in self.table.members]
+        self.random.shuffle(listed)
+        own = self.kernel.settings.peer
+        addresses = [a for a in (*listed[:3], *self.kernel.settings.seeds) if a != own]
+        links = self.kernel.get(PeerLinks)
+        for address in addresses:
+            ping = Ping(sender=self._own_record(), records=[], is_whole=True)
+            sent_at_s = self.kernel.clock.now_s()
+            try:
+                pong = await links.call_address(address, ping, timeout_s=SEED_TIMEOUT_S)
+            except EbonyladderError as error:
+                logging.info("[membership] Seed does not answer. error=%s", error)
+                continue
+            self._merge_pong(pong, sent_at_s)
+
+    async def _follow_list(self) -> None:
+        """Read the platform's list on the few VMs chosen for it."""
+        while True:
+            await asyncio.sleep(LIST_INTERVAL_S * self.random.uniform(0.9, 1.1))
+            names = [self.vm, *(member.vm for member in self.table.live())]
+            if self.vm in rendezvous_order("members/list", names)[:LIST_READERS]:
+                await self._read_list()
+
+    async def _read_list(self) -> None:
+        store = self.kernel.get(PlatformStore)
+        try:
+            self.table.merge_list(await store.vms())
+        except StoreError as error:
+            logging.warning("[membership] List was not read. error=%s", error)
