Relay the configuration with evidence of freshness, and check keys

Cause: VMs need the configuration within seconds at a rate of store calls that does not grow with the fleet, and must stop when it may have changed. Change: relay roots watch the store, others long-poll two parents; changes travel as line deltas; evidence is aged from before each question. Keys are looked up by digest.

--- a/src/ebonyladder/keys.py
+++ b/src/ebonyladder/keys.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ebonyladder.kernel.step import Step
@@ -30,3 +31,10 @@
     @abstractmethod
     def require_valid(self, digest: KeyDigest, step: Step) -> None:
         """Raise ``RequestError`` KEY_REFUSED if the key has been withdrawn."""
+
+    @abstractmethod
+    def on_withdrawn(self, listener: Callable[[KeyDigest], None]) -> None:
+        """Call ``listener`` with the digest of each key that is withdrawn.
+
+        A key that moves to another organisation counts as withdrawn.
+        """
--- a/src/ebonyladder/messages.py
+++ b/src/ebonyladder/messages.py
@@ -24,7 +24,7 @@
 )
 
 
-class Message(msgspec.Struct, frozen=True, kw_only=True):
+class Message(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Base class of all messages; fields unknown to the reader are ignored."""
 
 
@@ -138,11 +138,14 @@
     ----------
     count : int
         VMs of the subtree, the sender included, that have the sender's version.
+    checksum : int
+        Sum of a hash of their names, modulo 2**32.
     behind : list of VmId
         Some of the VMs of the subtree that have an older version.
     """
 
     count: int
+    checksum: int
     behind: list[VmId] = []
 
 
@@ -153,10 +156,13 @@
     ----------
     subtree : SubtreeReport, optional
         Sent to the first parent only, so that no VM is counted twice.
+    step_s : float
+        Answer early once the receiver's evidence is newer by this.
     """
 
     version: ConfigurationVersion
     wait_s: float
+    step_s: float = 0.25
     subtree: SubtreeReport | None = None
 
 
@@ -198,8 +204,7 @@
 class ConfirmationAnswer(Message, tag="confirmation"):
     """VMs of a root's subtree that have the version, and some that do not."""
 
-    count: int
-    behind: list[VmId]
+    subtree: SubtreeReport
 
 
 class GrantRequest(Message, tag="grant-request"):
