Add leases, token buckets and the shares of a shard

Cause: limits need leases that two VMs never hold at once on their own clocks, and buckets whose shares add up to one rate and burst. Conclusion: base for the limits plug-in.

--- a/src/ebonyladder/limits.py
+++ b/src/ebonyladder/limits.py
@@ -1,8 +1,29 @@
 """Fleet-wide rate and burst of organisations."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
+from typing import NamedTuple
 
-from ebonyladder.types import OrganisationId
+import xxhash
+
+from ebonyladder.configuration import OrganisationSpec
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.routing import rendezvous_order
+from ebonyladder.types import OrganisationId, VmId
+
+SHARDS = 64
+RESERVES = 8
+MAIN_SHARE = 0.6
+RESERVE_SHARE = 0.05
+MAIN_DURATION_S = 6.0
+MAIN_RENEWAL_S = 2.0
+# Covers an hour's outage of the store that begins just before a renewal.
+RESERVE_DURATION_S = 75 * 60.0
+RESERVE_RENEWAL_S = 10 * 60.0
+# A grant that arrives later than this after it was asked for is not used.
+GRANT_VOID_S = 0.1
+# Sums of fractional tokens are compared with this tolerance.
+TOKEN_TOLERANCE = 1e-6
 
 
 class RateLimits(ABC):
@@ -17,3 +38,133 @@
         RequestError
             RATE_EXCEEDED with ``retry_after_s`` if no token could be had.
         """
+
+
+class BucketSize(NamedTuple):
+    """Rate in tokens a second and capacity in tokens of one bucket."""
+
+    rate_per_s: float
+    capacity: float
+
+
+class TokenBucket:
+    """Token bucket that starts empty.
+
+    Parameters
+    ----------
+    size : BucketSize
+        Rate and capacity.
+    clock : Clock
+        Clock that refills the bucket.
+    """
+
+    def __init__(self, *, size: BucketSize, clock: Clock) -> None:
+        self.size = size
+        self.clock = clock
+        self.tokens = 0.0
+        self.filled_s = clock.now_s()
+
+    def available(self) -> float:
+        """Return the tokens in the bucket now."""
+        now_s = self.clock.now_s()
+        added = max(0.0, now_s - self.filled_s) * self.size.rate_per_s
+        self.tokens = min(self.size.capacity, self.tokens + added)
+        self.filled_s = now_s
+        return self.tokens
+
+    def take(self, wanted: float) -> float:
+        """Take up to ``wanted`` tokens, a fraction too; return those taken."""
+        taken = max(0.0, min(wanted, self.available()))
+        self.tokens -= taken
+        return taken
+
+    def resize(self, size: BucketSize) -> None:
+        """Change rate and capacity; adds no tokens."""
+        tokens = self.available()
+        self.size = size
+        self.tokens = min(tokens, size.capacity)
+
+
+class LeaseName(NamedTuple):
+    """Lease of one shard: the main one or a numbered reserve."""
+
+    shard: int
+    reserve: int | None = None
+
+    @property
+    def key(self) -> str:
+        """Key of the lease in the store."""
+        if self.reserve is None:
+            return f"limits/{self.shard}/main"
+        return f"limits/{self.shard}/reserve/{self.reserve}"
+
+    @property
+    def is_main(self) -> bool:
+        """Tell whether this is the main lease."""
+        return self.reserve is None
+
+    @property
+    def share(self) -> float:
+        """Part of rate and burst that the lease carries."""
+        return MAIN_SHARE if self.is_main else RESERVE_SHARE
+
+    @property
+    def duration_s(self) -> float:
+        """Seconds for which one write holds the lease."""
+        return MAIN_DURATION_S if self.is_main else RESERVE_DURATION_S
+
+    @property
+    def renewal_s(self) -> float:
+        """Seconds between renewals."""
+        return MAIN_RENEWAL_S if self.is_main else RESERVE_RENEWAL_S
+
+
+def shard_of(organisation: OrganisationId) -> int:
+    """Return the shard of an organisation; it never depends on the VMs."""
+    return xxhash.xxh3_64_intdigest(organisation) % SHARDS
+
+
+def fleet_capacity(spec: OrganisationSpec) -> float:
+    """Return the capacity of all buckets of an organisation together.
+
+    A granted token may be used up to ``GRANT_VOID_S`` later, so a window of
+    w seconds can contain the tokens of w + ``GRANT_VOID_S`` seconds. One whole
+    token is the least with which a request can be admitted at all.
+    """
+    return max(spec.burst - spec.rate_per_s * GRANT_VOID_S, 1.0)
+
+
+def bucket_size(spec: OrganisationSpec, share: float) -> BucketSize:
+    """Return the size of the bucket of one lease."""
+    return BucketSize(spec.rate_per_s * share, fleet_capacity(spec) * share)
+
+
+def main_order(shard: int, vms: Iterable[VmId]) -> list[VmId]:
+    """Return the VMs by preference for the main lease of a shard."""
+    return rendezvous_order(f"limits/{shard}/main", vms)
+
+
+def reserve_order(shard: int, vms: Iterable[VmId]) -> list[VmId]:
+    """Return the VMs by preference for the reserve leases of a shard."""
+    return rendezvous_order(f"limits/{shard}/reserve", vms)
+
+
+def preferred_leases(vm: VmId, vms: Iterable[VmId]) -> set[LeaseName]:
+    """Return the leases for which ``vm`` is the first choice among ``vms``.
+
+    The reserves of a shard go to different VMs as long as there are enough.
+    """
+    names = list(vms)
+    preferred: set[LeaseName] = set()
+    if vm not in names:
+        return preferred
+    for shard in range(SHARDS):
+        if main_order(shard, names)[0] == vm:
+            preferred.add(LeaseName(shard))
+        order = reserve_order(shard, names)
+        preferred.update(
+            LeaseName(shard, number)
+            for number in range(RESERVES)
+            if order[number % len(order)] == vm
+        )
+    return preferred
--- a/src/ebonyladder/messages.py
+++ b/src/ebonyladder/messages.py
@@ -162,18 +162,41 @@
 
 
 class GrantRequest(Message, tag="grant-request"):
-    """Ask a limit holder for tokens of an organisation."""
+    """Ask a limit holder for tokens of an organisation.
+
+    Attributes
+    ----------
+    reserve : bool
+        Only tokens of the receiver's own reserve leases are asked for.
+    collect : bool
+        The receiver collects from the reserve holders even if it knows of
+        another holder of the main lease, which the sender cannot reach.
+    """
 
     organisation: OrganisationId
     wanted: float
     reserve: bool = False
+    collect: bool = False
 
 
 class Grant(Message, tag="grant"):
-    """Tokens granted; may be fewer than wanted, or a fraction."""
+    """Tokens granted; may be fewer than wanted, or a fraction.
+
+    Attributes
+    ----------
+    retry_after_s : float
+        Seconds after which the next token may be had.
+    holder : VmId, optional
+        Holder of the lease that was asked for, as far as the sender knows.
+    valid_s : float, optional
+        Seconds after the request was sent at which the grant is void, where
+        that is sooner than usual.
+    """
 
     granted: float
     retry_after_s: float = 0.0
+    holder: VmId | None = None
+    valid_s: float | None = None
 
 
 class Observations(Message, tag="observations"):
