--- /dev/null
+++ b/src/ebonyladder/_lease_keeper.py
@@ -0,0 +1,157 @@
+"""Tasks that take, renew and release the limit leases of this VM."""
+
+import asyncio
+import secrets
+from collections.abc import Callable
+
+from absl import logging
+
+from ebonyladder._holdings import Holdings
+from ebonyladder.kernel.error import ErrorCode, StoreError
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.lease import Lease, LeaseState
+from ebonyladder.limits import LeaseName, preferred_leases
+from ebonyladder.store import PlatformStore
+from ebonyladder.types import Incarnation, VmId
+
+REVIEW_INTERVAL_S = 1.0
+STORE_RETRY_S = 1.0
+STORE_WATCH_S = 30.0
+# A VM that is no longer first choice keeps a lease this long, so that a view
+# that changes back and forth moves no leases.
+HANDOVER_AFTER_S = 30.0
+# The first try can meet a renewal that was interrupted after it was sent.
+RELEASE_TRIES = 2
+
+
+class LeaseKeeper:
+    """Run one task for each lease that this VM holds or tries for."""
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        store: PlatformStore,
+        incarnation: Incarnation,
+        workers: Callable[[], list[VmId]],
+        holdings: Holdings,
+    ) -> None:
+        self.kernel = kernel
+        self.vm = kernel.settings.vm
+        self.clock = kernel.clock
+        self.store = store
+        self.incarnation = incarnation
+        self.workers = workers
+        self.holdings = holdings
+        self.leases: dict[LeaseName, Lease] = {}
+        self.tasks: dict[LeaseName, asyncio.Task] = {}
+        self.preferred: set[LeaseName] = set()
+        self.preferred_view: list[VmId] = []
+        self.preferred_since_s = 0.0
+
+    def start(self) -> None:
+        """Start to try for the leases of which this VM is the first choice."""
+        self.review = self.kernel.spawn(self._review(), name="limits-review")
+
+    def main_holder(self, shard: int) -> VmId | None:
+        """Return the holder of a main lease, where this VM has seen it lately."""
+        lease = self.leases.get(LeaseName(shard))
+        return lease.seen_holder() if lease else None
+
+    async def release_all(self) -> None:
+        """Stop all tasks and release what is held."""
+        self.review.cancel()
+        tasks = list(self.tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        held = [n for n, e in self.leases.items() if e.state is LeaseState.HELD]
+        await asyncio.gather(*(self._release(name) for name in held))
+        logging.info("[limits] Leases are released. count=%d", len(held))
+
+    async def _review(self) -> None:
+        """Start a task for each lease for which this VM is the first choice."""
+        while True:
+            view = self.workers()
+            if view != self.preferred_view:
+                self.preferred_view = view
+                self.preferred = preferred_leases(self.vm, view)
+                self.preferred_since_s = self.clock.now_s()
+            for name in self.preferred - self.tasks.keys():
+                self.tasks[name] = self.kernel.spawn(self._hold(name), name=name.key)
+            await asyncio.sleep(REVIEW_INTERVAL_S)
+
+    async def _hold(self, name: LeaseName) -> None:
+        """Take and renew one lease while this VM should have it."""
+        lease = Lease(
+            store=self.store,
+            clock=self.clock,
+            key=name.key,
+            duration_s=name.duration_s,
+            vm=self.vm,
+            incarnation=self.incarnation,
+            nonce=secrets.token_hex(8),
+        )
+        self.leases[name] = lease
+        try:
+            while name in self.preferred or lease.state is LeaseState.HELD:
+                try:
+                    await self._hold_once(name, lease)
+                except StoreError as error:
+                    await self._after_failure(name, lease, error)
+        finally:
+            self.tasks.pop(name, None)
+            if lease.state is not LeaseState.HELD:
+                self.leases.pop(name, None)
+
+    async def _hold_once(self, name: LeaseName, lease: Lease) -> None:
+        if lease.state is LeaseState.HELD:
+            await asyncio.sleep(self._renewal_left_s(name, lease))
+            if self._should_hand_over(name):
+                await lease.observe()
+                await self._release(name)
+            else:
+                await lease.renew()
+                if not self.holdings.has(name):
+                    self.holdings.open(name, lease)
+            return
+        await lease.observe()
+        if lease.state is LeaseState.SEEKING:
+            left_s = lease.wait_left_s()
+            if left_s > 0:
+                await lease.watch(wait_s=min(left_s, STORE_WATCH_S))
+                return
+            await lease.take()
+        self.holdings.open(name, lease)
+        logging.info("[limits] Lease is taken. key=%s", name.key)
+
+    def _renewal_left_s(self, name: LeaseName, lease: Lease) -> float:
+        sent_s = lease.end_s - name.duration_s
+        return max(0.0, sent_s + name.renewal_s - self.clock.now_s())
+
+    def _should_hand_over(self, name: LeaseName) -> bool:
+        settled_s = self.clock.now_s() - self.preferred_since_s
+        return name not in self.preferred and settled_s > HANDOVER_AFTER_S
+
+    async def _after_failure(
+        self, name: LeaseName, lease: Lease, error: StoreError
+    ) -> None:
+        if lease.state is LeaseState.SEEKING:
+            self.holdings.close(name)
+        if error.code is ErrorCode.STORE_UNAVAILABLE:
+            await asyncio.sleep(STORE_RETRY_S)
+        else:
+            logging.info("[limits] Lease is lost. key=%s peer=%s", name.key, error.peer)
+
+    async def _release(self, name: LeaseName) -> None:
+        self.holdings.close(name)
+        for _ in range(RELEASE_TRIES):
+            try:
+                return await self.leases[name].release()
+            except StoreError as error:
+                logging.warning(
+                    "[limits] Lease was not released. key=%s error=%s", name.key, error
+                )
+                if error.code is ErrorCode.LEASE_LOST:
+                    return None
+        return None
--- a/src/ebonyladder/store.py
+++ b/src/ebonyladder/store.py
@@ -1,5 +1,7 @@
 """Interface to the platform's object store."""
 
+from __future__ import annotations
+
 from abc import ABC, abstractmethod
 
 import msgspec
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,5 +1,7 @@
 """Fakes at the interfaces: store, peer links, configuration."""
 
+from __future__ import annotations
+
 import asyncio
 
 from ebonyladder.configuration import Configuration, ConfigurationSource
@@ -103,7 +105,7 @@
         self.links: dict[VmId, FakePeerLinks] = {}
         self.cut: set[tuple[VmId, VmId]] = set()
 
-    def join(self, vm: str, zone: str = "zone-a") -> "FakePeerLinks":
+    def join(self, vm: str, zone: str = "zone-a") -> FakePeerLinks:
         link = FakePeerLinks(network=self, vm=VmId(vm), zone=ZoneId(zone))
         self.links[link.vm] = link
         return link
