--- a/src/ebonyladder/metrics.py
+++ b/src/ebonyladder/metrics.py
@@ -31,3 +31,7 @@
     @abstractmethod
     def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set a gauge."""
+
+    @abstractmethod
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus text format, version 0.0.4."""
