--- a/src/ebonyladder/messages.py
+++ b/src/ebonyladder/messages.py
@@ -176,20 +176,71 @@
     retry_after_s: float = 0.0
 
 
+class MinuteCounts(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True, omit_defaults=True
+):
+    """What callers of one service got in one minute since the epoch."""
+
+    service: ServiceId
+    minute: int
+    served: int = 0
+    failed: int = 0
+    refused: int = 0
+
+
+class MinuteMask(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Minutes of one hour, one bit each, of one service."""
+
+    service: ServiceId
+    hour: int
+    minutes: int
+
+
 class Observations(Message, tag="observations"):
-    """Counts of what callers got, for the status writer and its backup."""
+    """Counts of what callers got, for the status writer and its backup.
+
+    Attributes
+    ----------
+    vm, incarnation : VmId, Incarnation
+        Observer; differs from the sender where a VM hands over.
+    counts : list of MinuteCounts
+        Minutes that the receiver does not hold yet.
+    pending : list of MinuteMask
+        Minutes whose state the sender asks for.
+    written : list of MinuteMask
+        Minutes that the store has; the receiver can drop them.
+    """
 
     vm: VmId
     incarnation: Incarnation
-    service: ServiceId
-    minute: int
-    served: int
-    failed: int
-    refused: int
+    counts: list[MinuteCounts] = []
+    pending: list[MinuteMask] = []
+    written: list[MinuteMask] = []
 
 
 class ObservationsAck(Message, tag="observations-ack"):
-    """Confirm that observations are held."""
+    """Confirm that observations are held and tell which are written.
+
+    Attributes
+    ----------
+    incarnation : Incarnation
+        Incarnation of the holder; what an earlier one held is gone.
+    written : list of MinuteMask
+        Those of the minutes asked for that the store has.
+    """
+
+    incarnation: Incarnation = Incarnation(0)
+    written: list[MinuteMask] = []
+
+
+class StatusRequest(Message, tag="status-request"):
+    """Ask for the snapshot of the public status."""
+
+
+class StatusAnswer(Message, tag="status-answer"):
+    """Snapshot of the public status, compressed."""
+
+    snapshot: bytes
 
 
 class PeerRecord(msgspec.Struct, frozen=True, kw_only=True):
--- /dev/null
+++ b/src/ebonyladder/observation.py
@@ -0,0 +1,243 @@
+"""Observations of one VM per service and minute, before they are recorded."""
+
+from collections.abc import Iterable, Iterator
+
+from ebonyladder.history import ObserverMinutes, observer_id
+from ebonyladder.messages import MinuteCounts, MinuteMask, Observations
+from ebonyladder.status import (
+    MINUTES_PER_HOUR,
+    SECONDS_PER_MINUTE,
+    CallResult,
+    Counts,
+    total,
+)
+from ebonyladder.types import Incarnation, ServiceId, VmId
+
+# Observations older than this are dropped: readers treat earlier hours as fixed.
+LATE_LIMIT_HOURS = 48
+
+Observer = tuple[VmId, Incarnation]
+MinuteKey = tuple[ServiceId, int]
+
+
+class MinuteLog:
+    """Count this VM's calls by service and minute; a closed minute is final."""
+
+    def __init__(self) -> None:
+        self.open: dict[MinuteKey, dict[CallResult, int]] = {}
+        self.alive: set[int] = set()
+        self.floor = 0
+
+    def observe(self, service: ServiceId, result: CallResult, wall_s: float) -> None:
+        """Count one call at the given wall-clock time."""
+        minute = self._minute(wall_s)
+        self.alive.add(minute)
+        counters = self.open.setdefault((service, minute), {})
+        counters[result] = counters.get(result, 0) + 1
+
+    def mark_alive(self, wall_s: float) -> None:
+        """Note that this VM is observing in the current minute."""
+        self.alive.add(self._minute(wall_s))
+
+    def close(
+        self, services: Iterable[ServiceId], wall_s: float, *, everything: bool = False
+    ) -> dict[MinuteKey, Counts]:
+        """Return the minutes that have ended; a quiet one has zero counts.
+
+        A minute in which this VM neither counted nor ran its task, for
+        example because it was frozen, is absent.
+        """
+        now = self._minute(wall_s)
+        ended = {m for m in self.alive if everything or m < now}
+        self.alive -= ended
+        self.floor = max(self.floor, *(m + 1 for m in ended)) if ended else self.floor
+        keys = {(s, m) for s in services for m in ended}
+        keys |= {key for key in self.open if key[1] in ended}
+        return {key: self._counts(self.open.pop(key, {})) for key in sorted(keys)}
+
+    def _minute(self, wall_s: float) -> int:
+        # A wall clock that steps back must not add to a closed minute.
+        return max(self.floor, int(wall_s // SECONDS_PER_MINUTE))
+
+    @staticmethod
+    def _counts(counters: dict[CallResult, int]) -> Counts:
+        return Counts(**{r.value: n for r, n in counters.items()})
+
+
+class HourBatch:
+    """Minutes of one service and hour by observer, to be merged into a record."""
+
+    def __init__(self, *, service: ServiceId, hour: int) -> None:
+        self.service = service
+        self.hour = hour
+        self.minutes: dict[Observer, dict[int, Counts]] = {}
+
+    def add(self, observer: Observer, minute: int, counts: Counts) -> None:
+        """Add one minute of the hour; a repeated one changes nothing."""
+        self.minutes.setdefault(observer, {}).setdefault(minute, counts)
+
+    def masks(self) -> dict[Observer, int]:
+        """Return the mask of held minutes by observer."""
+        return {o: mask_of(minutes) for o, minutes in self.minutes.items()}
+
+    def unrecorded(
+        self, recorded: dict[bytes, int]
+    ) -> tuple[Counts, tuple[ObserverMinutes, ...]]:
+        """Return counts and observers of the minutes not recorded yet."""
+        counts: list[Counts] = []
+        groups: dict[int, list[bytes]] = {}
+        for observer, minutes in self.minutes.items():
+            name = observer_id(*observer)
+            known = recorded.get(name, 0)
+            new = {m: c for m, c in minutes.items() if not known >> m & 1}
+            if new:
+                counts.extend(new.values())
+                groups.setdefault(mask_of(new), []).append(name)
+        observed = tuple(
+            ObserverMinutes(minutes=mask, observers=b"".join(sorted(names)))
+            for mask, names in sorted(groups.items())
+        )
+        return total(counts), observed
+
+
+class ObservationBuffer:
+    """Observations that are not known to be recorded, from any VM.
+
+    Parameters
+    ----------
+    limit : int
+        Greatest number of held minutes; the oldest hour is dropped beyond it.
+    """
+
+    def __init__(self, *, limit: int) -> None:
+        self.limit = limit
+        self.batches: dict[tuple[ServiceId, int], HourBatch] = {}
+        self.size = 0
+
+    def add(
+        self, observer: Observer, service: ServiceId, minute: int, counts: Counts
+    ) -> None:
+        """Hold one minute, counted from the epoch."""
+        hour, within = divmod(minute, MINUTES_PER_HOUR)
+        batch = self.batches.get((service, hour))
+        if batch is None:
+            batch = HourBatch(service=service, hour=hour)
+            self.batches[service, hour] = batch
+        if within not in batch.minutes.get(observer, {}):
+            batch.add(observer, within, counts)
+            self.size += 1
+
+    def trim(self, now_hour: int) -> int:
+        """Drop what is too old or too much; return the number of minutes."""
+        before = self.size
+        for key in sorted(self.batches, key=lambda key: key[1]):
+            if key[1] >= now_hour - LATE_LIMIT_HOURS and self.size <= self.limit:
+                break
+            self._forget_batch(key)
+        return before - self.size
+
+    def forget(self, observer: Observer, service: ServiceId, hour: int, mask: int):
+        """Drop minutes that are recorded."""
+        batch = self.batches.get((service, hour))
+        held = batch.minutes.get(observer, {}) if batch else {}
+        for minute in [m for m in held if mask >> m & 1]:
+            del held[minute]
+            self.size -= 1
+        if batch and not held:
+            batch.minutes.pop(observer, None)
+        if batch and not batch.minutes:
+            del self.batches[service, hour]
+
+    def messages(self, service: ServiceId) -> Iterator[Observations]:
+        """Yield what is held for a service, one message for each observer."""
+        by_observer: dict[Observer, list[MinuteCounts]] = {}
+        for batch in self.batches.values():
+            if batch.service != service:
+                continue
+            for observer, minutes in batch.minutes.items():
+                by_observer.setdefault(observer, []).extend(
+                    minute_counts(service, batch.hour, m, c) for m, c in minutes.items()
+                )
+        for (vm, incarnation), counts in by_observer.items():
+            yield Observations(vm=vm, incarnation=incarnation, counts=counts)
+
+    def _forget_batch(self, key: tuple[ServiceId, int]) -> None:
+        batch = self.batches.pop(key)
+        self.size -= sum(len(minutes) for minutes in batch.minutes.values())
+
+
+class WrittenMinutes:
+    """Minutes that the store is known to have, by observer, service and hour."""
+
+    def __init__(self) -> None:
+        self.masks: dict[tuple[Observer, ServiceId, int], int] = {}
+
+    def note(self, observer: Observer, mask: MinuteMask) -> None:
+        """Add minutes."""
+        key = (observer, mask.service, mask.hour)
+        self.masks[key] = self.masks.get(key, 0) | mask.minutes
+
+    def has(self, observer: Observer, service: ServiceId, minute: int) -> bool:
+        """Tell whether a minute, counted from the epoch, is written."""
+        hour, within = divmod(minute, MINUTES_PER_HOUR)
+        return bool(self.masks.get((observer, service, hour), 0) >> within & 1)
+
+    def among(
+        self, observer: Observer, pending: Iterable[MinuteMask]
+    ) -> list[MinuteMask]:
+        """Return those of the observer's pending minutes that are written."""
+        found = []
+        for mask in pending:
+            both = self.masks.get((observer, mask.service, mask.hour), 0) & mask.minutes
+            if both:
+                found.append(
+                    MinuteMask(service=mask.service, hour=mask.hour, minutes=both)
+                )
+        return found
+
+    def of(self, observer: Observer, services: Iterable[ServiceId]) -> list[MinuteMask]:
+        """Return the written minutes of an observer."""
+        wanted = set(services)
+        return [
+            MinuteMask(service=service, hour=hour, minutes=mask)
+            for (who, service, hour), mask in self.masks.items()
+            if who == observer and service in wanted
+        ]
+
+    def trim(self, now_hour: int) -> None:
+        """Forget hours that no VM can report any more."""
+        oldest = now_hour - LATE_LIMIT_HOURS - 1
+        self.masks = {k: m for k, m in self.masks.items() if k[2] >= oldest}
+
+
+def minute_counts(
+    service: ServiceId, hour: int, minute: int, counts: Counts
+) -> MinuteCounts:
+    """Return the counts of one minute of an hour as part of a message."""
+    return MinuteCounts(
+        service=service,
+        minute=hour * MINUTES_PER_HOUR + minute,
+        served=counts.served,
+        failed=counts.failed,
+        refused=counts.refused,
+    )
+
+
+def mask_of(minutes: Iterable[int]) -> int:
+    """Return the bit mask of minutes of an hour."""
+    mask = 0
+    for minute in minutes:
+        mask |= 1 << minute
+    return mask
+
+
+def masks_of(minutes: Iterable[MinuteKey]) -> list[MinuteMask]:
+    """Return minutes, counted from the epoch, as masks by service and hour."""
+    masks: dict[tuple[ServiceId, int], int] = {}
+    for service, minute in minutes:
+        hour, within = divmod(minute, MINUTES_PER_HOUR)
+        masks[service, hour] = masks.get((service, hour), 0) | 1 << within
+    return [
+        MinuteMask(service=service, hour=hour, minutes=mask)
+        for (service, hour), mask in masks.items()
+    ]
