Add promotion, planned switchover and the plug-in that runs them

Ruled out: a plain VM name as promoter id, since two attempts of one VM in one term could share votes and promote two endpoints; each attempt has its own id.

--- /dev/null
+++ b/src/ebonyladder/_fencing.py
@@ -0,0 +1,231 @@
+"""Steps of a promotion: FENCE, PROMOTE and FOLLOW at a group's endpoints."""
+
+import asyncio
+from collections.abc import Collection
+from uuid import uuid4
+
+import msgspec
+from absl import logging
+
+from ebonyladder.endpoint import EndpointDriver, FenceVote
+from ebonyladder.group import GroupView
+from ebonyladder.kernel.error import EbonyladderError, EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.step import Step
+from ebonyladder.types import EndpointId, Position, Term, VmId
+
+CALL_TIMEOUT_S = 0.5
+# Lets votes from other regions (40 ms round trip) arrive after the majority, so
+# that an endpoint in service can be chosen over one that is leaving.
+STRAGGLER_WAIT_S = 0.06
+
+
+class Promotion(msgspec.Struct, frozen=True, kw_only=True):
+    """Completed promotion.
+
+    Attributes
+    ----------
+    start : Position
+        Term and position at which the new primary began.
+    followers : tuple of EndpointId
+        Endpoints that confirmed FOLLOW; the others get it when they return.
+    """
+
+    primary: EndpointId
+    start: Position
+    followers: tuple[EndpointId, ...]
+
+
+def new_ballot(vm: VmId) -> VmId:
+    """Return a promoter id that no other attempt uses.
+
+    A vote binds an endpoint to (term, promoter). Two attempts of one VM in one
+    term, for example before and after its restart, must not share their votes,
+    since each may promote another endpoint.
+    """
+    return VmId(f"{vm}/{uuid4().hex[:12]}")
+
+
+def choose(
+    votes: Collection[FenceVote],
+    *,
+    in_service: Collection[EndpointId],
+    preferred: EndpointId | None = None,
+) -> EndpointId:
+    """Return the endpoint with the newest log.
+
+    Of equally new ones, one in service is chosen over one that is leaving or
+    whose zone is out, then ``preferred``, then the first by name.
+    """
+    best = max(
+        votes,
+        key=lambda vote: (
+            vote.log_term,
+            vote.received,
+            vote.endpoint in in_service,
+            vote.endpoint == preferred,
+        ),
+    )
+    rivals = [
+        vote.endpoint
+        for vote in votes
+        if (vote.log_term, vote.received) == (best.log_term, best.received)
+        and (vote.endpoint in in_service) == (best.endpoint in in_service)
+    ]
+    return best.endpoint if best.endpoint == preferred else min(rivals)
+
+
+async def promote_group(
+    *,
+    view: GroupView,
+    driver: EndpointDriver,
+    term: Term,
+    ballot: VmId,
+    in_service: Collection[EndpointId],
+    preferred: EndpointId | None = None,
+    call_timeout_s: float = CALL_TIMEOUT_S,
+) -> Promotion:
+    """Make one endpoint primary of ``term``.
+
+    It can end after any call without harm: votes and a new primary stay valid,
+    and another promoter finishes the work in a higher term.
+
+    Raises
+    ------
+    EndpointError
+        FENCED at step FENCE without a majority of votes. Any code at step
+        PROMOTE if the chosen endpoint did not confirm; it may be primary.
+    """
+    votes = await _gather_votes(view, driver, term, ballot, call_timeout_s)
+    if len(votes) < view.majority:
+        raise EndpointError(
+            code=ErrorCode.FENCED,
+            step=Step.FENCE,
+            peer=view.group,
+            message=f"{len(votes)} of {len(view.endpoints)} endpoints gave their vote.",
+        )
+    primary = choose(votes, in_service=in_service, preferred=preferred)
+    followers = {n: a for n, a in view.endpoints.items() if n != primary}
+    try:
+        async with asyncio.timeout(call_timeout_s):
+            start = await driver.promote(
+                endpoint=primary,
+                address=view.endpoints[primary],
+                term=term,
+                promoter=ballot,
+                followers=followers,
+            )
+    except TimeoutError:
+        raise EndpointError(
+            code=ErrorCode.DEADLINE,
+            step=Step.PROMOTE,
+            peer=primary,
+            outcome=Outcome.UNKNOWN,
+        ) from None
+    logging.info(
+        "[promotion] Endpoint is primary. group=%s endpoint=%s term=%d position=%d",
+        view.group,
+        primary,
+        term,
+        start.position,
+    )
+    confirmed = await asyncio.gather(
+        *(
+            follow(
+                view=view,
+                driver=driver,
+                endpoint=name,
+                primary=primary,
+                term=term,
+                call_timeout_s=call_timeout_s,
+            )
+            for name in followers
+        )
+    )
+    return Promotion(
+        primary=primary,
+        start=start,
+        followers=tuple(n for n, ok in zip(followers, confirmed, strict=True) if ok),
+    )
+
+
+async def follow(
+    *,
+    view: GroupView,
+    driver: EndpointDriver,
+    endpoint: EndpointId,
+    primary: EndpointId,
+    term: Term,
+    call_timeout_s: float = CALL_TIMEOUT_S,
+) -> bool:
+    """Make an endpoint replicate from the primary; tell whether it confirmed."""
+    try:
+        async with asyncio.timeout(call_timeout_s):
+            await driver.follow(
+                endpoint=endpoint,
+                address=view.endpoints[endpoint],
+                term=term,
+                primary=primary,
+                primary_address=view.endpoints[primary],
+            )
+    except (EbonyladderError, TimeoutError) as error:
+        logging.warning(
+            "[promotion] Endpoint does not follow yet. endpoint=%s term=%d error=%r",
+            endpoint,
+            term,
+            error,
+        )
+        return False
+    return True
+
+
+async def _gather_votes(
+    view: GroupView,
+    driver: EndpointDriver,
+    term: Term,
+    ballot: VmId,
+    call_timeout_s: float,
+) -> list[FenceVote]:
+    """Ask all endpoints at once; return once no better majority is expected."""
+    pending = {
+        asyncio.create_task(_fence(view, driver, name, term, ballot, call_timeout_s))
+        for name in view.endpoints
+    }
+    votes: list[FenceVote] = []
+    try:
+        while pending and len(votes) + len(pending) >= view.majority:
+            enough = len(votes) >= view.majority
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=STRAGGLER_WAIT_S if enough else None,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            votes += [vote for task in done if (vote := task.result()) is not None]
+    finally:
+        for task in pending:
+            task.cancel()
+    return votes
+
+
+async def _fence(
+    view: GroupView,
+    driver: EndpointDriver,
+    endpoint: EndpointId,
+    term: Term,
+    ballot: VmId,
+    call_timeout_s: float,
+) -> FenceVote | None:
+    try:
+        async with asyncio.timeout(call_timeout_s):
+            return await driver.fence(
+                endpoint=endpoint,
+                address=view.endpoints[endpoint],
+                term=term,
+                promoter=ballot,
+            )
+    except (EbonyladderError, TimeoutError) as error:
+        logging.info(
+            "[promotion] No vote. endpoint=%s term=%d error=%r", endpoint, term, error
+        )
+        return None
--- a/src/ebonyladder/group.py
+++ b/src/ebonyladder/group.py
@@ -1,5 +1,6 @@
 """State of a database group, gathered from its endpoints' reports."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
 
@@ -62,6 +63,12 @@
         Group that is watched.
     endpoints : dict of EndpointId to Address
         Endpoints of the group.
+
+    Attributes
+    ----------
+    changed : asyncio.Event
+        Set at the next change and then replaced, so that each wait on it
+        begins with the state as it was read.
     """
 
     def __init__(self, *, group: GroupId, endpoints: dict[EndpointId, Address]) -> None:
@@ -73,6 +80,12 @@
         self.evidence: deque[Evidence] = deque(maxlen=PROBE_HISTORY)
         self.term = Term(0)
         self.probe_number = 0
+        self.changed = asyncio.Event()
+
+    def wake(self) -> None:
+        """Wake those who wait for a change."""
+        event, self.changed = self.changed, asyncio.Event()
+        event.set()
 
     @property
     def majority(self) -> int:
@@ -95,10 +108,21 @@
         self.term = max(self.term, report.fence_term, report.log_term)
         if report.probe:
             self._answer_probe(report)
+        self.wake()
 
     def lose_link(self, endpoint: EndpointId, now_s: float) -> None:
         """Note that the report stream of an endpoint has ended."""
         self.link_down_since_s.setdefault(endpoint, now_s)
+        self.wake()
+
+    def is_reachable(
+        self, endpoint: EndpointId, *, now_s: float, silence_s: float
+    ) -> bool:
+        """Tell whether the endpoint was heard within ``silence_s`` seconds."""
+        heard = self.heard.get(endpoint)
+        if heard is None or endpoint in self.link_down_since_s:
+            return False
+        return now_s - heard.at_s < silence_s
 
     def start_probe(self, now_s: float) -> int:
         """Begin a probe; returns the number to send to all endpoints."""
--- /dev/null
+++ b/src/ebonyladder/plugins/promotion.py
@@ -0,0 +1,251 @@
+"""Plug-in that keeps one primary in each watched group."""
+
+import asyncio
+from collections.abc import Collection
+
+from absl import logging
+
+from ebonyladder._fencing import follow
+from ebonyladder.configuration import Configuration, ConfigurationSource
+from ebonyladder.endpoint import EndpointDriver
+from ebonyladder.group import GroupView, GroupWatch
+from ebonyladder.kernel.error import EbonyladderError
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.registry import register
+from ebonyladder.membership import Membership
+from ebonyladder.promotion import (
+    Hindrance,
+    PromotionPolicy,
+    WriteGate,
+    new_ballot,
+    promote_group,
+    switch_over,
+)
+from ebonyladder.routing import rendezvous_order
+from ebonyladder.types import EndpointId, GroupId, VmId
+
+# Groups can begin to be watched without a change of the configuration, when
+# owners of endpoints move.
+WATCH_REFRESH_S = 1.0
+# A VM that is second in line starts a switchover only when the first had time
+# to finish it: 3 s for transactions, 2 s to catch up.
+SWITCHOVER_RANK_DELAY_S = 6.0
+SWITCHOVER_RETRY_S = 5.0
+
+
+class ClosedToNobody(WriteGate):
+    """Gate for a daemon without a provider; open transactions are rolled back."""
+
+    async def close(self, group: GroupId, *, limit_s: float) -> bool:
+        """Hold back nothing."""
+        return False
+
+    def open(self, group: GroupId) -> None:
+        """Nothing was held back."""
+
+
+class GroupGuard:
+    """Keep one primary in one group.
+
+    Parameters
+    ----------
+    view : GroupView
+        This VM's view of the group.
+    policy : PromotionPolicy
+        Decisions of this VM for the group.
+    plugin : PromotionPlugin
+        Access to the other parts of the daemon.
+    """
+
+    def __init__(
+        self, *, view: GroupView, policy: PromotionPolicy, plugin: "PromotionPlugin"
+    ) -> None:
+        self.view = view
+        self.policy = policy
+        self.plugin = plugin
+        self.switchover_due_s: float | None = None
+
+    async def run(self) -> None:
+        """Check the group at each change and when a condition can come true."""
+        while True:
+            changed = self.view.changed
+            again_s = await self._act()
+            await self._wait(changed, again_s)
+
+    async def _wait(self, changed: asyncio.Event, again_s: float | None) -> None:
+        delay_s = None
+        if again_s is not None:
+            delay_s = max(again_s - self.policy.clock.now_s(), 0.0)
+        try:
+            async with asyncio.timeout(delay_s):
+                await changed.wait()
+        except TimeoutError:
+            pass
+
+    async def _act(self) -> float | None:
+        """Do what is due; return the time of the next check, if one is known."""
+        rank = self.plugin.rank(self.view)
+        if rank is None:
+            return None
+        check = self.policy.check(rank=rank)
+        if check.hindrance is Hindrance.NONE:
+            await self._promote(rank)
+            return self.policy.clock.now_s()
+        for endpoint in self.policy.stale_endpoints(rank=rank):
+            await self._follow(endpoint)
+        return self._earlier(check.again_s, await self._switch_over_if_due(rank))
+
+    @staticmethod
+    def _earlier(one: float | None, other: float | None) -> float | None:
+        return min((t for t in (one, other) if t is not None), default=None)
+
+    async def _promote(self, rank: int) -> None:
+        term = self.policy.next_term()
+        self.policy.note_attempt(term)
+        logging.info(
+            "[promotion] Promotion begins. group=%s term=%d", self.view.group, term
+        )
+        try:
+            await promote_group(
+                view=self.view,
+                driver=self.plugin.driver,
+                term=term,
+                ballot=new_ballot(self.policy.vm),
+                in_service=self.plugin.in_service(self.view),
+                preferred=self.policy.reachable_leader(),
+            )
+        except EbonyladderError as error:
+            logging.warning("[promotion] Promotion failed. error=%s", error)
+            self.policy.note_lost(rank=rank)
+            return
+        self.policy.note_promoted()
+        self.plugin.watch.notify(self.view.group)
+
+    async def _follow(self, endpoint: EndpointId) -> None:
+        primary = self.view.primary
+        if primary is not None:
+            await follow(
+                view=self.view,
+                driver=self.plugin.driver,
+                endpoint=endpoint,
+                primary=primary,
+                term=self.view.term,
+            )
+
+    async def _switch_over_if_due(self, rank: int) -> float | None:
+        in_service = self.plugin.in_service(self.view)
+        primary = self.view.primary
+        if primary is None or primary in in_service or not in_service:
+            self.switchover_due_s = None
+            return None
+        now_s = self.policy.clock.now_s()
+        if self.switchover_due_s is None:
+            place = self.plugin.switchover_rank(self.view, primary, rank)
+            self.switchover_due_s = now_s + place * SWITCHOVER_RANK_DELAY_S
+        if now_s < self.switchover_due_s:
+            return self.switchover_due_s
+        self.switchover_due_s = now_s + SWITCHOVER_RETRY_S
+        await self._switch_over(in_service)
+        return self.switchover_due_s
+
+    async def _switch_over(self, in_service: Collection[EndpointId]) -> None:
+        logging.info("[promotion] Switchover begins. group=%s", self.view.group)
+        try:
+            await switch_over(
+                view=self.view,
+                driver=self.plugin.driver,
+                gate=self.plugin.gate,
+                policy=self.policy,
+                in_service=in_service,
+            )
+        except EbonyladderError as error:
+            logging.warning("[promotion] Switchover failed. error=%s", error)
+            return
+        self.policy.note_promoted()
+        self.plugin.watch.notify(self.view.group)
+
+
+@register
+class PromotionPlugin(Plugin):
+    """Run one guard for each group of which this VM owns an endpoint."""
+
+    name = "promotion"
+    requires = (GroupWatch, EndpointDriver, Membership, ConfigurationSource)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.vm = kernel.settings.vm
+        self.guards: dict[GroupId, GroupGuard] = {}
+        self.tasks: dict[GroupId, asyncio.Task] = {}
+
+    async def start(self) -> None:
+        """Begin to guard the watched groups."""
+        self.watch = self.kernel.get(GroupWatch)
+        self.driver = self.kernel.get(EndpointDriver)
+        self.membership = self.kernel.get(Membership)
+        self.source = self.kernel.get(ConfigurationSource)
+        self.gate = self.kernel.providers.get(WriteGate) or ClosedToNobody()
+        self.source.subscribe(self._wake)
+        self.kernel.spawn(self._guard_watched(), name="promotion")
+
+    async def drain(self) -> None:
+        """Start no further promotion; one under way ends or another VM takes over."""
+        for group in list(self.tasks):
+            self._forget(group)
+
+    def rank(self, view: GroupView) -> int | None:
+        """Return this VM's place among the owners of the group's endpoints."""
+        order = rendezvous_order(view.group, self._owners(view))
+        return order.index(self.vm) if self.vm in order else None
+
+    def switchover_rank(self, view: GroupView, primary: EndpointId, rank: int) -> int:
+        """Return the place for switchovers; the primary's owner is first."""
+        spec = self.source.current.endpoints.get(primary)
+        owner = self.membership.owner_of(primary, spec.zone) if spec else None
+        return 0 if owner == self.vm else rank + 1
+
+    def in_service(self, view: GroupView) -> frozenset[EndpointId]:
+        """Return the group's endpoints that may get new work."""
+        current = self.source.current
+        return frozenset(
+            name
+            for name in view.endpoints
+            if name in current.endpoints and current.is_endpoint_in_service(name)
+        )
+
+    def _owners(self, view: GroupView) -> set[VmId]:
+        specs = self.source.current.endpoints
+        owners = {
+            self.membership.owner_of(name, specs[name].zone)
+            for name in view.endpoints
+            if name in specs
+        }
+        return {owner for owner in owners if owner is not None}
+
+    def _wake(self, _: Configuration) -> None:
+        for guard in self.guards.values():
+            guard.view.wake()
+
+    async def _guard_watched(self) -> None:
+        while not self.kernel.draining:
+            views = {view.group: view for view in self.watch.views()}
+            for group, guard in list(self.guards.items()):
+                if views.get(group) is not guard.view:
+                    self._forget(group)
+            for group, view in views.items():
+                if group not in self.guards:
+                    self._guard(view)
+            await asyncio.sleep(WATCH_REFRESH_S)
+
+    def _guard(self, view: GroupView) -> None:
+        policy = PromotionPolicy(view=view, vm=self.vm, clock=self.kernel.clock)
+        guard = GroupGuard(view=view, policy=policy, plugin=self)
+        self.guards[view.group] = guard
+        self.tasks[view.group] = self.kernel.spawn(
+            guard.run(), name=f"promotion {view.group}"
+        )
+
+    def _forget(self, group: GroupId) -> None:
+        self.guards.pop(group, None)
+        self.tasks.pop(group).cancel()
