--- a/src/ebonyladder/group.py
+++ b/src/ebonyladder/group.py
@@ -64,6 +64,12 @@
         Group that is watched.
     endpoints : dict of EndpointId to Address
         Endpoints of the group.
+
+    Attributes
+    ----------
+    changed : asyncio.Event
+        Set at the next change and then replaced, so that each wait on it
+        begins with the state as it was read.
     """
 
     def __init__(self, *, group: GroupId, endpoints: dict[EndpointId, Address]) -> None:
@@ -77,10 +83,10 @@
         self.probe_number = 0
         self.changed = asyncio.Event()
 
-    def notify(self) -> None:
-        """Wake those who wait for a change of this view."""
-        self.changed.set()
-        self.changed = asyncio.Event()
+    def wake(self) -> None:
+        """Wake those who wait for a change."""
+        event, self.changed = self.changed, asyncio.Event()
+        event.set()
 
     async def wait_until(self, condition: Callable[[], bool], wait_s: float) -> bool:
         """Wait until ``condition`` holds; False if ``wait_s`` seconds passed."""
@@ -113,12 +119,21 @@
         self.term = max(self.term, report.fence_term, report.log_term)
         if report.probe:
             self._answer_probe(report)
-        self.notify()
+        self.wake()
 
     def lose_link(self, endpoint: EndpointId, now_s: float) -> None:
         """Note that the report stream of an endpoint has ended."""
         self.link_down_since_s.setdefault(endpoint, now_s)
-        self.notify()
+        self.wake()
+
+    def is_reachable(
+        self, endpoint: EndpointId, *, now_s: float, silence_s: float
+    ) -> bool:
+        """Tell whether the endpoint was heard within ``silence_s`` seconds."""
+        heard = self.heard.get(endpoint)
+        if heard is None or endpoint in self.link_down_since_s:
+            return False
+        return now_s - heard.at_s < silence_s
 
     def start_probe(self, now_s: float) -> int:
         """Begin a probe; returns the number to send to all endpoints."""
--- a/src/ebonyladder/plugins/group_watch.py
+++ b/src/ebonyladder/plugins/group_watch.py
@@ -81,7 +81,7 @@
     def notify(self, group: GroupId) -> None:
         """Wake those who wait for a change of the group."""
         if group in self.watched:
-            self.watched[group].view.notify()
+            self.watched[group].view.wake()
 
     async def _follow_ownership(self) -> None:
         while True:
