Check configuration texts and settings files in full

Cause: a text was only converted to records; references, ranges, units and duplicate names were not checked, and the first error hid the others. Change: comments and trailing commas are blanked and the standard json decoder reads the rest; json5 reads texts up to 100 kB that use more of its syntax. All problems carry path, line and fix. Settings files use the same check.

--- a/src/ebonyladder/configuration.py
+++ b/src/ebonyladder/configuration.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ebonyladder._references import configuration_findings
+from ebonyladder._schema import raise_findings, read_checked
 from ebonyladder.kernel.step import Step
 from ebonyladder.types import (
     Address,
@@ -148,6 +150,19 @@
         return spec is None or spec.state is ZoneState.IN
 
 
+def parse_configuration(text: str) -> Configuration:
+    """Return the configuration that a text of JSON with comments describes.
+
+    Raises
+    ------
+    ConfigurationError
+        CONFIGURATION_INVALID with every problem: its path, its line and a fix.
+    """
+    reading, configuration = read_checked(text, Configuration)
+    raise_findings(reading, configuration_findings(configuration))
+    return configuration
+
+
 class ConfigurationSource(ABC):
     """Configuration in force on this VM.
 
--- a/src/ebonyladder/kernel/error.py
+++ b/src/ebonyladder/kernel/error.py
@@ -1,7 +1,8 @@
 """Errors with a stable code, an outcome, and the step and peer they arose at."""
 
+from collections.abc import Sequence
 from enum import Enum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from ebonyladder.kernel.step import Step
 
@@ -255,8 +256,49 @@
     """A call on another VM failed."""
 
 
+class Problem(NamedTuple):
+    """One error in a configuration text or a settings file.
+
+    Attributes
+    ----------
+    path : str
+        Dotted path of the field; empty where only the line is known.
+    line : int
+        Line in the text, from 1; 0 where it is not known.
+    problem : str
+        What is wrong.
+    fix : str
+        What to write instead.
+    """
+
+    path: str
+    line: int
+    problem: str
+    fix: str
+
+    def __str__(self) -> str:
+        """Return the problem on one line."""
+        place = f"line {self.line}" if self.line else ""
+        place = ", ".join(part for part in (place, self.path) if part)
+        return f"{place or 'text'}: {self.problem}; {self.fix}"
+
+
 class ConfigurationError(EbonyladderError):
-    """A configuration text or a settings file has errors."""
+    """A configuration text or a settings file has errors.
+
+    Parameters
+    ----------
+    problems : sequence of Problem
+        All errors that were found.
+    **fields
+        Arguments of ``EbonyladderError``.
+    """
+
+    def __init__(self, *, problems: Sequence[Problem] = (), **fields: Any) -> None:
+        self.problems = tuple(problems)
+        if self.problems and not fields.get("message"):
+            fields["message"] = "\n".join(str(problem) for problem in self.problems)
+        super().__init__(**fields)
 
 
 def error_code(code: str) -> ErrorCode:
--- a/src/ebonyladder/settings.py
+++ b/src/ebonyladder/settings.py
@@ -1,14 +1,25 @@
 """Settings of one daemon."""
 
+from collections.abc import Iterator
 from pathlib import Path
 
-import json5
 import msgspec
 
+from ebonyladder._schema import (
+    Finding,
+    address_problem,
+    invalid,
+    is_digest,
+    raise_findings,
+    read_checked,
+)
+from ebonyladder._text import Path as TextPath
 from ebonyladder.kernel.error import ConfigurationError, ErrorCode
 from ebonyladder.kernel.step import Step
 from ebonyladder.types import Address, KeyDigest, VmId, ZoneId
 
+STORE_TIMEOUT_LIMIT_MS = 60_000
+
 
 class TlsSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
@@ -67,19 +78,50 @@
     Raises
     ------
     ConfigurationError
-        CONFIGURATION_INVALID with the path of the field.
+        CONFIGURATION_INVALID with the path and line of each bad field.
     """
     try:
-        return msgspec.convert(
-            json5.loads(Path(path).read_text()), Settings, strict=True
-        )
-    except (OSError, ValueError) as error:
+        text = Path(path).read_text()
+    except (OSError, UnicodeDecodeError) as error:
         raise ConfigurationError(
             code=ErrorCode.CONFIGURATION_INVALID,
             step=Step.CONFIG_CHECK,
             peer=path,
             message=f"settings file {path}: {error}",
         ) from error
+    try:
+        reading, settings = read_checked(text, Settings)
+        raise_findings(reading, _findings(settings))
+    except ConfigurationError as error:
+        raise invalid(list(error.problems), peer=path) from error
+    return settings
+
+
+def _findings(settings: Settings) -> Iterator[Finding]:
+    for name in ("caller", "peer", "operator", "store"):
+        yield from _address_findings(getattr(settings, name), (name,))
+    for index, seed in enumerate(settings.seeds):
+        yield from _address_findings(seed, ("seeds", index))
+    for index, digest in enumerate(settings.operator_key_digests):
+        if not is_digest(digest):
+            yield Finding(
+                path=("operator_key_digests", index),
+                problem="bad digest",
+                fix="write the SHA-256 of the key as 64 lower-case hex digits",
+            )
+    if not 1 <= settings.store_timeout_ms <= STORE_TIMEOUT_LIMIT_MS:
+        yield Finding(
+            path=("store_timeout_ms",),
+            problem=f"impossible time {settings.store_timeout_ms}",
+            fix=f"write 1 to {STORE_TIMEOUT_LIMIT_MS} milliseconds",
+        )
+
+
+def _address_findings(address: Address, path: TextPath) -> Iterator[Finding]:
+    # Port 0 lets the system choose the port, which tests use.
+    bad = address_problem(address, least_port=0)
+    if bad:
+        yield Finding(path=path, problem=bad, fix="write 'ip:port'")
 
 
 def split_address(address: Address) -> tuple[str, int]:
