--- /dev/null
+++ b/src/ebonyladder/plugins/operator_front.py
@@ -0,0 +1,303 @@
+"""HTTP front for operators: configuration, small edits and views."""
+
+import hashlib
+import hmac
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import msgspec
+from absl import logging
+from aiohttp import web
+
+from ebonyladder.configuration import ConfigurationSource, parse_configuration
+from ebonyladder.document import load_document
+from ebonyladder.edit import AnyEdit
+from ebonyladder.kernel.error import (
+    ConfigurationError,
+    EbonyladderError,
+    ErrorCode,
+    RequestError,
+)
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.registry import register
+from ebonyladder.kernel.step import Step
+from ebonyladder.operator import (
+    Confirmation,
+    GroupUsage,
+    LocalConfirmation,
+    OperatorView,
+    View,
+)
+from ebonyladder.settings import TlsSettings, split_address
+from ebonyladder.store import PlatformStore
+from ebonyladder.submission import (
+    Accepted,
+    VersionConflictError,
+    diff_texts,
+    submit,
+    submit_edit,
+)
+from ebonyladder.types import GroupId, KeyDigest, SubmissionId
+
+T = TypeVar("T")
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+# A text of 1 MB takes more as a JSON string; escapes double it at most where
+# it is ASCII.
+BODY_LIMIT_BYTES = 4_000_000
+CONFIRM_WAIT_S = 5.0
+CONFIRM_WAIT_LIMIT_S = 60.0
+STOP_WAIT_S = 5.0
+
+
+class TextBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of a check or a diff."""
+
+    text: str
+
+
+class SubmitBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of the submission of a text."""
+
+    text: str
+    base_version: int
+    submission_id: SubmissionId
+    force: bool = False
+    wait_s: float = CONFIRM_WAIT_S
+
+
+class EditBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of the submission of a small edit."""
+
+    edit: AnyEdit
+    submission_id: SubmissionId
+    force: bool = False
+    wait_s: float = CONFIRM_WAIT_S
+
+
+@register
+class OperatorFront(Plugin, OperatorView):
+    """Serve the operators' API on its own address."""
+
+    name = "operator_front"
+    provides = (OperatorView,)
+    requires = (PlatformStore,)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.views: dict[str, View] = {}
+        self.local: LocalConfirmation | None = None
+        self.runner: web.AppRunner | None = None
+
+    def add_view(self, name: str, view: View) -> None:
+        """Add a view; raises ``ValueError`` if the name is taken."""
+        if name in self.views:
+            raise ValueError(f"two views are named {name!r}")
+        self.views[name] = view
+
+    async def start(self) -> None:
+        """Listen on the operators' address."""
+        settings = self.kernel.settings
+        host, port = split_address(settings.operator)
+        self.runner = web.AppRunner(self.application(), access_log=None)
+        await self.runner.setup()
+        site = web.TCPSite(
+            self.runner,
+            host,
+            port,
+            ssl_context=_ssl_context(settings.operator_tls),
+            shutdown_timeout=STOP_WAIT_S,
+        )
+        await site.start()
+        logging.info("[operator] Front is up. address=%s", settings.operator)
+
+    async def stop(self) -> None:
+        """Stop listening; requests under way may end first."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def application(self) -> web.Application:
+        """Return the application with all routes."""
+        app = web.Application(
+            middlewares=[_answer_errors, self._require_operator],
+            client_max_size=BODY_LIMIT_BYTES,
+        )
+        app.router.add_get("/v1/configuration", self._show)
+        app.router.add_post("/v1/configuration", self._submit)
+        app.router.add_post("/v1/configuration/check", self._check)
+        app.router.add_post("/v1/configuration/diff", self._diff)
+        app.router.add_post("/v1/configuration/edits", self._edit)
+        app.router.add_get("/v1/views/{name}", self._view)
+        return app
+
+    @web.middleware
+    async def _require_operator(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+        known = self.kernel.settings.operator_key_digests
+        if scheme != "Bearer" or not is_operator_key(key, known):
+            logging.warning("[operator] Key refused. remote=%s", request.remote)
+            raise RequestError(code=ErrorCode.KEY_REFUSED, step=Step.KEY_CHECK)
+        return await handler(request)
+
+    @property
+    def _store(self) -> PlatformStore:
+        return self.kernel.get(PlatformStore)
+
+    async def _show(self, request: web.Request) -> web.Response:
+        current = await load_document(self._store)
+        return web.json_response(
+            {
+                "version": current.version,
+                "text": current.document.text,
+                "digest": current.document.digest,
+            }
+        )
+
+    async def _check(self, request: web.Request) -> web.Response:
+        parse_configuration((await _body(request, TextBody)).text)
+        return web.json_response({"valid": True})
+
+    async def _diff(self, request: web.Request) -> web.Response:
+        body = await _body(request, TextBody)
+        current = await load_document(self._store)
+        difference = diff_texts(
+            current.document.text,
+            body.text,
+            old_name=f"version {current.version}",
+            new_name="given text",
+        )
+        return web.json_response({"version": current.version, "diff": difference})
+
+    async def _submit(self, request: web.Request) -> web.Response:
+        body = await _body(request, SubmitBody)
+        accepted = await submit(
+            self._store,
+            text=body.text,
+            base_version=body.base_version,
+            submission_id=body.submission_id,
+            force=body.force,
+            used_slots=await self._used_slots(),
+        )
+        return await self._confirmed(accepted, body, "text")
+
+    async def _edit(self, request: web.Request) -> web.Response:
+        body = await _body(request, EditBody)
+        accepted = await submit_edit(
+            self._store,
+            edit=body.edit,
+            submission_id=body.submission_id,
+            force=body.force,
+            used_slots=await self._used_slots(),
+        )
+        return await self._confirmed(accepted, body, type(body.edit).__name__)
+
+    async def _used_slots(self) -> dict[GroupId, float]:
+        usage = self.kernel.providers.get(GroupUsage)
+        return await usage.used_slots() if isinstance(usage, GroupUsage) else {}
+
+    async def _confirmed(
+        self, accepted: Accepted, body: SubmitBody | EditBody, change: str
+    ) -> web.Response:
+        logging.info(
+            "[operator] Configuration accepted. version=%d submission=%s change=%s "
+            "force=%s",
+            accepted.version,
+            body.submission_id,
+            change,
+            body.force,
+        )
+        wait_s = min(max(body.wait_s, 0.0), CONFIRM_WAIT_LIMIT_S)
+        report = await self._confirmation().confirm(accepted.version, wait_s)
+        return web.json_response(
+            {**msgspec.to_builtins(accepted), **msgspec.to_builtins(report)}
+        )
+
+    def _confirmation(self) -> Confirmation:
+        # Providers start after this plug-in, so they are looked up on use.
+        provider = self.kernel.providers.get(Confirmation)
+        if isinstance(provider, Confirmation):
+            return provider
+        if self.local is None:
+            source = self.kernel.providers.get(ConfigurationSource)
+            self.local = LocalConfirmation(
+                vm=self.kernel.settings.vm,
+                source=source if isinstance(source, ConfigurationSource) else None,
+            )
+        return self.local
+
+    async def _view(self, request: web.Request) -> web.Response:
+        name = request.match_info["name"]
+        view = self.views.get(name)
+        if view is None:
+            raise RequestError(
+                code=ErrorCode.NOT_FOUND,
+                step=Step.ROUTE,
+                message=f"no part of this daemon offers the view {name!r}",
+            )
+        data = msgspec.to_builtins(await view(request.query))
+        return web.json_response({"view": name, "data": data})
+
+
+def is_operator_key(key: str, known: tuple[KeyDigest, ...]) -> bool:
+    """Tell whether the key's digest is known, in time that tells nothing."""
+    digest = hashlib.sha256(key.encode(errors="surrogatepass")).hexdigest()
+    matches = [hmac.compare_digest(digest, candidate) for candidate in known]
+    return any(matches)
+
+
+@web.middleware
+async def _answer_errors(request: web.Request, handler: Handler) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except EbonyladderError as error:
+        return web.json_response(
+            {"error": error_body(error)}, status=error.code.value.http_status
+        )
+    except web.HTTPException as error:
+        code = {404: ErrorCode.NOT_FOUND, 413: ErrorCode.BODY_TOO_LARGE}.get(
+            error.status, ErrorCode.BAD_REQUEST
+        )
+        refusal = RequestError(code=code, step=Step.CALLER_ACCEPT, message=error.reason)
+        return web.json_response({"error": error_body(refusal)}, status=error.status)
+
+
+def error_body(error: EbonyladderError) -> dict[str, Any]:
+    """Return the JSON form of an error."""
+    body: dict[str, Any] = {
+        "code": error.code.value.code,
+        "outcome": error.outcome.value,
+        "step": error.step.value,
+        "peer": error.peer,
+        "message": error.message,
+    }
+    if error.retry_after_s is not None:
+        body["retry_after_s"] = error.retry_after_s
+    if isinstance(error, ConfigurationError) and error.problems:
+        body["problems"] = [problem._asdict() for problem in error.problems]
+    if isinstance(error, VersionConflictError):
+        body["current_version"] = error.current_version
+    return body
+
+
+async def _body(request: web.Request, record: type[T]) -> T:
+    try:
+        return msgspec.json.decode(await request.read(), type=record)
+    except msgspec.MsgspecError as error:
+        raise RequestError(
+            code=ErrorCode.BAD_REQUEST, step=Step.CALLER_ACCEPT, message=str(error)
+        ) from error
+
+
+def _ssl_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.key)
+    if tls.authority:
+        context.load_verify_locations(tls.authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
--- a/src/ebonyladder/store.py
+++ b/src/ebonyladder/store.py
@@ -65,6 +65,10 @@
     async def delete(self, key: str, *, expected_version: int) -> None:
         """Delete on condition."""
 
+    @abstractmethod
+    async def vms(self) -> list[ListedVm]:
+        """Return the platform's list of VMs, which may be out of date."""
+
     @abstractmethod
     async def list(self, prefix: str) -> list[StoredObject]:
         """Return the objects whose keys begin with ``prefix``, by key."""
@@ -74,7 +78,3 @@
         self, key: str, *, after_version: int, wait_s: float
     ) -> StoredObject | None:
         """Wait for a version above ``after_version``; None if none came."""
-
-    @abstractmethod
-    async def vms(self) -> list[ListedVm]:
-        """Return the platform's list of VMs, which may be out of date."""
--- a/src/ebonyladder/types.py
+++ b/src/ebonyladder/types.py
@@ -19,6 +19,7 @@
 Term = NewType("Term", int)
 LogPosition = NewType("LogPosition", int)
 Incarnation = NewType("Incarnation", int)
+SubmissionId = NewType("SubmissionId", str)
 ConfigurationVersion = NewType("ConfigurationVersion", int)
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -73,6 +73,10 @@
         del self.objects[key]
         self._leave_write()
 
+    async def vms(self) -> list[ListedVm]:
+        await self._enter("vms", Step.STORE_READ)
+        return list(self.listed)
+
     async def list(self, prefix: str) -> list[StoredObject]:
         await self._enter("list", Step.STORE_READ)
         return [o for k, o in sorted(self.objects.items()) if k.startswith(prefix)]
@@ -91,10 +95,6 @@
         except TimeoutError:
             return None
 
-    async def vms(self) -> list[ListedVm]:
-        await self._enter("vms", Step.STORE_READ)
-        return list(self.listed)
-
 
 class FakeNetwork:
     """Links between the fake VMs of one test; directions can be cut."""
