--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for the work on the project."""
--- /dev/null
+++ b/src/ebonyladder/_operator_client.py
@@ -0,0 +1,114 @@
+"""HTTP client of the command line, for the operators' and callers' APIs."""
+
+import asyncio
+import json
+from enum import IntEnum
+from typing import Any
+
+import aiohttp
+import msgspec
+
+ANSWER_WAIT_S = 90.0
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the command line."""
+
+    DONE = 0
+    REFUSED = 1
+    USAGE = 2
+    CONFLICT = 3
+    NOT_CONFIRMED = 4
+    UNREACHABLE = 5
+
+
+class CommandError(Exception):
+    """Command that did not succeed.
+
+    Parameters
+    ----------
+    code : ExitCode
+        Exit code of the process.
+    message : str
+        Text for the operator.
+    data : dict
+        JSON form of the failure.
+    """
+
+    def __init__(
+        self, *, code: ExitCode, message: str, data: dict[str, Any] | None = None
+    ) -> None:
+        self.code = code
+        self.message = message
+        self.data = data or {"error": {"message": message}}
+        super().__init__(message)
+
+
+class Connection(msgspec.Struct, frozen=True, kw_only=True):
+    """Address and key of one API."""
+
+    url: str
+    key: str
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: dict[str, Any] | None = None,
+        query: dict[str, str] | None = None,
+    ) -> dict[str, Any]:
+        """Return the answer of one request.
+
+        Raises
+        ------
+        CommandError
+            UNREACHABLE without an answer, CONFLICT or REFUSED for a refusal.
+        """
+        return asyncio.run(self._call(method, path, body, query))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None,
+        query: dict[str, str] | None,
+    ) -> dict[str, Any]:
+        timeout = aiohttp.ClientTimeout(total=ANSWER_WAIT_S)
+        headers = {"Authorization": f"Bearer {self.key}"}
+        base = self.url if "://" in self.url else f"http://{self.url}"
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+                session.request(
+                    method, base.rstrip("/") + path, json=body, params=query
+                ) as response,
+            ):
+                answer = json.loads(await response.text())
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+            raise CommandError(
+                code=ExitCode.UNREACHABLE,
+                message=f"{base} gave no usable answer: {reason}",
+            ) from error
+        if not isinstance(answer, dict):
+            raise CommandError(
+                code=ExitCode.UNREACHABLE, message=f"{base} is no ebonyladder daemon"
+            )
+        if "error" in answer:
+            raise _refusal(answer)
+        return answer
+
+
+def _refusal(answer: dict[str, Any]) -> CommandError:
+    error = answer["error"]
+    is_conflict = error.get("code") == "store-conflict"
+    return CommandError(
+        code=ExitCode.CONFLICT if is_conflict else ExitCode.REFUSED,
+        message=(
+            f"{error.get('message')}\n(code={error.get('code')} "
+            f"step={error.get('step')} peer={error.get('peer') or '-'} "
+            f"outcome={error.get('outcome')})"
+        ),
+        data=answer,
+    )
--- /dev/null
+++ b/src/ebonyladder/cli.py
@@ -0,0 +1,301 @@
+"""Command line of operators, and of callers who try things."""
+
+import json as json_module
+import os
+import secrets
+import sys
+from pathlib import Path
+from typing import Any
+
+import fire
+from fire.decorators import SetParseFn
+
+from ebonyladder._caller_commands import CallCommands
+from ebonyladder._operator_client import CommandError, Connection, ExitCode
+from ebonyladder.keys import digest_of
+
+KEY_BYTES = 32
+SUBMISSION_ID_BYTES = 12
+# Fire would take the word after a bare flag as the flag's value.
+SWITCHES = ("--json", "--force", "--idempotent")
+WAIT_S = 5.0
+
+
+class Console:
+    """Output of the commands and the connection that they use.
+
+    Parameters
+    ----------
+    operator, key : str
+        Address and key; the environment's where they are empty.
+    json : bool
+        Print one JSON object.
+    """
+
+    def __init__(self, *, operator: str, key: str, json: bool) -> None:
+        self.key = key
+        self.json = json
+        self.operator = operator or os.environ.get("EBONYLADDER_OPERATOR", "")
+
+    def connection(self) -> Connection:
+        """Return the connection to the operators' API."""
+        key = self.key or os.environ.get("EBONYLADDER_OPERATOR_KEY", "")
+        if not self.operator or not key:
+            raise CommandError(
+                code=ExitCode.USAGE,
+                message="set --operator and --key, or EBONYLADDER_OPERATOR and "
+                "EBONYLADDER_OPERATOR_KEY",
+            )
+        return Connection(url=self.operator, key=key)
+
+    def show(self, data: dict[str, Any], text: str) -> None:
+        """Print a result in the form that was asked for."""
+        print(json_module.dumps(data) if self.json else text)
+
+    def show_accepted(self, answer: dict[str, Any], **more: str) -> None:
+        """Print the answer to a change; raises NOT_CONFIRMED if VMs are missing."""
+        confirmed, missing = answer["confirmed"], answer["unconfirmed"]
+        text = (
+            f"accepted as version {answer['version']}"
+            if answer["changed"]
+            else f"nothing to change in version {answer['version']}"
+        )
+        text += f", in force on {len(confirmed)} VMs"
+        if missing:
+            text += (
+                f"; not confirmed by {', '.join(missing)}, which take no new work "
+                "without a recent configuration"
+            )
+        lines = [f"{name}: {value}" for name, value in more.items()]
+        self.show({**answer, **more}, "\n".join([text, *lines]))
+        if missing:
+            raise SystemExit(int(ExitCode.NOT_CONFIRMED))
+
+    def edit(
+        self, edit: dict[str, Any], *, force: bool, submission_id: str, **more: str
+    ) -> None:
+        """Submit a small edit and print the answer."""
+        body = {
+            "edit": edit,
+            "submission_id": submission_id or new_submission_id(),
+            "force": force,
+            "wait_s": WAIT_S,
+        }
+        answer = self.change("/v1/configuration/edits", body)
+        self.show_accepted(answer, **more)
+
+    def change(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Send a change; a failure names the submission id to repeat it with."""
+        try:
+            return self.connection().call("POST", path, body=body)
+        except CommandError as error:
+            if error.code is not ExitCode.UNREACHABLE:
+                raise
+            raise CommandError(
+                code=error.code,
+                message=f"{error.message}\nthe change may have taken effect; repeat it "
+                f"with --submission_id={body['submission_id']}",
+            ) from error
+
+    def view(self, name: str, **query: str) -> None:
+        """Print a named view."""
+        answer = self.connection().call("GET", f"/v1/views/{name}", query=query)
+        self.show(answer, json_module.dumps(answer["data"], indent=2))
+
+
+def new_submission_id() -> str:
+    """Return an id for one submission."""
+    return secrets.token_hex(SUBMISSION_ID_BYTES)
+
+
+def _read(file: str) -> str:
+    try:
+        return sys.stdin.read() if file == "-" else Path(file).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise CommandError(code=ExitCode.USAGE, message=str(error)) from error
+
+
+class ConfigCommands:
+    """Check, submit, show and compare the configuration."""
+
+    def __init__(self, *, console: Console) -> None:
+        self._console = console
+
+    @SetParseFn(str, "file")
+    def check(self, file: str) -> None:
+        """Check the text in FILE, ``-`` for the standard input."""
+        path = "/v1/configuration/check"
+        answer = self._console.connection().call(
+            "POST", path, body={"text": _read(file)}
+        )
+        self._console.show(answer, "the text is valid")
+
+    @SetParseFn(str, "file", "submission_id")
+    def submit(
+        self, file: str, base_version: int, force: bool = False, submission_id: str = ""
+    ) -> None:
+        """Replace the text of version BASE_VERSION by the one in FILE."""
+        body = {
+            "text": _read(file),
+            "base_version": base_version,
+            "submission_id": submission_id or new_submission_id(),
+            "force": force,
+            "wait_s": WAIT_S,
+        }
+        answer = self._console.change("/v1/configuration", body)
+        self._console.show_accepted(answer)
+
+    def show(self) -> None:
+        """Print the current text; its version goes to the standard error."""
+        answer = self._console.connection().call("GET", "/v1/configuration")
+        if not self._console.json:
+            print(f"version {answer['version']}", file=sys.stderr)
+        self._console.show(answer, answer["text"])
+
+    @SetParseFn(str, "file")
+    def diff(self, file: str) -> None:
+        """Compare the current text with the one in FILE."""
+        path = "/v1/configuration/diff"
+        answer = self._console.connection().call(
+            "POST", path, body={"text": _read(file)}
+        )
+        same = f"no difference from version {answer['version']}"
+        self._console.show(answer, answer["diff"] or same)
+
+
+class KeyCommands:
+    """Grant and withdraw organisations' keys."""
+
+    def __init__(self, *, console: Console) -> None:
+        self._console = console
+
+    @SetParseFn(str, "organisation", "submission_id")
+    def grant(self, organisation: str, submission_id: str = "") -> None:
+        """Make a key for ORGANISATION, print it once and submit its digest."""
+        key = secrets.token_urlsafe(KEY_BYTES)
+        digest = digest_of(key)
+        edit = {"edit": "grant-key", "organisation": organisation, "digest": digest}
+        self._console.edit(
+            edit, force=False, submission_id=submission_id, key=key, digest=digest
+        )
+
+    @SetParseFn(str, "digest", "submission_id")
+    def withdraw(self, digest: str, submission_id: str = "") -> None:
+        """Withdraw the key with the given SHA-256 digest."""
+        edit = {"edit": "withdraw-key", "digest": digest}
+        self._console.edit(edit, force=False, submission_id=submission_id)
+
+
+class ZoneCommands:
+    """Take zones out and return them."""
+
+    def __init__(self, *, console: Console) -> None:
+        self._console = console
+
+    @SetParseFn(str, "zone", "submission_id")
+    def out(self, zone: str, force: bool = False, submission_id: str = "") -> None:
+        """Take ZONE out; --force skips the capacity check."""
+        edit = {"edit": "zone", "zone": zone, "state": "out"}
+        self._console.edit(edit, force=force, submission_id=submission_id)
+
+
+def _zone_in(
+    self: ZoneCommands, zone: str, force: bool = False, submission_id: str = ""
+) -> None:
+    """Return ZONE to service."""
+    edit = {"edit": "zone", "zone": zone, "state": "in"}
+    self._console.edit(edit, force=force, submission_id=submission_id)
+
+
+# ``in`` is a keyword of Python, so that the method cannot be defined by name.
+setattr(ZoneCommands, "in", SetParseFn(str, "zone", "submission_id")(_zone_in))
+
+
+class DrainCommands:
+    """Let VMs and endpoints leave."""
+
+    def __init__(self, *, console: Console) -> None:
+        self._console = console
+
+    @SetParseFn(str, "vm", "submission_id")
+    def vm(self, vm: str, undo: bool = False, submission_id: str = "") -> None:
+        """Drain VM; --undo makes it active again."""
+        edit = {"edit": "vm", "vm": vm, "state": "active" if undo else "drain"}
+        self._console.edit(edit, force=False, submission_id=submission_id)
+
+    @SetParseFn(str, "endpoint", "submission_id")
+    def endpoint(
+        self,
+        endpoint: str,
+        undo: bool = False,
+        force: bool = False,
+        submission_id: str = "",
+    ) -> None:
+        """Let ENDPOINT leave; --undo makes it active again."""
+        state = "active" if undo else "leaving"
+        edit = {"edit": "endpoint", "endpoint": endpoint, "state": state}
+        self._console.edit(edit, force=force, submission_id=submission_id)
+
+
+@SetParseFn(str, "operator", "key")
+class Commands:
+    """Operate ebonyladder.
+
+    Parameters
+    ----------
+    operator : str
+        Address of a daemon's operators' API, or EBONYLADDER_OPERATOR.
+    key : str
+        Key, or EBONYLADDER_OPERATOR_KEY (for ``call``: EBONYLADDER_KEY).
+    json : bool
+        Print one JSON object.
+    """
+
+    def __init__(
+        self, *, operator: str = "", key: str = "", json: bool = False
+    ) -> None:
+        self._console = Console(operator=operator, key=key, json=json)
+        self.config = ConfigCommands(console=self._console)
+        self.key = KeyCommands(console=self._console)
+        self.zone = ZoneCommands(console=self._console)
+        self.drain = DrainCommands(console=self._console)
+        self.call = CallCommands(key=key, show=self._console.show)
+
+    def members(self) -> None:
+        """Print the VMs that the daemon knows."""
+        self._console.view("members")
+
+    def sessions(self) -> None:
+        """Print the open sessions and transactions."""
+        self._console.view("sessions")
+
+    def shares(self) -> None:
+        """Print the organisations' shares."""
+        self._console.view("shares")
+
+    def primaries(self) -> None:
+        """Print the primary of each group."""
+        self._console.view("primaries")
+
+    @SetParseFn(str, "request_id")
+    def explain(self, request_id: str) -> None:
+        """Print what became of a request."""
+        self._console.view("explain", request_id=request_id)
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run one command and exit with its code."""
+    words = sys.argv[1:] if arguments is None else arguments
+    words = [f"{word}=True" if word in SWITCHES else word for word in words]
+    try:
+        fire.Fire(Commands, command=words, name="ebonyladder")
+    except CommandError as error:
+        if "--json=True" in words:
+            print(json_module.dumps(error.data))
+        else:
+            print(error.message, file=sys.stderr)
+        raise SystemExit(int(error.code)) from error
+
+
+if __name__ == "__main__":
+    main()
