--- a/scripts/__init__.py
+++ b/scripts/__init__.py
@@ -1,1 +1,1 @@
-"""Scripts that start processes for demos and pages."""
+"""Scripts for the work on the project."""
