Keep the view of VMs until it changes

Cause: each use of the view built and hashed all records anew, so the CPU time per VM grew with the fleet. Change: the table, the plug-in's records and the tree are kept until a member changes.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -104,8 +104,9 @@
 async def _change(fleet: Fleet) -> float:
     start_s = fleet.clock.now_s()
     version = await fleet.write("{/* changed */}")
-    while any(vm.configuration.version < version for vm in fleet.vms):
-        await asyncio.sleep(0.01)
+    for vm in fleet.vms:
+        while vm.configuration.version < version:
+            await vm.configuration.changed.wait()
     return fleet.clock.now_s() - start_s
 
 
--- a/src/ebonyladder/_members.py
+++ b/src/ebonyladder/_members.py
@@ -95,11 +95,21 @@
         self.members: dict[VmId, Member] = {}
         self.news: dict[VmId, int] = {}
         self.ring: list[tuple[int, VmId]] = []
+        self.cached_live: list[Member] | None = None
+        self.cached_ring: list[VmId] = []
 
     def live(self) -> list[Member]:
-        """Return the VMs that are heard and reachable, by name."""
-        now_s = self.clock.now_s()
-        return [m for _, m in sorted(self.members.items()) if m.is_live(now_s)]
+        """Return the VMs that are heard and reachable, by name.
+
+        The same list is returned until the view changes; ``review`` notices
+        silence that only time brings.
+        """
+        if self.cached_live is None:
+            now_s = self.clock.now_s()
+            live = {vm: m for vm, m in self.members.items() if m.is_live(now_s)}
+            self.cached_live = [live[vm] for vm in sorted(live)]
+            self.cached_ring = [vm for _, vm in self.ring if vm in live]
+        return self.cached_live
 
     def is_live(self, vm: VmId) -> bool:
         """Tell whether the VM is heard and reachable."""
@@ -177,6 +187,8 @@
         if member is None:
             return
         member.answered_at_s = max(member.answered_at_s, sent_at_s)
+        if member.failures:
+            self.cached_live = None
         member.failures = 0
         member.failing_since_s = float("inf")
 
@@ -192,7 +204,14 @@
     def review(self) -> None:
         """Report silent VMs and forget those silent for long."""
         now_s = self.clock.now_s()
-        for vm, member in list(self.members.items()):
+        doubtful = [
+            (vm, member)
+            for vm, member in self.members.items()
+            if member.failures or member.silent_since_s is not None
+        ]
+        if doubtful:
+            self.cached_live = None
+        for vm, member in doubtful:
             if (
                 member.silent_since_s is None
                 and member.is_unreachable(now_s)
@@ -244,20 +263,15 @@
         Those are ring neighbours, random ones, those whose last call failed
         and listed ones that nobody has heard yet.
         """
-        now_s = self.clock.now_s()
-        live = [vm for _, vm in self.ring if self.members[vm].is_live(now_s)]
-        place = bisect(self.ring, (rendezvous_score("ring", self.vm), self.vm))
-        place -= sum(
-            1 for _, vm in self.ring[:place] if not self.members[vm].is_live(now_s)
-        )
+        self.live()
+        live = self.cached_ring
+        own = (rendezvous_score("ring", self.vm), self.vm)
+        place = bisect(live, own, key=lambda vm: (rendezvous_score("ring", vm), vm))
         offsets = [d for k in range(RING_PINGS // 2) for d in (k, -k - 1)]
         chosen = {live[(place + d) % len(live)] for d in offsets} if live else set()
-        others = [vm for vm in self.members if vm not in chosen]
-        chosen |= set(
-            self.random.sample(
-                others, min(RING_PINGS + RANDOM_PINGS - len(chosen), len(others))
-            )
-        )
+        wanted = min(RING_PINGS + RANDOM_PINGS, len(self.ring))
+        while len(chosen) < wanted:
+            chosen.add(self.random.choice(self.ring)[1])
         checks = [
             m.vm
             for m in self.members.values()
@@ -269,11 +283,13 @@
         if len(self.members) >= MEMBERS_LIMIT:
             oldest = min(self.members.values(), key=lambda m: m.heard_at_s)
             self._forget(oldest.vm)
+        self.cached_live = None
         self.members[member.vm] = member
         insort(self.ring, (rendezvous_score("ring", member.vm), member.vm))
         return member
 
     def _forget(self, vm: VmId) -> None:
+        self.cached_live = None
         del self.members[vm]
         self.news.pop(vm, None)
         self.ring.remove((rendezvous_score("ring", vm), vm))
@@ -288,6 +304,7 @@
 
     def _spread(self, vm: VmId) -> None:
         self.news[vm] = NEWS_SENDS
+        self.cached_live = None
 
     @staticmethod
     def _member_of(record: PeerRecord) -> Member:
--- a/src/ebonyladder/plugins/configuration.py
+++ b/src/ebonyladder/plugins/configuration.py
@@ -26,6 +26,7 @@
     ConfirmationAnswer,
     ConfirmationRequest,
     Message,
+    PeerRecord,
     Sync,
     SyncAnswer,
 )
@@ -34,7 +35,7 @@
 from ebonyladder.relay import RootSet, TextHistory, parents_of, tree_order
 from ebonyladder.routing import rendezvous_order
 from ebonyladder.store import PlatformStore, StoredObject
-from ebonyladder.types import ConfigurationVersion, VmId
+from ebonyladder.types import ConfigurationVersion, VmId, ZoneId
 
 # Two watches and the way down the tree must fit in the freshness limit of 3 s.
 WATCH_WAIT_S = 0.75
@@ -230,13 +231,21 @@
 
     async def _follow_tree(self) -> None:
         """Choose roots and parents over the view as it changes."""
+        known: list[PeerRecord] = []
+        zones: dict[VmId, ZoneId] = {}
+        watchers: list[VmId] = []
         while True:
             members = self.kernel.get(Membership).members()
-            zones = {member.vm: member.zone for member in members}
+            is_changed = members is not known
+            if is_changed:
+                known = members
+                zones = {member.vm: member.zone for member in members}
             self.roots.update(zones, self.freshness.current_at_s)
-            roots = [vm for vm in self.roots.watchers if vm in zones]
-            order = tree_order(zones, roots)
-            self.parents = parents_of(self.vm, order, len(roots))
+            if is_changed or watchers != self.roots.watchers:
+                watchers = list(self.roots.watchers)
+                roots = [vm for vm in watchers if vm in zones]
+                order = tree_order(zones, roots)
+                self.parents = parents_of(self.vm, order, len(roots))
             await asyncio.sleep(TREE_INTERVAL_S)
 
     async def _follow_parent(self, place: int) -> None:
--- a/src/ebonyladder/plugins/membership.py
+++ b/src/ebonyladder/plugins/membership.py
@@ -7,9 +7,10 @@
 
 from ebonyladder._members import (
     PING_INTERVAL_S,
+    Member,
     MemberTable,
 )
-from ebonyladder.configuration import ConfigurationSource
+from ebonyladder.configuration import Configuration, ConfigurationSource
 from ebonyladder.kernel.error import EbonyladderError, StoreError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
@@ -45,6 +46,8 @@
         self.targets: set[VmId] = set()
         self.tasks: dict[VmId, asyncio.Task] = {}
         self.is_started = False
+        self.basis: tuple[list[Member], Configuration, bool] | None = None
+        self.records: list[PeerRecord] = []
 
     async def start(self) -> None:
         """Start answering and sending pings and reading the list."""
@@ -56,10 +59,23 @@
         self.kernel.spawn(self._follow_list(), name="membership-list")
 
     def members(self) -> list[PeerRecord]:
-        """Return the live VMs, this one included, by name."""
-        records = [self._own_record()]
-        records += [self.table.record_of(member) for member in self.table.live()]
-        return sorted((self._by_operators(r) for r in records), key=lambda r: r.vm)
+        """Return the live VMs, this one included, by name.
+
+        The same list is returned until the view changes; ages in it are those
+        at that time.
+        """
+        live = self.table.live()
+        current = self.kernel.get(ConfigurationSource).current
+        basis = (live, current, self.kernel.draining)
+        if self.basis is None or any(
+            one is not other for one, other in zip(self.basis, basis, strict=True)
+        ):
+            self.basis = basis
+            records = [self._own_record(), *map(self.table.record_of, live)]
+            self.records = sorted(
+                (self._by_operators(r) for r in records), key=lambda r: r.vm
+            )
+        return self.records
 
     def address_of(self, vm: VmId) -> Address | None:
         """Return the peer address of a VM, None if it is unknown."""
--- a/src/ebonyladder/relay.py
+++ b/src/ebonyladder/relay.py
@@ -68,6 +68,7 @@
         self.clock = clock
         self.pinned: list[VmId] = []
         self.candidate: list[VmId] = []
+        self.zones: dict[VmId, ZoneId] = {}
         self.candidate_at_s = clock.now_s()
 
     @property
@@ -77,14 +78,16 @@
 
     def update(self, zones: dict[VmId, ZoneId], current_at_s: float) -> None:
         """Take over the roots of the view if that is safe."""
-        candidate = relay_roots(zones)
-        if candidate != self.candidate:
-            self.candidate = candidate
-            self.candidate_at_s = self.clock.now_s()
+        if zones is not self.zones:
+            self.zones = zones
+            candidate = relay_roots(zones)
+            if candidate != self.candidate:
+                self.candidate = candidate
+                self.candidate_at_s = self.clock.now_s()
         live = [vm for vm in self.pinned if vm in zones]
         is_majority = not self.pinned or len(live) > len(self.pinned) // 2
         if is_majority and current_at_s >= self.candidate_at_s:
-            self.pinned = candidate
+            self.pinned = self.candidate
 
     def adopt(self, roots: list[VmId]) -> None:
         """Take over a peer's roots on a VM that has none yet."""
