Read the stored configuration in one form everywhere

Cause: the relay read the stored object as JSON while submissions wrote it as a document of their own form, and limits hashed text without encoding it; no daemon came up. Change: the relay decodes ConfigurationDocument and checks the text as submissions do.

--- a/src/ebonyladder/limits.py
+++ b/src/ebonyladder/limits.py
@@ -121,7 +121,7 @@
 
 def shard_of(organisation: OrganisationId) -> int:
     """Return the shard of an organisation; it never depends on the VMs."""
-    return xxhash.xxh3_64_intdigest(organisation) % SHARDS
+    return xxhash.xxh3_64_intdigest(organisation.encode()) % SHARDS
 
 
 def fleet_capacity(spec: OrganisationSpec) -> float:
--- a/src/ebonyladder/plugins/configuration.py
+++ b/src/ebonyladder/plugins/configuration.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable
 from random import Random
 
-import json5
-import msgspec
 from absl import logging
 
 from ebonyladder._confirmation import ConfirmationRound
@@ -14,7 +12,9 @@
     CONFIGURATION_KEY,
     Configuration,
     ConfigurationSource,
+    parse_configuration,
 )
+from ebonyladder.document import ConfigurationDocument
 from ebonyladder.freshness import Freshness, StoreLossReport
 from ebonyladder.kernel.error import EbonyladderError, StoreError
 from ebonyladder.kernel.kernel import Kernel
@@ -55,10 +55,6 @@
 TREE_INTERVAL_S = 0.5
 
 
-def _parse(text: str) -> Configuration:
-    return msgspec.convert(json5.loads(text), Configuration)
-
-
 @register
 class ConfigurationPlugin(Plugin, ConfigurationSource, Confirmation):
     """Get the configuration from the store, as a root, or from parents."""
@@ -363,7 +359,7 @@
         if version <= self.version:
             return
         try:
-            parsed = _parse(text)
+            parsed = parse_configuration(text)
         except (ValueError, EbonyladderError) as error:
             logging.error(
                 "[configuration] Text is not valid, the last good one stays. "
@@ -404,6 +400,6 @@
 def _text_of(stored: StoredObject) -> str:
     """Return the text of the stored object, empty if it is malformed."""
     try:
-        return str(msgspec.json.decode(stored.value)["text"])
-    except (msgspec.DecodeError, KeyError, TypeError):
+        return ConfigurationDocument.decode(stored.value).text
+    except EbonyladderError:
         return ""
--- a/src/ebonyladder/plugins/platform_store.py
+++ b/src/ebonyladder/plugins/platform_store.py
@@ -120,19 +120,10 @@
             headers={"X-Expected-Version": str(expected_version)},
         )
 
-    async def list(self, prefix: str) -> list[StoredObject]:
-        """Return the objects whose keys begin with ``prefix``, by key."""
-        _, _, body = await self._call(
-            Step.STORE_READ, "GET", "/list", params={"prefix": prefix}
-        )
-        return [
-            StoredObject(
-                key=found.key,
-                version=found.version,
-                value=found.value.encode("latin-1"),
-            )
-            for found in msgspec.json.decode(body, type=list[_ListedObject])
-        ]
+    async def vms(self) -> list[ListedVm]:
+        """Return the platform's list of VMs, which may be out of date."""
+        _, _, body = await self._call(Step.STORE_READ, "GET", "/vms")
+        return msgspec.json.decode(body, type=list[ListedVm])
 
     async def watch(
         self, key: str, *, after_version: int, wait_s: float
@@ -149,7 +140,16 @@
             return None
         return StoredObject(key=key, value=body, version=version)
 
-    async def vms(self) -> list[ListedVm]:
-        """Return the platform's list of VMs, which may be out of date."""
-        _, _, body = await self._call(Step.STORE_READ, "GET", "/vms")
-        return msgspec.json.decode(body, type=list[ListedVm])
+    async def list(self, prefix: str) -> list[StoredObject]:
+        """Return the objects whose keys begin with ``prefix``, by key."""
+        _, _, body = await self._call(
+            Step.STORE_READ, "GET", "/list", params={"prefix": prefix}
+        )
+        return [
+            StoredObject(
+                key=found.key,
+                version=found.version,
+                value=found.value.encode("latin-1"),
+            )
+            for found in msgspec.json.decode(body, type=list[_ListedObject])
+        ]
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -15,6 +15,8 @@
 
 from websockets.sync.client import connect
 
+from ebonyladder.document import ConfigurationDocument
+
 READY_LIMIT_S = 30.0
 POLL_S = 0.05
 OPERATOR_KEY = "operator-key-of-the-demo"
@@ -167,7 +169,7 @@
         for vm in self.vms:
             self.start_vm(vm)
         for vm in self.vms:
-            wait_until(lambda vm=vm: self.is_healthy(vm), f"the start of {vm.name}")
+            self.await_vm(vm)
 
     def stop(self) -> None:
         """End all processes by id."""
@@ -234,6 +236,17 @@
         path.write_text("// Settings of one daemon.\n" + json.dumps(settings, indent=2))
         self._spawn(vm.name, "-m", "ebonyladder.daemon", f"--settings={path}")
 
+    def await_vm(self, vm: Vm) -> None:
+        """Wait until a daemon takes new work; raises where it has ended."""
+
+        def is_up() -> bool:
+            if self.processes[vm.name].poll() is not None:
+                log = (self.folder / f"{vm.name}.log").read_text().splitlines()
+                raise RuntimeError(f"{vm.name} has ended: {log[-1] if log else ''}")
+            return self.is_healthy(vm)
+
+        wait_until(is_up, f"the start of {vm.name}")
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self.processes[name].send_signal(number)
@@ -317,10 +330,10 @@
         return "// Configuration of the demo.\n" + json.dumps(content, indent=2)
 
     def _put_configuration(self) -> None:
-        document = {"text": self.configuration(), "submissions": [], "digest": ""}
+        document = ConfigurationDocument(text=self.configuration())
         request = urllib.request.Request(
             f"http://{self.store}/objects/configuration",
-            data=json.dumps(document).encode(),
+            data=document.encode(),
             headers={"X-Expected-Version": "0"},
             method="PUT",
         )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,11 +1,11 @@
 """Fleet of fake VMs with real relay plug-ins, in virtual time."""
 
 import asyncio
-import json
 import selectors
 from collections.abc import Coroutine
 
 from ebonyladder.configuration import CONFIGURATION_KEY, ConfigurationSource
+from ebonyladder.document import ConfigurationDocument
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.kernel.error import RequestError
 from ebonyladder.kernel.kernel import Kernel
@@ -156,7 +156,7 @@
         return vm
 
     async def write(self, text: str) -> int:
-        value = json.dumps({"text": text, "submissions": [], "digest": ""}).encode()
+        value = ConfigurationDocument(text=text).encode()
         self.text_version = await self.store.put(
             CONFIGURATION_KEY, value, expected_version=self.text_version
         )
