Test promotion with random failures in virtual time

Cause: promotion and its plug-in had not been run. Change: a group in memory with failures at each step, checkers that use none of the product's decisions, and an event loop in virtual time.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements against baselines of our own."""
--- /dev/null
+++ b/tests/fake_group.py
@@ -0,0 +1,301 @@
+"""Database group in memory with failures at each step, and its checkers."""
+
+import asyncio
+from random import Random
+
+from bench.virtual import LoopClock
+from ebonyladder.endpoint import EndpointDriver, EndpointReport, FenceVote
+from ebonyladder.group import GroupView
+from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.step import Step
+from ebonyladder.plugins.promotion import GroupGuard
+from ebonyladder.promotion import PromotionPolicy, WriteGate
+from ebonyladder.types import Position, Role
+
+TICK_S = 0.05
+NAMES = ("db-a", "db-b", "db-c")
+
+
+class FakeEndpoint:
+    """Endpoint whose votes and log survive a kill."""
+
+    binds_votes = True
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.role = Role.REPLICA
+        self.fence_term = self.log_term = self.term_start = 0
+        self.ballot = ""
+        self.primary = ""
+        self.contact_s = float("-inf")
+        self.log: list[tuple[int, str]] = []
+        self.is_up = True
+
+    def vote(self, term: int, ballot: str) -> FenceVote:
+        repeated = term == self.fence_term and ballot == self.ballot
+        unbound = term == self.fence_term and not self.binds_votes
+        if term <= self.fence_term and not (repeated or unbound):
+            raise error(ErrorCode.FENCED, self.name)
+        self.fence_term, self.ballot = term, ballot
+        if not repeated:
+            self.role, self.primary = Role.FENCED, ""
+        return FenceVote(
+            endpoint=self.name, log_term=self.log_term, received=len(self.log)
+        )
+
+    def lead(self, term: int, ballot: str) -> Position:
+        if (term, ballot) != (self.fence_term, self.ballot):
+            raise error(ErrorCode.FENCED, self.name)
+        if self.log_term < term:
+            self.role, self.primary = Role.PRIMARY, ""
+            self.log_term, self.term_start = term, len(self.log)
+        return Position(term=term, position=self.term_start)
+
+    def follow(self, term: int, primary: str) -> None:
+        if term < self.fence_term:
+            raise error(ErrorCode.FENCED, self.name)
+        if term > self.fence_term:
+            self.fence_term, self.ballot = term, ""
+        self.role, self.primary = Role.REPLICA, primary
+
+    def replicate(self, source: "FakeEndpoint", now_s: float, random: Random) -> None:
+        if source.role is not Role.PRIMARY or self.primary != source.name:
+            return
+        if self.fence_term != source.log_term:
+            return
+        # Each message brings some of the missing entries, so replicas lag.
+        same_term = self.log_term == source.log_term
+        least = len(self.log) if same_term else source.term_start
+        newest = len(source.log)
+        self.log = source.log[: random.randint(min(least, newest), newest)]
+        self.log_term, self.term_start = source.log_term, source.term_start
+        self.contact_s = now_s
+
+    def report(self, now_s: float) -> EndpointReport:
+        return EndpointReport(
+            endpoint=self.name,
+            role=self.role,
+            fence_term=self.fence_term,
+            log_term=self.log_term,
+            term_start=self.term_start,
+            received=len(self.log),
+            applied=len(self.log),
+            primary_contact_age_s=now_s - self.contact_s,
+        )
+
+
+def error(code: ErrorCode, peer: str, outcome: Outcome | None = None) -> EndpointError:
+    return EndpointError(code=code, step=Step.FENCE, peer=peer, outcome=outcome)
+
+
+class FakeVm(EndpointDriver):
+    """Promoter with its own view and links; stands in for the plug-in, too."""
+
+    def __init__(self, group: "FakeGroup", name: str, rank: int) -> None:
+        self.group = group
+        self.name = name
+        self.place = rank
+        self.calls = 0
+        self.dies_after = 0
+        self.view = GroupView(group="group-1", endpoints={n: n for n in NAMES})
+        self.driver = self.watch = self
+        self.gate = group.gate
+        self.start()
+
+    def start(self) -> None:
+        self.policy = PromotionPolicy(
+            view=self.view, vm=self.name, clock=self.group.clock
+        )
+        guard = GroupGuard(view=self.view, policy=self.policy, plugin=self)
+        self.task = asyncio.create_task(guard.run())
+
+    def rank(self, view: GroupView) -> int:
+        return self.place
+
+    def switchover_rank(self, view, primary, rank) -> int:
+        return rank
+
+    def in_service(self, view: GroupView) -> frozenset:
+        return frozenset(NAMES) - self.group.leaving
+
+    def notify(self, group) -> None:
+        pass
+
+    async def connect(self, *, endpoint, address):
+        raise NotImplementedError
+
+    async def watch(self, *, endpoint, address):
+        raise NotImplementedError
+
+    async def fence(self, *, endpoint, address, term, promoter) -> FenceVote:
+        return await self._call(endpoint, lambda e: e.vote(term, promoter))
+
+    async def promote(self, *, endpoint, address, term, promoter, followers):
+        def lead(target: FakeEndpoint) -> Position:
+            start = target.lead(term, promoter)
+            self.group.promoted.append((term, endpoint))
+            return start
+
+        return await self._call(endpoint, lead)
+
+    async def follow(self, *, endpoint, address, term, primary, primary_address):
+        await self._call(endpoint, lambda e: e.follow(term, primary))
+
+    async def _call(self, endpoint: str, action):
+        group, random = self.group, self.group.random
+        await asyncio.sleep(random.uniform(0.001, 0.025))
+        if not group.is_linked(self.name, endpoint):
+            if random.random() < 0.5:
+                await asyncio.sleep(3_600)
+            raise error(ErrorCode.CONNECT_FAILED, endpoint)
+        result = action(group.endpoints[endpoint])
+        self.calls += 1
+        if self.dies_after and self.calls >= self.dies_after:
+            self.dies_after = 0
+            self.task.cancel()
+        await asyncio.sleep(random.uniform(0.001, 0.025))
+        if random.random() < group.loss:
+            raise error(ErrorCode.CONNECTION_LOST, endpoint)
+        return result
+
+
+class FakeGate(WriteGate):
+    """Gate that notes its calls; closed while ``is_closed``."""
+
+    def __init__(self) -> None:
+        self.is_closed = False
+        self.calls: list[str] = []
+
+    async def close(self, group, *, limit_s: float) -> bool:
+        self.is_closed = True
+        self.calls.append("close")
+        return True
+
+    def open(self, group) -> None:
+        self.is_closed = False
+        self.calls.append("open")
+
+
+class FakeGroup:
+    """Three endpoints, three VMs, and a client that writes all the time."""
+
+    def __init__(self, *, seed: int, endpoint_class: type = FakeEndpoint) -> None:
+        self.random = Random(seed)
+        self.clock = LoopClock()
+        self.endpoints = {name: endpoint_class(name) for name in NAMES}
+        self.cut: set[frozenset[str]] = set()
+        self.leaving: set[str] = set()
+        self.gate = FakeGate()
+        self.loss = 0.0
+        self.promoted: list[tuple[int, str]] = []
+        self.acknowledged: list[str] = []
+        self.waiting: list[tuple[FakeVm, Position, str]] = []
+        self.written = 0
+        self.vms = [FakeVm(self, f"vm-{n}", n) for n in range(3)]
+
+    def is_linked(self, one: str, other: str) -> bool:
+        up = all(self.endpoints[n].is_up for n in (one, other) if n in self.endpoints)
+        return up and frozenset((one, other)) not in self.cut
+
+    async def run(self, seconds: float) -> None:
+        end_s = self.clock.now_s() + seconds
+        while self.clock.now_s() < end_s:
+            self._tick()
+            await asyncio.sleep(TICK_S)
+
+    def _tick(self) -> None:
+        now_s = self.clock.now_s()
+        for source in self.endpoints.values():
+            for target in self.endpoints.values():
+                if target is not source and self.is_linked(source.name, target.name):
+                    target.replicate(source, now_s, self.random)
+        for vm in self.vms:
+            for name, endpoint in self.endpoints.items():
+                if self.is_linked(vm.name, name):
+                    vm.view.hear(endpoint.report(now_s), now_s)
+                else:
+                    vm.view.lose_link(name, now_s)
+        self._write()
+
+    def _write(self) -> None:
+        """Write through each VM; acknowledge what its view has confirmed."""
+        self.acknowledged += [
+            value for vm, at, value in self.waiting if vm.view.is_confirmed(at)
+        ]
+        self.waiting = [w for w in self.waiting if not w[0].view.is_confirmed(w[1])]
+        for vm in self.vms:
+            target = self.endpoints.get(vm.view.primary or "")
+            if target is None or not self.is_linked(vm.name, target.name):
+                continue
+            if target.role is Role.PRIMARY and not self.gate.is_closed:
+                self.written += 1
+                value = f"write-{self.written}"
+                target.log.append((target.log_term, value))
+                at = Position(term=target.log_term, position=len(target.log))
+                self.waiting.append((vm, at, value))
+
+    def isolate(self, name: str) -> None:
+        others = [vm.name for vm in self.vms] + list(NAMES)
+        self.cut |= {frozenset((name, other)) for other in others if other != name}
+
+    def heal(self) -> None:
+        self.cut.clear()
+        self.loss = 0.0
+        for endpoint in self.endpoints.values():
+            endpoint.is_up = True
+        for vm in self.vms:
+            vm.dies_after = 0
+            if vm.task.done():
+                if not vm.task.cancelled():
+                    vm.task.result()
+                vm.start()
+
+    def primary(self) -> FakeEndpoint | None:
+        term = max(e.fence_term for e in self.endpoints.values())
+        leaders = [
+            e
+            for e in self.endpoints.values()
+            if e.role is Role.PRIMARY and e.log_term == term
+        ]
+        return leaders[0] if leaders else None
+
+    def disturb(self) -> None:
+        """Inject one random failure or end one."""
+        name = self.random.choice(NAMES)
+        vm = self.random.choice(self.vms)
+        event = self.random.randrange(7)
+        if event == 0:
+            self.endpoints[name].is_up = False
+        elif event == 1:
+            self.isolate(name)
+        elif event == 2:
+            self.cut.add(frozenset((vm.name, name)))
+        elif event == 3:
+            vm.dies_after = vm.calls + self.random.randint(1, 6)
+        elif event == 4:
+            self.loss = 0.2
+        elif event == 5 and (leader := self.primary()):
+            leader.is_up = False
+        else:
+            self.heal()
+        # VMs disagree on the owners, so several may take the same rank.
+        for vm in self.vms:
+            vm.place = self.random.choice((0, 0, 1, 2))
+
+    def faults(self) -> list[str]:
+        """Return what the checkers find; uses none of the product's decisions."""
+        found = []
+        for term in {term for term, _ in self.promoted}:
+            leaders = {name for t, name in self.promoted if t == term}
+            if len(leaders) > 1:
+                found.append(f"two primaries in term {term}: {sorted(leaders)}")
+        leader = self.primary()
+        if leader is None:
+            return [*found, "no primary after recovery"]
+        kept = {value for _, value in leader.log}
+        lost = [value for value in self.acknowledged if value not in kept]
+        if lost:
+            found.append(f"{len(lost)} acknowledged writes lost, first {lost[0]}")
+        if any(e.log_term != leader.log_term for e in self.endpoints.values()):
+            found.append("an endpoint does not follow after recovery")
+        return found
