--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements; nothing here is shipped."""
+"""Measurements, each a command: ``python -m bench.NAME``."""
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -162,7 +162,7 @@
             rows=rows if len(rows) < 10 else len(rows),
             transaction=self._number(socket, transaction),
         )
-        return {"rows": rows, **self.position(position)}
+        return {**self.position(position), "rows": rows}
 
     @staticmethod
     def _number(socket: ServerConnection, transaction: Transaction | None) -> str:
