Test the stored size with digests that compress badly

Cause: the largest-text test used digests made mostly of zeros, which compress far better than real ones and proved too little. Conclusion: a text at the limit fits the store's limit of 1,000,000 bytes.

--- a/tests/test_submission.py
+++ b/tests/test_submission.py
@@ -15,6 +15,7 @@
 )
 from ebonyladder.edit import GrantKey, SetEndpoint, SetVm, SetZone, WithdrawKey
 from ebonyladder.kernel.error import EbonyladderError, ErrorCode
+from ebonyladder.keys import digest_of
 from ebonyladder.submission import submit, submit_edit
 from ebonyladder.types import EndpointState, VmState, ZoneState
 from tests.fakes import MemoryStore
@@ -223,7 +224,7 @@
             ConfigurationDocument.decode(value.replace(value[-64:], b"0" * 64))
 
     def test_largest_text_of_digests_fits_the_store(self):
-        keys = [f"{n * 7919:064x}" for n in range(14_000)]
+        keys = [digest_of(str(number)) for number in range(14_000)]
         tenant = {"rate_per_s": 1, "burst": 1, "key_digests": keys}
         text = json.dumps({"organisations": {"t": tenant}}).ljust(1_000_000)
 
