Encode names before hashing in rendezvous order

Cause: the installed xxhash refuses str with TypeError: Strings must be encoded before hashing, so every choice of a holder failed. Change: the key and the name are encoded as UTF-8.

--- a/src/ebonyladder/routing.py
+++ b/src/ebonyladder/routing.py
@@ -13,7 +13,7 @@
 
 def rendezvous_score(key: str, name: str) -> int:
     """Return the score of ``name`` for ``key``; the highest score wins."""
-    return xxhash.xxh3_64_intdigest(f"{key}\x00{name}")
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{name}".encode())
 
 
 def rendezvous_order(key: str, names: Iterable[Name]) -> list[Name]:
