--- a/src/ebonyladder/_history_reader.py
+++ b/src/ebonyladder/_history_reader.py
@@ -97,7 +97,7 @@
                     raise
 
     async def _read(self, now_hour: int) -> None:
-        fixed_before = now_hour - LATE_LIMIT_HOURS
+        fixed_before = max(0, now_hour - LATE_LIMIT_HOURS)
         walk = _Walk(store=self.store, service=self.service)
         for hour in range(fixed_before, now_hour + SEGMENT_HOURS, SEGMENT_HOURS):
             await walk.load(min(hour, now_hour))
--- a/src/ebonyladder/_status_exchange.py
+++ b/src/ebonyladder/_status_exchange.py
@@ -98,17 +98,17 @@
 
     async def tick(self, services: list[ServiceId]) -> None:
         """Send what has ended, write what is due."""
-        self.log.mark_alive(self.clock.wall_s())
-        self._collect(services)
+        self.log.mark_alive(services, self.clock.wall_s())
+        self._collect()
         await self._send_own()
         await self._write_due()
         await self._pass_on()
         self._trim()
 
-    async def drain(self, services: list[ServiceId]) -> None:
+    async def drain(self) -> None:
         """Close the current minute, send it, and write or hand over all."""
         self.is_draining = True
-        self._collect(services, everything=True)
+        self._collect(everything=True)
         # What no holder took is written by this VM itself.
         self._hold_own(await self._send_own())
         await self._write_due(everything=True)
@@ -122,9 +122,9 @@
             names = [name for name in names if name != self.vm]
         return rendezvous_order(f"status/{service}", names)[:HOLDERS]
 
-    def _collect(self, services: list[ServiceId], *, everything: bool = False) -> None:
+    def _collect(self, *, everything: bool = False) -> None:
         wall_s = self.clock.wall_s()
-        ended = self.log.close(services, wall_s, everything=everything)
+        ended = self.log.close(wall_s, everything=everything)
         for (service, minute), counts in ended.items():
             self.own.add(self.observer, service, minute, counts)
 
--- a/src/ebonyladder/observation.py
+++ b/src/ebonyladder/observation.py
@@ -25,22 +25,22 @@
 
     def __init__(self) -> None:
         self.open: dict[MinuteKey, dict[CallResult, int]] = {}
-        self.alive: set[int] = set()
+        self.alive: dict[int, set[ServiceId]] = {}
         self.floor = 0
 
     def observe(self, service: ServiceId, result: CallResult, wall_s: float) -> None:
         """Count one call at the given wall-clock time."""
         minute = self._minute(wall_s)
-        self.alive.add(minute)
+        self.alive.setdefault(minute, set()).add(service)
         counters = self.open.setdefault((service, minute), {})
         counters[result] = counters.get(result, 0) + 1
 
-    def mark_alive(self, wall_s: float) -> None:
-        """Note that this VM is observing in the current minute."""
-        self.alive.add(self._minute(wall_s))
+    def mark_alive(self, services: Iterable[ServiceId], wall_s: float) -> None:
+        """Note that this VM observes the services in the current minute."""
+        self.alive.setdefault(self._minute(wall_s), set()).update(services)
 
     def close(
-        self, services: Iterable[ServiceId], wall_s: float, *, everything: bool = False
+        self, wall_s: float, *, everything: bool = False
     ) -> dict[MinuteKey, Counts]:
         """Return the minutes that have ended; a quiet one has zero counts.
 
@@ -48,12 +48,11 @@
         example because it was frozen, is absent.
         """
         now = self._minute(wall_s)
-        ended = {m for m in self.alive if everything or m < now}
-        self.alive -= ended
-        self.floor = max(self.floor, *(m + 1 for m in ended)) if ended else self.floor
-        keys = {(s, m) for s in services for m in ended}
-        keys |= {key for key in self.open if key[1] in ended}
-        return {key: self._counts(self.open.pop(key, {})) for key in sorted(keys)}
+        ended = sorted(m for m in self.alive if everything or m < now)
+        keys = [(service, m) for m in ended for service in sorted(self.alive.pop(m))]
+        if ended:
+            self.floor = max(self.floor, ended[-1] + 1)
+        return {key: self._counts(self.open.pop(key, {})) for key in keys}
 
     def _minute(self, wall_s: float) -> int:
         # A wall clock that steps back must not add to a closed minute.
--- a/src/ebonyladder/plugins/status_page.py
+++ b/src/ebonyladder/plugins/status_page.py
@@ -85,7 +85,7 @@
 
     async def drain(self) -> None:
         """Write what this VM holds, or hand it to the VMs that take over."""
-        await self.exchange.drain(list(self.configuration.current.services))
+        await self.exchange.drain()
 
     def observe(self, service: ServiceId, result: CallResult) -> None:
         """Count one request; a service that is not configured is left out."""
--- /dev/null
+++ b/tests/status_fakes.py
@@ -0,0 +1,251 @@
+"""Store with faults at chosen calls, VMs that observe, and a history checker."""
+
+import base64
+import hashlib
+import json
+from collections.abc import Awaitable, Callable
+
+from ebonyladder.configuration import (
+    Configuration,
+    ConfigurationSource,
+    ServiceSpec,
+)
+from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.registry import Registry
+from ebonyladder.kernel.step import Step
+from ebonyladder.membership import Membership
+from ebonyladder.messages import PeerRecord
+from ebonyladder.peer import PeerLinks
+from ebonyladder.plugins.status_page import StatusPagePlugin
+from ebonyladder.settings import Settings
+from ebonyladder.status import CallResult
+from ebonyladder.store import PlatformStore
+from ebonyladder.types import Incarnation, VmState
+from tests.fakes import FakeNetwork, FixedConfiguration, MemoryStore
+
+START_HOUR = 500_000
+
+
+class FaultStore(MemoryStore):
+    """Store that fails, or runs something else, at calls by number from 1."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.number = 0
+        self.before: dict[int, Callable[[], Awaitable[object]]] = {}
+        self.not_reached: set[int] = set()
+        self.answer_lost: set[int] = set()
+
+    async def _enter(self, call: str, step: Step) -> None:
+        self.number += 1
+        number = self.number
+        if number in self.before:
+            await self.before.pop(number)()
+            self.number = number
+        if number in self.not_reached:
+            raise self._unavailable(step)
+        await super()._enter(call, step)
+
+    def _leave_write(self) -> None:
+        super()._leave_write()
+        if self.number in self.answer_lost:
+            raise self._unavailable(Step.STORE_WRITE)
+
+
+class LiveMembership(Membership):
+    """Members that are joined to the fake network and not killed."""
+
+    def __init__(self, network: FakeNetwork) -> None:
+        self.network = network
+
+    def members(self) -> list[PeerRecord]:
+        return [
+            PeerRecord(
+                vm=vm,
+                zone="zone-a",
+                address=vm,
+                incarnation=link.incarnation,
+                state=VmState.ACTIVE,
+                heard_ago_s=0.0,
+            )
+            for vm, link in sorted(self.network.links.items())
+        ]
+
+    def address_of(self, vm):
+        return vm
+
+    def is_zone_in(self, zone) -> bool:
+        return True
+
+    def suspect(self, vm) -> None:
+        pass
+
+
+class Fleet:
+    """VMs with the status plug-in over one store, clock and network."""
+
+    def __init__(self, *vms: str, services: str = "ledger") -> None:
+        self.clock = ManualClock(start_s=START_HOUR * 3_600.0)
+        self.store = FaultStore()
+        self.network = FakeNetwork()
+        self.configuration = FixedConfiguration(self.configured(services))
+        self.nodes: dict[str, StatusPagePlugin] = {}
+        self.counted: dict[str, int] = {}
+        self.names = vms
+
+    @staticmethod
+    def configured(services: str) -> Configuration:
+        """Return a configuration from names like ``shop>ledger``."""
+        specs = {}
+        for text in services.split():
+            name, *depends_on = text.split(">")
+            specs[name] = ServiceSpec(depends_on=tuple(depends_on))
+        return Configuration(services=specs)
+
+    async def start(self) -> "Fleet":
+        for vm in self.names:
+            await self.join(vm)
+        return self
+
+    async def join(self, vm: str, incarnation: int = 1) -> StatusPagePlugin:
+        links = self.network.join(vm)
+        links.incarnation = Incarnation(incarnation)
+        settings = Settings(
+            vm=vm,
+            zone="zone-a",
+            caller="127.0.0.1:1",
+            peer="127.0.0.1:2",
+            operator="127.0.0.1:3",
+            store="127.0.0.1:4",
+            fleet_secret_file="unused",
+        )
+        kernel = Kernel(settings=settings, clock=self.clock, registry=Registry())
+        kernel.providers = {
+            PlatformStore: self.store,
+            PeerLinks: links,
+            Membership: LiveMembership(self.network),
+            ConfigurationSource: self.configuration,
+        }
+        node = StatusPagePlugin(kernel=kernel)
+        await node.start()
+        for task in list(kernel.tasks):
+            task.cancel()
+        self.nodes[vm] = node
+        return node
+
+    def kill(self, vm: str) -> None:
+        del self.nodes[vm]
+        del self.network.links[vm]
+
+    def holders(self, service: str = "ledger") -> list[str]:
+        return next(iter(self.nodes.values())).exchange.holders(service)
+
+    async def run(
+        self,
+        minutes: int,
+        *,
+        frozen: tuple[str, ...] = (),
+        result: CallResult = CallResult.SERVED,
+        busy: tuple[str, ...] = ("ledger",),
+    ) -> None:
+        """Advance by half minutes; each VM that runs observes one call in each."""
+        for _ in range(2 * minutes):
+            for vm in list(self.nodes):
+                if vm not in frozen:
+                    for service in busy:
+                        self.nodes[vm].observe(service, result)
+                        self.counted[service] = self.counted.get(service, 0) + 1
+                    await self.nodes[vm].tick()
+            self.clock.advance(30)
+
+    async def settle(self) -> None:
+        """Go on for eleven minutes without calls, so that all is written."""
+        await self.run(11, busy=())
+
+    async def snapshot(self):
+        self.clock.advance(61)
+        return await next(iter(self.nodes.values())).current()
+
+    def recorded(self, service: str = "ledger") -> int:
+        """Return the number of served calls in the store."""
+        return sum(
+            part["counts"]["served"]
+            for record in stored_records(self.store, service).values()
+            for part in [record, *record["supplements"]]
+        )
+
+
+def stored_records(store: MemoryStore, service: str) -> dict[int, dict]:
+    prefix = f"status/{service}/"
+    return {
+        int(key[len(prefix) :]): json.loads(stored.value)
+        for key, stored in store.objects.items()
+        if key.startswith(prefix) and not key.endswith("/head")
+    }
+
+
+def check_history(
+    store: MemoryStore, service: str, accepted: dict[tuple[str, int], int]
+) -> list[str]:
+    """Return the faults of a stored history; uses none of the product's code.
+
+    ``accepted`` has the served calls by observer (``vm`` NUL ``incarnation``)
+    and minute since the epoch that a writer confirmed.
+    """
+    faults: list[str] = []
+    records = stored_records(store, service)
+    head = store.objects.get(f"status/{service}/head")
+    if head is None:
+        return ["no head"] if records or accepted else []
+    last = json.loads(head.value)["last"]
+    records.setdefault(last["hour"], last)
+    seen: list[int] = []
+    hour, link = last["hour"], None
+    while hour is not None and hour not in seen:
+        if hour not in records:
+            return [*faults, f"hour {hour} is missing"]
+        record = records[hour]
+        digests = [_sha({**record, "supplements": []})]
+        for supplement in record["supplements"]:
+            if supplement["previous_digest"] != digests[-1]:
+                faults.append(f"supplement of hour {hour} is not linked")
+            digests.append(_sha(supplement))
+        if link is not None and link not in digests:
+            faults.append(f"link to hour {hour} does not match")
+        seen.append(hour)
+        hour, link = record["previous_hour"], record["previous_digest"]
+    if hour is not None:
+        faults.append(f"hour {hour} is in the chain twice")
+    faults += [f"hour {h} is not in the chain" for h in set(records) - set(seen)]
+    return faults + _count_faults(records, accepted)
+
+
+def _count_faults(records: dict[int, dict], accepted: dict) -> list[str]:
+    faults: list[str] = []
+    found: set[tuple[bytes, int]] = set()
+    served = 0
+    for hour, record in records.items():
+        for part in [record, *record["supplements"]]:
+            served += part["counts"]["served"]
+            for group in part["observed"]:
+                ids = base64.b64decode(group["observers"])
+                for at in range(0, len(ids), 8):
+                    for minute in range(60):
+                        item = (ids[at : at + 8], hour * 60 + minute)
+                        if group["minutes"] >> minute & 1:
+                            if item in found:
+                                faults.append(f"minute {minute} of {hour} twice")
+                            found.add(item)
+    for observer, minute in accepted:
+        name = hashlib.sha256(observer.encode()).digest()[:8]
+        if (name, minute) not in found:
+            faults.append(f"minute {minute} of {observer!r} was dropped")
+    if served != sum(accepted.values()):
+        faults.append(f"{served} calls recorded, {sum(accepted.values())} accepted")
+    return faults
+
+
+def _sha(value: dict) -> str:
+    text = json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False)
+    return hashlib.sha256(text.encode()).hexdigest()
--- /dev/null
+++ b/tests/test_status.py
@@ -0,0 +1,440 @@
+"""Status plug-in: exchange of observations, faults of VMs and store, the page."""
+
+import asyncio
+import json
+import re
+
+import msgspec
+import pytest
+
+from ebonyladder._codec import decode, encode
+from ebonyladder._status_html import render_html
+from ebonyladder._status_snapshot import Snapshot, pack, unpack
+from ebonyladder.configuration import Configuration, ServiceSpec
+from ebonyladder.history import record_key
+from ebonyladder.messages import MinuteCounts, MinuteMask, Observations
+from ebonyladder.observation import MinuteLog, ObservationBuffer
+from ebonyladder.status import (
+    CallResult,
+    Counts,
+    NotObservedReason,
+    ServiceState,
+    StatusObserver,
+    StatusRoutes,
+    worse,
+)
+from tests.status_fakes import START_HOUR, Fleet, stored_records
+
+FIVE = ("vm-1", "vm-2", "vm-3", "vm-4", "vm-5")
+
+
+def others(fleet: Fleet, service: str = "ledger") -> list[str]:
+    return [vm for vm in fleet.nodes if vm not in fleet.holders(service)]
+
+
+def hours_of(snapshot: Snapshot, service: str = "ledger") -> dict:
+    found = next(s for s in snapshot.services if s.service == service)
+    return {status.hour - START_HOUR: status for status in found.hours}
+
+
+class TestStates:
+    """Guards against a wrong summary of counts or dependencies."""
+
+    @pytest.mark.parametrize(
+        ("counts", "state"),
+        [
+            (Counts(), ServiceState.OPERATIONAL),
+            (Counts(served=100, refused=900), ServiceState.OPERATIONAL),
+            (Counts(served=99, failed=1), ServiceState.DEGRADED),
+            (Counts(served=1, failed=1), ServiceState.OUTAGE),
+        ],
+    )
+    def test_state_of_counts(self, counts, state):
+        assert counts.state() is state
+
+    def test_outage_is_the_worst(self):
+        assert worse(ServiceState) is ServiceState.OUTAGE
+        assert (
+            worse([ServiceState.OPERATIONAL, ServiceState.NOT_OBSERVED])
+            is ServiceState.NOT_OBSERVED
+        )
+
+
+class TestMinuteLog:
+    """Guards against minutes that change after they were sent."""
+
+    def test_quiet_minute_is_observed_and_frozen_one_is_absent(self):
+        log = MinuteLog()
+        log.mark_alive(["s"], 0)
+        log.mark_alive(["s"], 300)
+        assert log.close(360) == {("s", 0): Counts(), ("s", 5): Counts()}
+
+    def test_clock_that_steps_back_does_not_reopen_a_minute(self):
+        log = MinuteLog()
+        log.observe("s", CallResult.SERVED, 600)
+        assert set(log.close(660)) == {("s", 10)}
+        log.observe("s", CallResult.SERVED, 590)
+        assert set(log.close(720)) == {("s", 11)}
+
+
+class TestBuffer:
+    """Guards against unbounded memory during an outage."""
+
+    def test_oldest_hour_goes_first(self):
+        buffer = ObservationBuffer(limit=100)
+        for minute in range(180):
+            buffer.add(("vm", 1), "s", minute, Counts())
+        assert buffer.trim(now_hour=3) == 120
+        assert [hour for _, hour in buffer.batches] == [2]
+
+    def test_late_limit(self):
+        buffer = ObservationBuffer(limit=100)
+        buffer.add(("vm", 1), "s", 0, Counts())
+        assert buffer.trim(now_hour=49) == 1
+
+
+class TestMessages:
+    """Guards against observations that change on the way."""
+
+    def test_round_trip(self):
+        mask = MinuteMask(service="s", hour=START_HOUR, minutes=(1 << 60) - 1)
+        message = Observations(
+            vm="vm",
+            incarnation=1,
+            counts=[MinuteCounts(service="s", minute=START_HOUR * 60, served=3)],
+            pending=[mask],
+            written=[mask],
+        )
+        assert decode(encode(1, message), peer="x").message == message
+
+
+class TestRecording:
+    """Guards against calls that no record or two records have."""
+
+    def test_all_calls_are_recorded_once(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE, services="ledger shop").start()
+            await fleet.run(130, busy=("ledger", "shop"))
+            await fleet.settle()
+            for service in ("ledger", "shop"):
+                assert fleet.recorded(service) == fleet.counted[service]
+            hours = hours_of(await fleet.snapshot())
+            assert [hours[h].minutes for h in (0, 1)] == [60, 60]
+            assert hours[0].observers == 5
+            assert all(node.exchange.own.size < 100 for node in fleet.nodes.values())
+
+        asyncio.run(scenario())
+
+    def test_store_calls_do_not_grow_with_vms(self):
+        async def calls(number: int) -> int:
+            vms = [f"vm-{i}" for i in range(number)]
+            fleet = await Fleet(*vms).start()
+            await fleet.run(180)
+            return sum(fleet.store.calls.values())
+
+        few, many = asyncio.run(calls(3)), asyncio.run(calls(12))
+        assert many <= few + 2
+
+    def test_calls_to_unknown_services_are_left_out(self):
+        async def scenario() -> None:
+            fleet = await Fleet("vm-1").start()
+            await fleet.run(20, busy=("../head", "ledger"))
+            assert all(
+                key == "status/index" or key.startswith("status/ledger/")
+                for key in fleet.store.objects
+            )
+
+        asyncio.run(scenario())
+
+
+class TestFaultsOfVms:
+    """Guards against observations that die with one VM."""
+
+    @pytest.mark.parametrize("which", [0, 1])
+    def test_holder_is_killed(self, which):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            await fleet.run(25)
+            victim = fleet.holders()[which]
+            fleet.kill(victim)
+            await fleet.run(60)
+            await fleet.settle()
+            # Only the victim's last two minutes, not sent to anybody, may go.
+            assert fleet.counted["ledger"] - 4 <= fleet.recorded()
+            assert fleet.recorded() <= fleet.counted["ledger"]
+
+        asyncio.run(scenario())
+
+    def test_holders_restart_without_their_memory(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            await fleet.run(5)
+            pair = fleet.holders()
+            unsent = 2 * 2 * 5
+            for vm in pair:
+                fleet.kill(vm)
+            for vm in pair:
+                await fleet.join(vm, incarnation=2)
+            await fleet.run(70)
+            await fleet.settle()
+            assert fleet.counted["ledger"] - unsent <= fleet.recorded()
+            assert fleet.recorded() <= fleet.counted["ledger"]
+
+        asyncio.run(scenario())
+
+    def test_drain_hands_over_all(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            for _ in range(4):
+                await fleet.run(7)
+                victim = fleet.holders()[0]
+                await fleet.nodes[victim].drain()
+                fleet.kill(victim)
+            await fleet.run(60)
+            await fleet.settle()
+            assert fleet.recorded() == fleet.counted["ledger"]
+
+        asyncio.run(scenario())
+
+    def test_drain_during_an_outage_hands_over_all(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            fleet.store.is_down = True
+            for _ in range(3):
+                await fleet.run(7)
+                victim = fleet.holders()[0]
+                await fleet.nodes[victim].drain()
+                fleet.kill(victim)
+            fleet.store.is_down = False
+            await fleet.run(60)
+            await fleet.settle()
+            assert fleet.recorded() == fleet.counted["ledger"]
+
+        asyncio.run(scenario())
+
+    def test_frozen_vm_and_then_all_frozen(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            await fleet.run(30)
+            await fleet.run(90, frozen=("vm-2",))
+            await fleet.run(150, frozen=FIVE)
+            await fleet.run(90)
+            await fleet.settle()
+            assert fleet.recorded() == fleet.counted["ledger"]
+            hours = hours_of(await fleet.snapshot())
+            assert hours[1].minutes == 60
+            assert hours[3].reason is NotObservedReason.NO_VM_REPORTED
+            assert hours[3].state is ServiceState.NOT_OBSERVED
+
+        asyncio.run(scenario())
+
+    def test_partition_of_the_writer_from_the_others(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            await fleet.run(20)
+            fleet.network.isolate(fleet.holders()[0])
+            await fleet.run(100)
+            fleet.network.heal()
+            await fleet.run(30)
+            await fleet.settle()
+            assert fleet.recorded() == fleet.counted["ledger"]
+
+        asyncio.run(scenario())
+
+
+class TestStoreOutage:
+    """Guards against hours that an outage drops or that are shown as observed."""
+
+    def test_several_hours_with_the_writer_killed(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            await fleet.run(60)
+            await fleet.settle()
+            fleet.store.is_down = True
+            await fleet.run(100)
+            fleet.kill(fleet.holders()[0])
+            await fleet.run(100)
+            fleet.store.is_down = False
+            await fleet.run(40)
+            await fleet.settle()
+            # The killed VM's last minute had been sent to nobody.
+            assert fleet.counted["ledger"] - 4 <= fleet.recorded()
+            assert fleet.recorded() <= fleet.counted["ledger"]
+            snapshot = await fleet.snapshot()
+            hours = hours_of(snapshot)
+            assert snapshot.is_established
+            assert [hours[h].minutes for h in range(5)] == [60] * 5
+
+        asyncio.run(scenario())
+
+    def test_all_vms_die_during_the_outage(self):
+        async def scenario() -> None:
+            fleet = await Fleet("vm-1", "vm-2").start()
+            await fleet.run(60)
+            await fleet.settle()
+            fleet.store.is_down = True
+            await fleet.run(120)
+            for vm in ("vm-1", "vm-2"):
+                fleet.kill(vm)
+            await fleet.join("vm-9")
+            await fleet.run(60)
+            fleet.store.is_down = False
+            await fleet.run(60)
+            await fleet.settle()
+            snapshot = await fleet.snapshot()
+            hours = hours_of(snapshot)
+            assert snapshot.is_established
+            assert hours[2].reason is NotObservedReason.NO_VM_REPORTED
+            assert hours[3].observers == 1
+
+        asyncio.run(scenario())
+
+    def test_hours_known_as_outage_have_that_reason(self):
+        async def scenario() -> None:
+            fleet = await Fleet("vm-1", services="ledger shop").start()
+            await fleet.run(60)
+            await fleet.settle()
+            fleet.store.is_down = True
+            await fleet.run(120)
+            exchange = fleet.nodes["vm-1"].exchange
+            for buffer in (exchange.own, exchange.held):
+                buffer._forget_batch(("ledger", START_HOUR + 2))
+            fleet.store.is_down = False
+            await fleet.run(60)
+            await fleet.settle()
+            hours = hours_of(await fleet.snapshot())
+            assert hours[2].reason is NotObservedReason.STORE_OUTAGE
+
+        asyncio.run(scenario())
+
+
+class TestServices:
+    """Guards against a past that goes with a renamed or removed service."""
+
+    def test_renamed_service_keeps_its_past(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            await fleet.run(60)
+            fleet.configuration.change(Fleet.configured("books"))
+            await fleet.run(120, busy=("books",))
+            fleet.configuration.change(Fleet.configured("books ledger"))
+            await fleet.run(70, busy=("books", "ledger"))
+            await fleet.settle()
+            snapshot = await fleet.snapshot()
+            assert snapshot.is_established
+            hours = hours_of(snapshot)
+            assert hours[0].own is ServiceState.OPERATIONAL
+            assert hours[2].reason is NotObservedReason.NOT_LISTED
+            assert hours[3].minutes > 0
+            assert fleet.recorded() == fleet.counted["ledger"]
+
+        asyncio.run(scenario())
+
+    def test_state_is_the_worse_of_own_and_dependencies(self):
+        async def scenario() -> None:
+            fleet = await Fleet("vm-1", services="shop>ledger ledger>disk disk").start()
+            await fleet.run(60, result=CallResult.FAILED, busy=("disk",))
+            await fleet.settle()
+            snapshot = await fleet.snapshot()
+            shop = hours_of(snapshot, "shop")[0]
+            assert (shop.own, shop.state) == (
+                ServiceState.OPERATIONAL,
+                ServiceState.OUTAGE,
+            )
+            assert hours_of(snapshot, "ledger")[0].state is ServiceState.OUTAGE
+
+        asyncio.run(scenario())
+
+
+class TestPage:
+    """Guards against a page that hides what is missing, or that can be abused."""
+
+    def test_views_share_one_read_and_other_vms_ask_the_reader(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            await fleet.run(60)
+            fleet.clock.advance(61)
+            fleet.store.calls.clear()
+            for _ in range(20):
+                for node in fleet.nodes.values():
+                    await asyncio.gather(node.current(), node.current())
+            # One index, one list of two segments and one head for two readers.
+            assert sum(fleet.store.calls.values()) <= 2 * 4
+
+        asyncio.run(scenario())
+
+    @pytest.mark.parametrize("key", ["status/index", "record"])
+    def test_page_says_that_the_history_cannot_be_read(self, key):
+        async def scenario() -> None:
+            fleet = await Fleet("vm-1").start()
+            await fleet.run(200)
+            assert (await fleet.snapshot()).is_established
+            key_lost = record_key("ledger", START_HOUR) if key == "record" else key
+            del fleet.store.objects[key_lost]
+            snapshot = await fleet.snapshot()
+            text = render_html(snapshot, 0)
+            assert not snapshot.is_established
+            assert text.index("history is not established") < text.index("<h1>")
+            assert len(snapshot.services) == 1
+
+        asyncio.run(scenario())
+
+    def test_outage_keeps_the_last_history_with_a_banner(self):
+        async def scenario() -> None:
+            fleet = await Fleet("vm-1").start()
+            await fleet.run(130)
+            await fleet.snapshot()
+            fleet.store.is_down = True
+            snapshot = await fleet.snapshot()
+            assert not snapshot.is_established
+            assert hours_of(snapshot)[0].minutes == 60
+
+        asyncio.run(scenario())
+
+    def test_everything_is_escaped_and_nothing_is_external(self):
+        async def scenario() -> None:
+            fleet = await Fleet("vm-1", services="").start()
+            name = '<script>alert(1)<script>&"'
+            fleet.configuration.change(Configuration(services={name: ServiceSpec()}))
+            await fleet.run(70)
+            snapshot = (await fleet.snapshot()).with_problem("<img src=x>")
+            text = render_html(snapshot, 0)
+            assert "&lt;script&gt;" in text
+            assert not re.search(
+                r"<script|<img|<link|<[^>]*(src|href)=|url\(|@import", text
+            )
+
+        asyncio.run(scenario())
+
+    def test_routes_and_interfaces(self):
+        async def scenario() -> None:
+            node = await Fleet("vm-1").join("vm-1")
+            assert isinstance(node, StatusObserver | StatusRoutes)
+            routes = node.status_routes()
+            page = await routes["/status"](None)
+            data = await routes["/status.json"](None)
+            assert page.content_type == "text/html"
+            assert "default-src 'none'" in page.headers["Content-Security-Policy"]
+            assert json.loads(data.body)["established"] is True
+
+        asyncio.run(scenario())
+
+    def test_packed_snapshot(self):
+        snapshot = Snapshot(read_s=5.0, problems=["x"])
+        assert unpack(pack(snapshot)) == snapshot
+        for data in (b"", b"x", pack(snapshot)[:-9]):
+            with pytest.raises((ValueError, msgspec.DecodeError)):
+                unpack(data)
+
+
+class TestWrites:
+    """Guards against writes that grow without bound in an hour."""
+
+    def test_supplements_of_an_hour_are_few(self):
+        async def scenario() -> None:
+            fleet = await Fleet(*FIVE).start()
+            await fleet.run(200)
+            records = stored_records(fleet.store, "ledger")
+            assert max(len(r["supplements"]) for r in records.values()) <= 7
+
+        asyncio.run(scenario())
