Split the exchange of observations into sender and holder

Change: Sender keeps and sends this VM's minutes, Holder keeps and writes those of all; written minutes are kept by observer for two hours after the last change. Forgetting early is safe, since a merge compares with the record.

--- a/src/ebonyladder/observation.py
+++ b/src/ebonyladder/observation.py
@@ -15,6 +15,7 @@
 
 # Observations older than this are dropped: readers treat earlier hours as fixed.
 LATE_LIMIT_HOURS = 48
+WRITTEN_KEPT_HOURS = 2
 
 Observer = tuple[VmId, Incarnation]
 MinuteKey = tuple[ServiceId, int]
@@ -166,28 +167,37 @@
 
 
 class WrittenMinutes:
-    """Minutes that the store is known to have, by observer, service and hour."""
+    """Minutes that the store is known to have, by observer, service and hour.
+
+    An entry is forgotten ``WRITTEN_KEPT_HOURS`` after its last change; a minute
+    that is sent again then is compared with the record again.
+    """
 
     def __init__(self) -> None:
-        self.masks: dict[tuple[Observer, ServiceId, int], int] = {}
+        self.masks: dict[Observer, dict[tuple[ServiceId, int], int]] = {}
+        self.noted: dict[tuple[Observer, ServiceId, int], int] = {}
 
-    def note(self, observer: Observer, mask: MinuteMask) -> None:
+    def note(self, observer: Observer, mask: MinuteMask, now_hour: int) -> None:
         """Add minutes."""
-        key = (observer, mask.service, mask.hour)
-        self.masks[key] = self.masks.get(key, 0) | mask.minutes
+        masks = self.masks.setdefault(observer, {})
+        key = (mask.service, mask.hour)
+        masks[key] = masks.get(key, 0) | mask.minutes
+        self.noted[observer, mask.service, mask.hour] = now_hour
 
     def has(self, observer: Observer, service: ServiceId, minute: int) -> bool:
         """Tell whether a minute, counted from the epoch, is written."""
         hour, within = divmod(minute, MINUTES_PER_HOUR)
-        return bool(self.masks.get((observer, service, hour), 0) >> within & 1)
+        mask = self.masks.get(observer, {}).get((service, hour), 0)
+        return bool(mask >> within & 1)
 
     def among(
         self, observer: Observer, pending: Iterable[MinuteMask]
     ) -> list[MinuteMask]:
         """Return those of the observer's pending minutes that are written."""
+        masks = self.masks.get(observer, {})
         found = []
         for mask in pending:
-            both = self.masks.get((observer, mask.service, mask.hour), 0) & mask.minutes
+            both = masks.get((mask.service, mask.hour), 0) & mask.minutes
             if both:
                 found.append(
                     MinuteMask(service=mask.service, hour=mask.hour, minutes=both)
@@ -199,14 +209,19 @@
         wanted = set(services)
         return [
             MinuteMask(service=service, hour=hour, minutes=mask)
-            for (who, service, hour), mask in self.masks.items()
-            if who == observer and service in wanted
+            for (service, hour), mask in self.masks.get(observer, {}).items()
+            if service in wanted
         ]
 
     def trim(self, now_hour: int) -> None:
-        """Forget hours that no VM can report any more."""
-        oldest = now_hour - LATE_LIMIT_HOURS - 1
-        self.masks = {k: m for k, m in self.masks.items() if k[2] >= oldest}
+        """Forget old entries."""
+        limit = now_hour - WRITTEN_KEPT_HOURS
+        for key in [key for key, noted in self.noted.items() if noted < limit]:
+            observer, service, hour = key
+            del self.noted[key]
+            del self.masks[observer][service, hour]
+            if not self.masks[observer]:
+                del self.masks[observer]
 
 
 def minute_counts(
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -121,7 +121,9 @@
             hours = hours_of(await fleet.snapshot())
             assert [hours[h].minutes for h in (0, 1)] == [60, 60]
             assert hours[0].observers == 5
-            assert all(node.exchange.own.size < 100 for node in fleet.nodes.values())
+            assert all(
+                node.exchange.sender.own.size < 100 for node in fleet.nodes.values()
+            )
 
         asyncio.run(scenario())
 
@@ -297,7 +299,7 @@
             fleet.store.is_down = True
             await fleet.run(120)
             exchange = fleet.nodes["vm-1"].exchange
-            for buffer in (exchange.own, exchange.held):
+            for buffer in (exchange.sender.own, exchange.holder.held):
                 buffer._forget_batch(("ledger", START_HOUR + 2))
             fleet.store.is_down = False
             await fleet.run(60)
