--- a/src/ebonyladder/_history_reader.py
+++ b/src/ebonyladder/_history_reader.py
@@ -1,5 +1,7 @@
 """Reading of the chain of hour records, with all its checks."""
 
+import asyncio
+
 import msgspec
 
 from ebonyladder.history import (
@@ -19,6 +21,8 @@
 KEPT_HOURS = 90 * HOURS_PER_DAY
 # The head can move between the calls of one read; a writer does so once an hour.
 READ_ATTEMPTS = 3
+# Records that are checked before other tasks get a turn, about 2 ms.
+RECORDS_PER_TURN = 20
 
 
 class HistoryError(EbonyladderError):
@@ -165,6 +169,8 @@
                     raise self.error(f"hour {record.hour} has changed since it closed")
                 return
             self.visited[record.hour] = record
+            if len(self.visited) % RECORDS_PER_TURN == 0:
+                await asyncio.sleep(0)
             if record.previous_hour is None:
                 break
             record = await self._previous(record)
--- a/src/ebonyladder/_status_html.py
+++ b/src/ebonyladder/_status_html.py
@@ -1,5 +1,6 @@
 """HTML and JSON forms of the public status; no scripts, nothing external."""
 
+from collections.abc import Iterator
 from datetime import UTC, datetime
 from html import escape
 from itertools import groupby
@@ -27,6 +28,14 @@
     ServiceState.DEGRADED: "degraded",
     ServiceState.OUTAGE: "outage",
 }
+CLASSES = {
+    ServiceState.OPERATIONAL: "o",
+    ServiceState.NOT_OBSERVED: "n",
+    ServiceState.DEGRADED: "d",
+    ServiceState.OUTAGE: "x",
+}
+# A page has thousands of cells: a short tag keeps it small on a phone.
+CELLS = {s: f"<i class={CLASSES[s]}>{letter}</i>" for s, letter in LETTERS.items()}
 
 STYLE = """
 :root{color-scheme:light dark;--ok:#1a7f37;--degraded:#9a6700;--outage:#cf222e;
@@ -39,21 +48,39 @@
 .days{list-style:none;padding:0;margin:0}
 .days li{margin:.25rem 0}
 .hours{display:flex}
-.hours span{flex:1;max-width:1.5rem;margin-right:1px;font-size:.7rem;text-align:center;
-color:var(--on);border-radius:2px}
-.operational{background:var(--ok)}.degraded{background:var(--degraded)}
-.outage{background:var(--outage)}.not-observed{background:var(--unknown)}
-.none{color:inherit!important;opacity:.4}
+.hours i{flex:1;max-width:1.5rem;margin-right:1px;font:.7rem/1.6 system-ui;
+text-align:center;border-radius:2px;opacity:.5}
+.o,.n,.d,.x{color:var(--on);opacity:1!important}
+.o,.operational{background:var(--ok)}.d,.degraded{background:var(--degraded)}
+.x,.outage{background:var(--outage)}.n,.not-observed{background:var(--unknown)}
 .label{color:var(--on);border-radius:4px;padding:.1rem .5rem}
 details pre{white-space:pre-wrap}
 """
 
 
-def render_html(snapshot: Snapshot, now_s: float) -> str:
-    """Return the status page."""
+class HourEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One hour in the JSON form; absent fields are null or 0."""
+
+    begins: str
+    state: ServiceState
+    own_state: ServiceState
+    reason: NotObservedReason | None = None
+    minutes: int = 0
+    observers: int = 0
+    served: int = 0
+    failed: int = 0
+    refused: int = 0
+
+
+def html_parts(snapshot: Snapshot, now_s: float) -> Iterator[bytes]:
+    """Yield the status page in parts, one for each service.
+
+    The caller can let other tasks run in between: a service with 90 days takes
+    milliseconds.
+    """
     services = sorted(snapshot.services, key=lambda s: (not s.listed, s.service))
     read = _time(snapshot.read_s) if snapshot.read_s else "never"
-    return "".join(
+    yield "".join(
         [
             '<!DOCTYPE html><html lang="en"><head><meta charset="utf-8">',
             '<meta name="viewport" content="width=device-width,initial-scale=1">',
@@ -63,46 +90,42 @@
             "<h1>Service status</h1>",
             f"<p>All times are UTC. Page made {_time(now_s)}, history read {read}.</p>",
             _legend(),
-            *(_service(service) for service in services),
-            "" if services else "<p>No service is listed.</p>",
-            "</main></body></html>",
         ]
-    )
-
-
-def render_json(snapshot: Snapshot, now_s: float) -> bytes:
-    """Return the JSON form of the page."""
-    services = [
-        {
-            **msgspec.to_builtins(service),
-            "hours": [_hour_fields(status) for status in service.hours],
-        }
-        for service in snapshot.services
-    ]
-    return msgspec.json.encode(
-        {
-            "established": snapshot.is_established,
-            "problems": snapshot.problems,
-            "made": _time(now_s),
-            "read": _time(snapshot.read_s) if snapshot.read_s else None,
-            "services": services,
-        }
-    )
-
-
-def _hour_fields(status: HourStatus) -> dict[str, object]:
-    return {
-        "hour": status.hour,
-        "begins": _time(status.hour * SECONDS_PER_HOUR),
-        "state": status.state,
-        "own_state": status.own,
-        "reason": status.reason,
-        "minutes": status.minutes,
-        "observers": status.observers,
-        "served": status.counts.served,
-        "failed": status.counts.failed,
-        "refused": status.counts.refused,
+    ).encode()
+    for service in services:
+        yield _service(service).encode()
+    yield b"" if services else b"<p>No service is listed.</p>"
+    yield b"</main></body></html>"
+
+
+def json_parts(snapshot: Snapshot, now_s: float) -> Iterator[bytes]:
+    """Yield the JSON form of the page in parts, one for each service."""
+    outer = {
+        "established": snapshot.is_established,
+        "problems": snapshot.problems,
+        "made": _time(now_s),
+        "read": _time(snapshot.read_s) if snapshot.read_s else None,
     }
+    yield msgspec.json.encode(outer)[:-1] + b',"services":['
+    for number, service in enumerate(snapshot.services):
+        fields = msgspec.structs.asdict(service)
+        fields["hours"] = [_entry(status) for status in service.hours]
+        yield (b"," if number else b"") + msgspec.json.encode(fields)
+    yield b"]}"
+
+
+def _entry(status: HourStatus) -> HourEntry:
+    return HourEntry(
+        begins=_time(status.hour * SECONDS_PER_HOUR),
+        state=status.state,
+        own_state=status.own,
+        reason=status.reason,
+        minutes=status.minutes,
+        observers=status.observers,
+        served=status.counts.served,
+        failed=status.counts.failed,
+        refused=status.counts.refused,
+    )
 
 
 def _banner(snapshot: Snapshot) -> str:
@@ -169,14 +192,14 @@
 def _exceptions(hours: list[HourStatus]) -> str:
     """Return the hours that are not plainly operational, as text."""
     lines = [
-        describe(status)
+        escape(describe(status))
         for status in sorted(hours, key=lambda status: status.hour)
         if not _is_blank(status)
         and (status.state is not ServiceState.OPERATIONAL or status.minutes < 60)
     ]
     if not lines:
         return ""
-    text = "\n".join(escape(line) for line in lines)
+    text = "\n".join(lines)
     return (
         f"<details><summary>{len(lines)} h in detail</summary><pre>{text}</pre>"
         "</details>"
@@ -185,15 +208,12 @@
 
 def _cell(status: HourStatus | None) -> str:
     if status is None or _is_blank(status):
-        return '<span class="none">·</span>'
-    return (
-        f'<span class="{status.state.value}" title="{escape(describe(status))}">'
-        f"{LETTERS[status.state]}</span>"
-    )
+        return "<i>·</i>"
+    return CELLS[status.state]
 
 
 def _is_blank(status: HourStatus) -> bool:
-    return status.reason in (NotObservedReason.IN_PROGRESS,)
+    return status.reason is NotObservedReason.IN_PROGRESS
 
 
 def describe(status: HourStatus) -> str:
--- a/src/ebonyladder/_status_snapshot.py
+++ b/src/ebonyladder/_status_snapshot.py
@@ -1,5 +1,6 @@
 """Snapshot of the public status: all services, their hours, what is missing."""
 
+import asyncio
 import zlib
 
 import msgspec
@@ -135,11 +136,12 @@
             now_hour=now_hour,
             written_before=written_before,
         )
-        services = [
-            view.service(name, failed.get(name, ""))
-            for name, spans in self.index.services.items()
-            if any(span.is_public for span in spans)
-        ]
+        services = []
+        for name, spans in self.index.services.items():
+            if any(span.is_public for span in spans):
+                services.append(view.service(name, failed.get(name, "")))
+                # Thousands of hours: other tasks run between the services.
+                await asyncio.sleep(0)
         read = Snapshot(read_s=wall_s, services=services, problems=problems)
         if not problems:
             self.last = read
--- a/src/ebonyladder/plugins/status_page.py
+++ b/src/ebonyladder/plugins/status_page.py
@@ -6,13 +6,16 @@
 """
 
 import asyncio
+import zlib
+from collections.abc import Callable, Iterator
 
+import msgspec
 from absl import logging
 from aiohttp import web
 
 from ebonyladder._history_writer import HistoryWriter
 from ebonyladder._status_exchange import Exchange
-from ebonyladder._status_html import render_html, render_json
+from ebonyladder._status_html import html_parts, json_parts
 from ebonyladder._status_snapshot import Snapshot, SnapshotReader, pack, unpack
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.kernel.error import EbonyladderError, PeerError, StoreError
@@ -47,8 +50,22 @@
     ),
     "X-Content-Type-Options": "nosniff",
     "Cache-Control": "max-age=30",
+    "Vary": "Accept-Encoding",
 }
 
+# Window bits that make zlib write the gzip format.
+GZIP_WBITS = 31
+
+Parts = Callable[[Snapshot, float], Iterator[bytes]]
+
+
+class RenderedPage(msgspec.Struct, frozen=True, kw_only=True):
+    """Page as it is sent, with the snapshot that it shows."""
+
+    snapshot: Snapshot
+    plain: bytes
+    compressed: bytes
+
 
 @register
 class StatusPagePlugin(Plugin, StatusObserver, StatusRoutes):
@@ -63,6 +80,8 @@
         self.snapshot = Snapshot()
         self.snapshot_at_s: float | None = None
         self.reading = asyncio.Lock()
+        self.rendering = asyncio.Lock()
+        self.pages: dict[str, RenderedPage] = {}
 
     async def start(self) -> None:
         """Register the message handlers and start the task."""
@@ -165,17 +184,43 @@
         return {"/status": self._get_page, "/status.json": self._get_json}
 
     async def _get_page(self, request: web.Request) -> web.Response:
-        snapshot = await self.current()
-        return web.Response(
-            text=render_html(snapshot, self.kernel.clock.wall_s()),
-            content_type="text/html",
-            headers=SECURITY_HEADERS,
-        )
+        return await self._respond(request, "text/html", html_parts)
 
     async def _get_json(self, request: web.Request) -> web.Response:
+        return await self._respond(request, "application/json", json_parts)
+
+    async def _respond(
+        self, request: web.Request, content_type: str, parts: Parts
+    ) -> web.Response:
         snapshot = await self.current()
+        async with self.rendering:
+            page = self.pages.get(content_type)
+            if page is None or page.snapshot is not snapshot:
+                page = await self._render(snapshot, parts)
+                self.pages[content_type] = page
+        headers = dict(SECURITY_HEADERS)
+        body = page.plain
+        if "gzip" in request.headers.get("Accept-Encoding", ""):
+            headers["Content-Encoding"] = "gzip"
+            body = page.compressed
         return web.Response(
-            body=render_json(snapshot, self.kernel.clock.wall_s()),
-            content_type="application/json",
-            headers=SECURITY_HEADERS,
+            body=body, content_type=content_type, charset="utf-8", headers=headers
+        )
+
+    async def _render(self, snapshot: Snapshot, parts: Parts) -> RenderedPage:
+        """Render once for all views of a snapshot.
+
+        Rendering gives way to other tasks after each service, so that it does
+        not delay statements.
+        """
+        compressor = zlib.compressobj(wbits=GZIP_WBITS)
+        plain: list[bytes] = []
+        compressed: list[bytes] = []
+        for part in parts(snapshot, self.kernel.clock.wall_s()):
+            plain.append(part)
+            compressed.append(compressor.compress(part))
+            await asyncio.sleep(0)
+        compressed.append(compressor.flush())
+        return RenderedPage(
+            snapshot=snapshot, plain=b"".join(plain), compressed=b"".join(compressed)
         )
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -1,14 +1,16 @@
 """Status plug-in: exchange of observations, faults of VMs and store, the page."""
 
 import asyncio
+import gzip
 import json
 import re
 
 import msgspec
 import pytest
+from aiohttp.test_utils import make_mocked_request
 
 from ebonyladder._codec import decode, encode
-from ebonyladder._status_html import render_html
+from ebonyladder._status_html import html_parts
 from ebonyladder._status_snapshot import Snapshot, pack, unpack
 from ebonyladder.configuration import Configuration, ServiceSpec
 from ebonyladder.history import record_key
@@ -374,7 +376,7 @@
             key_lost = record_key("ledger", START_HOUR) if key == "record" else key
             del fleet.store.objects[key_lost]
             snapshot = await fleet.snapshot()
-            text = render_html(snapshot, 0)
+            text = b"".join(html_parts(snapshot, 0)).decode()
             assert not snapshot.is_established
             assert text.index("history is not established") < text.index("<h1>")
             assert len(snapshot.services) == 1
@@ -400,7 +402,7 @@
             fleet.configuration.change(Configuration(services={name: ServiceSpec()}))
             await fleet.run(70)
             snapshot = (await fleet.snapshot()).with_problem("<img src=x>")
-            text = render_html(snapshot, 0)
+            text = b"".join(html_parts(snapshot, 0)).decode()
             assert "&lt;script&gt;" in text
             assert not re.search(
                 r"<script|<img|<link|<[^>]*(src|href)=|url\(|@import", text
@@ -411,13 +413,22 @@
     def test_routes_and_interfaces(self):
         async def scenario() -> None:
             node = await Fleet("vm-1").join("vm-1")
-            assert isinstance(node, StatusObserver | StatusRoutes)
+            assert isinstance(node, StatusObserver)
+            assert isinstance(node, StatusRoutes)
             routes = node.status_routes()
-            page = await routes["/status"](None)
-            data = await routes["/status.json"](None)
+            request = make_mocked_request("GET", "/status")
+            page = await routes["/status"](request)
+            data = await routes["/status.json"](request)
             assert page.content_type == "text/html"
             assert "default-src 'none'" in page.headers["Content-Security-Policy"]
             assert json.loads(data.body)["established"] is True
+            assert (await routes["/status"](request)).body is page.body
+            phone = make_mocked_request(
+                "GET", "/status", headers={"Accept-Encoding": "gzip, br"}
+            )
+            compressed = await routes["/status"](phone)
+            assert compressed.headers["Content-Encoding"] == "gzip"
+            assert gzip.decompress(compressed.body) == page.body
 
         asyncio.run(scenario())
 
--- a/tests/test_status_feature.py
+++ b/tests/test_status_feature.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 
+from aiohttp.test_utils import make_mocked_request
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from ebonyladder.history import record_key
@@ -17,8 +18,9 @@
 def page(fleet: Fleet) -> str:
     async def get() -> str:
         fleet.clock.advance(61)
-        response = await fleet.nodes["vm-1"].status_routes()["/status"](None)
-        return response.text
+        request = make_mocked_request("GET", "/status")
+        response = await fleet.nodes["vm-1"].status_routes()["/status"](request)
+        return response.body.decode()
 
     return asyncio.run(get())
 
