--- a/src/ebonyladder/_lease_keeper.py
+++ b/src/ebonyladder/_lease_keeper.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import Callable
+from random import Random
 
 from absl import logging
 
@@ -21,6 +22,12 @@
 HANDOVER_AFTER_S = 30.0
 # The first try can meet a renewal that was interrupted after it was sent.
 RELEASE_TRIES = 2
+# A VM that starts or takes over many leases must not crowd other calls out of
+# the store.
+MAX_STORE_CALLS = 8
+# Spreads the calls of leases that were taken at the same time.
+RENEWAL_JITTER = 0.25
+RESERVE_START_S = 10.0
 
 
 class LeaseKeeper:
@@ -47,6 +54,8 @@
         self.preferred: set[LeaseName] = set()
         self.preferred_view: list[VmId] = []
         self.preferred_since_s = 0.0
+        self.calls = asyncio.Semaphore(MAX_STORE_CALLS)
+        self.random = Random(f"{self.vm}/{incarnation}")
 
     def start(self) -> None:
         """Start to try for the leases of which this VM is the first choice."""
@@ -76,7 +85,7 @@
                 self.preferred_view = view
                 self.preferred = preferred_leases(self.vm, view)
                 self.preferred_since_s = self.clock.now_s()
-            for name in self.preferred - self.tasks.keys():
+            for name in sorted(self.preferred - self.tasks.keys(), key=_start_order):
                 self.tasks[name] = self.kernel.spawn(self._hold(name), name=name.key)
             await asyncio.sleep(REVIEW_INTERVAL_S)
 
@@ -93,6 +102,8 @@
         )
         self.leases[name] = lease
         try:
+            if not name.is_main:
+                await asyncio.sleep(self.random.uniform(0.0, RESERVE_START_S))
             while name in self.preferred or lease.state is LeaseState.HELD:
                 try:
                     await self._hold_once(name, lease)
@@ -106,27 +117,34 @@
     async def _hold_once(self, name: LeaseName, lease: Lease) -> None:
         if lease.state is LeaseState.HELD:
             await asyncio.sleep(self._renewal_left_s(name, lease))
-            if self._should_hand_over(name):
-                await lease.observe()
-                await self._release(name)
-            else:
-                await lease.renew()
-                if not self.holdings.has(name):
-                    self.holdings.open(name, lease)
+            async with self.calls:
+                await self._renew_or_hand_over(name, lease)
             return
-        await lease.observe()
+        async with self.calls:
+            await lease.observe()
         if lease.state is LeaseState.SEEKING:
             left_s = lease.wait_left_s()
             if left_s > 0:
                 await lease.watch(wait_s=min(left_s, STORE_WATCH_S))
                 return
-            await lease.take()
+            async with self.calls:
+                await lease.take()
         self.holdings.open(name, lease)
         logging.info("[limits] Lease is taken. key=%s", name.key)
 
+    async def _renew_or_hand_over(self, name: LeaseName, lease: Lease) -> None:
+        if self._should_hand_over(name):
+            await lease.observe()
+            await self._release(name)
+            return
+        await lease.renew()
+        if not self.holdings.has(name):
+            self.holdings.open(name, lease)
+
     def _renewal_left_s(self, name: LeaseName, lease: Lease) -> float:
         sent_s = lease.end_s - name.duration_s
-        return max(0.0, sent_s + name.renewal_s - self.clock.now_s())
+        interval_s = name.renewal_s * self.random.uniform(1 - RENEWAL_JITTER, 1)
+        return max(0.0, sent_s + interval_s - self.clock.now_s())
 
     def _should_hand_over(self, name: LeaseName) -> bool:
         settled_s = self.clock.now_s() - self.preferred_since_s
@@ -154,3 +172,8 @@
                 if error.code is ErrorCode.LEASE_LOST:
                     return None
         return None
+
+
+def _start_order(name: LeaseName) -> tuple[bool, LeaseName]:
+    """Return the sort key that takes main leases first."""
+    return not name.is_main, name
