--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -187,11 +187,14 @@
 
         asyncio.run(scenario())
 
-    @pytest.mark.parametrize("change", ["counts", "supplements", "sequence"])
-    def test_altered_record(self, change):
+    @pytest.mark.parametrize(
+        ("hour", "change"),
+        [(3, "counts"), (3, "supplements"), (3, "sequence"), (10, "counts")],
+    )
+    def test_altered_record(self, hour, change):
         async def scenario() -> None:
-            store = await filled(10)
-            key = record_key(LEDGER, 3)
+            store = await filled(11)
+            key = record_key(LEDGER, hour)
             value = json.loads(store.objects[key].value)
             value[change] = {
                 "counts": {"served": 0, "failed": 0, "refused": 0},
@@ -201,7 +204,7 @@
             data = json.dumps(value).encode()
             store.objects[key] = StoredObject(key=key, value=data, version=99)
             with pytest.raises(HistoryError):
-                await read(store, 10)
+                await read(store, 11)
 
         asyncio.run(scenario())
 
