Say 'run' where an answer is withheld from a withdrawn key

Ruled out: passing the answer on; a withdrawn key must stop working in flight too. Change: the outcome at this step is run, with the code of the check.

--- a/src/ebonyladder/gateway.py
+++ b/src/ebonyladder/gateway.py
@@ -314,12 +314,18 @@
         return self.keys.holder_of(key)
 
     def _require_still_valid(self, holder: KeyHolder) -> None:
-        """Refuse the answer to a key that was withdrawn meanwhile."""
+        """Withhold the answer from a key that was withdrawn meanwhile.
+
+        The statement has run and was confirmed by then, so the outcome is RUN.
+        """
         try:
             self.keys.require_valid(holder.digest, Step.ANSWER)
         except EbonyladderError as error:
+            is_withdrawn = error.code is ErrorCode.KEY_REFUSED
             raise RequestError(
-                code=ErrorCode.KEY_WITHDRAWN, step=Step.ANSWER, outcome=Outcome.UNKNOWN
+                code=ErrorCode.KEY_WITHDRAWN if is_withdrawn else error.code,
+                step=Step.ANSWER,
+                outcome=Outcome.RUN,
             ) from error
 
     def _token(self, sealed: str, holder: KeyHolder) -> SessionToken:
--- a/src/ebonyladder/kernel/error.py
+++ b/src/ebonyladder/kernel/error.py
@@ -38,9 +38,9 @@
     )
     KEY_WITHDRAWN = ErrorInfo(
         "key-withdrawn",
-        Outcome.UNKNOWN,
+        Outcome.RUN,
         401,
-        "The key was withdrawn while the request was under way.",
+        "The key was withdrawn while the statement ran; its answer is withheld.",
     )
     TOKEN_REFUSED = ErrorInfo(
         "token-refused",
