Show the state of a new hour after one minute; keep labels whole on a phone

Cause: seen in a headless browser at 500 px: a service that served calls was shown as not observed for the first ten minutes of an hour, and the label 'outage' broke over two lines. Ruled out: lost observations; the record was only written every 600 s. Change: first write of an hour 60 s after its first observation, then every 600 s; labels do not wrap; an hour without data yet says so.

--- a/src/ebonyladder/_status_holder.py
+++ b/src/ebonyladder/_status_holder.py
@@ -17,7 +17,9 @@
 from ebonyladder.status import SECONDS_PER_HOUR, Counts
 from ebonyladder.types import ServiceId, VmId
 
-# A record gets at most six supplements an hour from each writer.
+# Readers see the state of a new hour soon after it begins; later writes are
+# rarer, so that a record gets at most seven supplements an hour.
+FIRST_WRITE_S = 60
 WRITE_PERIOD_S = 600
 # VMs send the last minute of an hour within two ticks of 30 s.
 HOUR_END_DELAY_S = 90
@@ -64,6 +66,7 @@
         self.held = ObservationBuffer(limit=HELD_MINUTES)
         self.written = WrittenMinutes()
         self.write_due_s: dict[BatchKey, float] = {}
+        self.begun: set[BatchKey] = set()
         self.closed: set[BatchKey] = set()
         self.outage_hours: set[int] = set()
 
@@ -89,6 +92,7 @@
             k: s for k, s in self.write_due_s.items() if k in self.held.batches
         }
         oldest = self.now_hour - LATE_LIMIT_HOURS
+        self.begun = {key for key in self.begun if key[1] >= oldest}
         self.closed = {key for key in self.closed if key[1] >= oldest}
         self.outage_hours = {hour for hour in self.outage_hours if hour >= oldest}
         return dropped
@@ -113,12 +117,16 @@
             return False
         now_s = self.clock.now_s()
         is_backup = self.vm != holders[0]
-        delay_s = BACKUP_DELAY_S if is_backup else WRITE_PERIOD_S
-        due_s = self.write_due_s.setdefault(key, now_s + delay_s)
+        due_s = self.write_due_s.setdefault(key, now_s + self._delay_s(key, is_backup))
         into_hour_s = self.clock.wall_s() - (hour + 1) * SECONDS_PER_HOUR
         has_ended = into_hour_s >= HOUR_END_DELAY_S and key not in self.closed
         return now_s >= due_s or (has_ended and not is_backup)
 
+    def _delay_s(self, key: BatchKey, is_backup: bool) -> float:
+        if is_backup:
+            return BACKUP_DELAY_S
+        return WRITE_PERIOD_S if key in self.begun else FIRST_WRITE_S
+
     async def _write(self, batch: HourBatch) -> bool:
         """Write one batch; False if the store cannot be used now."""
         outages = tuple(sorted(self.outage_hours))
@@ -141,6 +149,7 @@
             return True
         key = (batch.service, batch.hour)
         self.write_due_s.pop(key, None)
+        self.begun.add(key)
         end_s = (batch.hour + 1) * SECONDS_PER_HOUR
         if self.clock.wall_s() >= end_s + HOUR_END_DELAY_S:
             self.closed.add(key)
--- a/src/ebonyladder/_status_html.py
+++ b/src/ebonyladder/_status_html.py
@@ -53,7 +53,8 @@
 .o,.n,.d,.x{color:var(--on);opacity:1!important}
 .o,.operational{background:var(--ok)}.d,.degraded{background:var(--degraded)}
 .x,.outage{background:var(--outage)}.n,.not-observed{background:var(--unknown)}
-.label{color:var(--on);border-radius:4px;padding:.1rem .5rem}
+.label{color:var(--on);border-radius:4px;padding:.1rem .5rem;
+display:inline-block;margin:.1rem 0}
 details pre{white-space:pre-wrap}
 """
 
@@ -153,6 +154,8 @@
     label = f'<span class="label {state.value}">{LETTERS[state]} {NAMES[state]}</span>'
     if not service.listed:
         label = "no longer listed"
+    elif all(_is_blank(status) for status in service.hours):
+        label = "no data yet"
     if service.problem:
         label += " <strong>history not established</strong>"
     depends = ", ".join(escape(name) for name in service.depends_on)
@@ -160,7 +163,7 @@
     return (
         f"<section><h2>{title}</h2><p>{label}</p>"
         + (f"<p>Depends on {depends}.</p>" if depends else "")
-        + f"<p>{service.checked_hours} hours since "
+        + f"<p>{_count(service.checked_hours, 'hour')} since "
         f"{_time(service.first_hour * SECONDS_PER_HOUR)}, "
         f"{service.not_observed_hours} of them not observed.</p>"
         + '<ol class="days">'
@@ -229,5 +232,9 @@
     )
 
 
+def _count(number: int, noun: str) -> str:
+    return f"{number} {noun}" if number == 1 else f"{number} {noun}s"
+
+
 def _time(wall_s: float) -> str:
     return datetime.fromtimestamp(wall_s, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
