Hold back writes during planned switchovers

An endpoint whose zone went out, or that was leaving, refused writes at once, and the promotion had no gate, so writes failed between the change and the switchover and open transactions were cut off.

Ruled out: keeping the former owner as owner until the switchover, since its VM may be about to stop. A view is also no longer dropped while a request or a transaction uses it.

The owner's writes and transactions pass a gate for each group. A switchover closes it at the new owner and, by the message hold-writes, at the former one, waits up to 3 s for work under way and opens it afterwards. A leaving primary serves writes for at most 3 s; reads are refused at once. Refusals that prove that the place is wrong are repeated until the deadline with pauses up to 250 ms in place of eight quick attempts; the begin of a transaction is repeated as well. Returned endpoints get 10% to 100% of their reads over 8 s. A VM that operators send away fails its health check at once and refuses new work after 3 s. Transactions at the owner have a module of their own.

The test of the promotion plug-in lists the interfaces that it requires exactly; the write gate is one of them now and needs no store itself.

--- a/src/ebonyladder/_members.py
+++ b/src/ebonyladder/_members.py
@@ -192,6 +192,13 @@
         member.failures = 0
         member.failing_since_s = float("inf")
 
+    def drain(self, vm: VmId) -> None:
+        """Note that a VM has refused work because it drains."""
+        member = self.members.get(vm)
+        if member is not None and member.state is not VmState.DRAIN:
+            member.state = VmState.DRAIN
+            self._spread(vm)
+
     def failed(self, vm: VmId, *, sent_at_s: float) -> None:
         """Note that a call sent at ``sent_at_s`` had no answer."""
         member = self.members.get(vm)
--- /dev/null
+++ b/src/ebonyladder/_owner_context.py
@@ -0,0 +1,95 @@
+"""What the owner's statements and transactions share: views, keys, time."""
+
+from ebonyladder._owned_endpoints import OwnedEndpoints, not_owner
+from ebonyladder.configuration import Policy
+from ebonyladder.confirmation import Confirmer
+from ebonyladder.gate import WriteAdmission
+from ebonyladder.group import GroupView, GroupWatch
+from ebonyladder.kernel.error import ErrorCode, RequestError
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.step import Step
+from ebonyladder.keys import KeyRing
+from ebonyladder.types import EndpointId, GroupId, KeyDigest
+
+# A VM that has just become owner hears from the endpoints within this time.
+PRIMARY_WAIT_S = 1.0
+
+
+class OwnerContext:
+    """Parts of the daemon that run statements at owned endpoints.
+
+    Parameters
+    ----------
+    kernel : Kernel
+        Clock, tasks and the state of the drain.
+    owned : OwnedEndpoints
+        Queues and pools.
+    groups : GroupWatch
+        Views of groups.
+    keys : KeyRing
+        Keys that are valid now.
+    admission : WriteAdmission
+        Gate for writes and transactions.
+    """
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        owned: OwnedEndpoints,
+        groups: GroupWatch,
+        keys: KeyRing,
+        admission: WriteAdmission,
+    ) -> None:
+        self.kernel = kernel
+        self.clock = kernel.clock
+        self.owned = owned
+        self.groups = groups
+        self.keys = keys
+        self.admission = admission
+
+    @property
+    def policy(self) -> Policy:
+        """Time limits in force."""
+        return self.owned.configuration.current.policy
+
+    def left_s(self, deadline_s: float) -> float:
+        """Return the seconds until a deadline, 0 if it has passed."""
+        return max(0.0, deadline_s - self.clock.now_s())
+
+    def view(self, group: GroupId) -> GroupView:
+        """Return the view of a group; raises ``RequestError`` NOT_OWNER."""
+        view = self.groups.view_of(group)
+        if view is None:
+            raise not_owner(self.owned.ownership, group)
+        return view
+
+    def confirmer(self, view: GroupView) -> Confirmer:
+        """Return the checks of a group."""
+        return Confirmer(view=view, clock=self.clock)
+
+    def require_key(self, digest: str, step: Step) -> None:
+        """Refuse the work of a key that was withdrawn meanwhile."""
+        if digest:
+            self.keys.require_valid(KeyDigest(digest), step)
+
+    def require_not_draining(self) -> None:
+        """Raise ``RequestError`` DRAINING, not run, once the VM drains."""
+        if self.kernel.draining:
+            raise RequestError(
+                code=ErrorCode.DRAINING,
+                step=Step.ROUTE,
+                peer=self.kernel.settings.vm,
+                retry_after_s=0.0,
+            )
+
+    async def require_primary(
+        self, view: GroupView, endpoint: EndpointId, deadline_s: float
+    ) -> None:
+        """Raise NO_PRIMARY, not run, unless the endpoint is the primary.
+
+        Waits only while no primary is known at all.
+        """
+        wait_s = min(PRIMARY_WAIT_S, self.left_s(deadline_s))
+        await view.wait_until(lambda: view.primary is not None, wait_s)
+        await self.confirmer(view).require_primary(endpoint, 0.0)
--- /dev/null
+++ b/src/ebonyladder/_transaction_runner.py
@@ -0,0 +1,212 @@
+"""Steps of interactive transactions at the owner of their endpoint."""
+
+import asyncio
+
+from absl import logging
+
+from ebonyladder._owned_endpoints import OwnedEndpoint
+from ebonyladder._owner_context import OwnerContext
+from ebonyladder.confirmation import Confirmer
+from ebonyladder.endpoint import EndpointConnection
+from ebonyladder.kernel.error import EbonyladderError, EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.step import Step
+from ebonyladder.messages import ForwardAnswer, TransactionAction, TransactionStep
+from ebonyladder.transaction import OpenTransaction, TransactionTable
+from ebonyladder.types import RequestKind, TransactionId
+
+ROLLBACK_WAIT_S = 1.0
+
+
+class TransactionRunner:
+    """Begin, continue and end the transactions of owned endpoints.
+
+    A transaction stays on the VM and the connection where it began, also when
+    another VM becomes owner of the endpoint.
+
+    Parameters
+    ----------
+    context : OwnerContext
+        Views, keys, gate and endpoints.
+    """
+
+    def __init__(self, *, context: OwnerContext) -> None:
+        self.context = context
+        self.kernel = context.kernel
+        self.table = TransactionTable()
+
+    async def run(self, step: TransactionStep) -> ForwardAnswer:
+        """Run one step of an interactive transaction."""
+        deadline_s = self.context.clock.now_s() + step.deadline_left_s
+        if step.action is TransactionAction.BEGIN:
+            return await self._begin(step, deadline_s)
+        transaction = self.table.get(step.transaction, step.organisation)
+        async with transaction.lock:
+            transaction = self.table.get(step.transaction, step.organisation)
+            try:
+                return await self._run_in(transaction, step, deadline_s)
+            except TimeoutError:
+                error = EndpointError(
+                    code=ErrorCode.DEADLINE,
+                    step=Step.EXECUTE,
+                    peer=transaction.endpoint,
+                    outcome=Outcome.UNKNOWN,
+                )
+                await self._abort(step, error)
+                raise error from None
+            except BaseException as error:
+                await self._abort(step, error)
+                raise
+
+    async def _begin(self, step: TransactionStep, deadline_s: float) -> ForwardAnswer:
+        """Open a transaction; it is under way at the gate until its end."""
+        context = self.context
+        context.require_not_draining()
+        view = context.view(step.group)
+        with view.use():
+            await context.require_primary(view, step.endpoint, deadline_s)
+            gate = context.admission.gate_of(step.group)
+            await gate.enter(context.left_s(deadline_s))
+            try:
+                context.require_not_draining()
+                await context.require_primary(view, step.endpoint, deadline_s)
+                owned = context.owned.require(step.endpoint, RequestKind.WRITE)
+                connection = await self._begin_at(owned, step, deadline_s)
+            except BaseException:
+                gate.leave()
+                raise
+            self._open(step, owned, connection)
+        return self._answer(step, [], context.confirmer(view))
+
+    async def _begin_at(
+        self, owned: OwnedEndpoint, step: TransactionStep, deadline_s: float
+    ) -> EndpointConnection:
+        context = self.context
+        connection = await owned.pool.acquire(context.left_s(deadline_s))
+        try:
+            context.require_key(step.key_digest, Step.BEGIN)
+            async with asyncio.timeout(context.left_s(deadline_s)):
+                await connection.begin(organisation=step.organisation)
+        except BaseException:
+            owned.pool.release(connection)
+            raise
+        return connection
+
+    def _open(
+        self,
+        step: TransactionStep,
+        owned: OwnedEndpoint,
+        connection: EndpointConnection,
+    ) -> None:
+        limit_s = self.context.policy.transaction_limit_ms / 1000
+        view = self.context.view(step.group)
+        view.users += 1
+        transaction = OpenTransaction(
+            organisation=step.organisation,
+            group=step.group,
+            endpoint=step.endpoint,
+            connection=connection,
+            ends_s=self.context.clock.now_s() + limit_s,
+            view=view,
+            owned=owned,
+        )
+        self.table.add(step.transaction, transaction)
+        self.kernel.spawn(
+            self._expire(step.transaction, limit_s), name=f"expire-{step.transaction}"
+        )
+
+    async def _run_in(
+        self, transaction: OpenTransaction, step: TransactionStep, deadline_s: float
+    ) -> ForwardAnswer:
+        """Run one step on the transaction's own connection."""
+        context = self.context
+        context.require_key(step.key_digest, Step.EXECUTE)
+        connection = transaction.connection
+        confirmer = context.confirmer(transaction.view)
+        async with asyncio.timeout(context.left_s(deadline_s)):
+            if step.action is TransactionAction.ROLLBACK:
+                await connection.rollback()
+                self._end(step.transaction)
+                return self._answer(step, [], confirmer)
+            async with transaction.owned.queue.slot(
+                organisation=step.organisation, deadline_s=deadline_s
+            ):
+                if step.action is TransactionAction.EXECUTE:
+                    answer = await connection.execute(
+                        organisation=step.organisation, statement=step.statement
+                    )
+                    return self._answer(step, answer.rows, confirmer)
+                answer = await connection.commit()
+        self.table.remove(step.transaction)
+        transaction.owned.pool.release(connection)
+        try:
+            # A switchover waits for this, so that the term does not change.
+            await confirmer.confirm(
+                transaction.endpoint, answer, context.left_s(deadline_s)
+            )
+        finally:
+            self._leave(transaction)
+        return ForwardAnswer(
+            rows=[], at=answer.at, endpoint=transaction.endpoint, role=answer.role
+        )
+
+    @staticmethod
+    def _answer(
+        step: TransactionStep, rows: list, confirmer: Confirmer
+    ) -> ForwardAnswer:
+        """Return the answer of a step that has not committed anything."""
+        primary = step.endpoint
+        return ForwardAnswer(
+            rows=rows,
+            at=confirmer.position(primary),
+            endpoint=primary,
+            role=confirmer.view.heard[primary].report.role,
+        )
+
+    async def _abort(self, step: TransactionStep, error: BaseException) -> None:
+        """Roll back after a failed step.
+
+        Before COMMIT is sent nothing has run, so the failure of a statement is
+        turned into a not-run outcome once the connection is given up.
+        """
+        transaction = self.table.remove(step.transaction)
+        if transaction is None:
+            return
+        connection = transaction.connection
+        if connection.is_open:
+            try:
+                async with asyncio.timeout(ROLLBACK_WAIT_S):
+                    await connection.rollback()
+            except (EbonyladderError, TimeoutError):
+                logging.info("[endpoints] Rollback was not confirmed.")
+        self._release(transaction)
+        is_commit = step.action is TransactionAction.COMMIT
+        if isinstance(error, EbonyladderError) and not is_commit:
+            error.outcome = Outcome.NOT_RUN
+
+    async def _expire(self, name: TransactionId, limit_s: float) -> None:
+        """Roll back a transaction that is open for too long."""
+        await asyncio.sleep(limit_s)
+        transaction = self.table.open.get(name)
+        if transaction is None:
+            return
+        async with transaction.lock:
+            if self.table.remove(name) is not None:
+                try:
+                    await transaction.connection.rollback()
+                except EbonyladderError as error:
+                    logging.info("[endpoints] Rollback failed. error=%s", error)
+                self._release(transaction)
+
+    def _end(self, name: TransactionId) -> None:
+        transaction = self.table.remove(name)
+        if transaction is not None:
+            self._release(transaction)
+
+    def _release(self, transaction: OpenTransaction) -> None:
+        transaction.owned.pool.release(transaction.connection)
+        self._leave(transaction)
+
+    def _leave(self, transaction: OpenTransaction) -> None:
+        """Give back the view and the place at the gate."""
+        transaction.view.users -= 1
+        self.context.admission.gate_of(transaction.group).leave()
--- a/src/ebonyladder/dispatch.py
+++ b/src/ebonyladder/dispatch.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, cast
+from itertools import count
+from typing import NamedTuple, TypeVar, cast
 
 import msgspec
 
@@ -29,6 +30,7 @@
 )
 from ebonyladder.ownership import Ownership
 from ebonyladder.peer import PeerLinks
+from ebonyladder.ramp import ServiceChanges
 from ebonyladder.retry import RetryBudget, RetryDecision
 from ebonyladder.types import (
     EndpointId,
@@ -44,10 +46,15 @@
     ZoneId,
 )
 
+T = TypeVar("T")
+
 GROUP_STATE_CACHE_S = 1.0
 GROUP_STATE_WAIT_S = 1.0
 MAX_ATTEMPTS = 8
 REROUTE_PAUSE_S = 0.02
+# VMs learn of a change within 2 s of each other, so a refused request tries
+# again at this interval until its deadline.
+REROUTE_PAUSE_LIMIT_S = 0.25
 # Leaves the owner's refusal time to arrive before the caller gives up.
 ANSWER_MARGIN_S = 0.05
 
@@ -136,6 +143,7 @@
         self.ownership = Ownership(
             vm=vm, membership=membership, configuration=configuration, clock=clock
         )
+        self.changes = ServiceChanges(configuration=configuration, clock=clock)
         self.states: dict[GroupId, _CachedState] = {}
         self.retries = RetryBudget(clock=clock)
 
@@ -149,16 +157,38 @@
         """
         self.retries.note_request(routed.organisation)
         tried: set[EndpointId] = set()
-        for attempt in range(1, MAX_ATTEMPTS + 1):
+        for attempt in count(1):
             try:
                 return await self._attempt(routed, tried, attempt)
             except EbonyladderError as error:
                 self._note_failure(routed.group, error)
-                if not self._may_retry(routed, error, attempt):
+                pause_s = self._pause_s(attempt)
+                if not self._may_retry(routed, error, attempt, pause_s):
+                    raise
+                await asyncio.sleep(pause_s)
+        raise AssertionError("the last attempt returns or raises")
+
+    async def reroute(
+        self, group: GroupId, deadline_s: float, attempt: Callable[[], Awaitable[T]]
+    ) -> T:
+        """Repeat an attempt that is refused not-run because its place is wrong."""
+        for number in count(1):
+            try:
+                return await attempt()
+            except EbonyladderError as error:
+                self._note_failure(group, error)
+                pause_s = self._pause_s(number)
+                is_late = self._left_s(deadline_s) <= pause_s
+                if is_late or not _is_rerouted(error):
                     raise
-                await asyncio.sleep(REROUTE_PAUSE_S * self.source.random() * attempt)
+                await asyncio.sleep(pause_s)
         raise AssertionError("the last attempt returns or raises")
 
+    def _pause_s(self, attempt: int) -> float:
+        doubled_s = REROUTE_PAUSE_S * 2.0 ** min(attempt - 1, MAX_ATTEMPTS)
+        limit_s = min(doubled_s, REROUTE_PAUSE_LIMIT_S)
+        return limit_s * self.source.uniform(0.5, 1.0)
+
     async def _attempt(
         self, routed: RoutedStatement, tried: set[EndpointId], attempt: int
     ) -> ForwardAnswer:
@@ -214,16 +244,25 @@
             if error.code in (ErrorCode.PEER_UNREACHABLE, ErrorCode.PEER_LOST):
                 self.membership.suspect(owner)
                 self.ownership.forget()
+            elif error.code is ErrorCode.DRAINING:
+                self.membership.note_draining(owner)
+                self.ownership.forget()
             raise
 
     def _may_retry(
-        self, routed: RoutedStatement, error: EbonyladderError, attempt: int
+        self,
+        routed: RoutedStatement,
+        error: EbonyladderError,
+        attempt: int,
+        pause_s: float,
     ) -> bool:
         left_s = self._left_s(routed.deadline_s)
-        if attempt == MAX_ATTEMPTS or left_s <= 0:
+        if left_s <= pause_s:
             return False
-        if error.outcome is Outcome.NOT_RUN and error.code in REROUTED:
+        if _is_rerouted(error):
             return True
+        if attempt >= MAX_ATTEMPTS:
+            return False
         is_read = routed.statement.kind is RequestKind.READ
         decision = self.retries.decide(
             error,
@@ -296,8 +335,12 @@
         routed: RoutedStatement,
         summary: EndpointSummary,
         tried: set[EndpointId],
-    ) -> tuple[bool, bool, bool, bool, float]:
-        """Return the sort key of an endpoint for a read; the lowest is chosen."""
+    ) -> tuple[bool, bool, bool, bool, bool, float]:
+        """Return the sort key of an endpoint for a read; the lowest is chosen.
+
+        An endpoint that has just returned comes after the others for the share
+        of reads that its weight leaves out.
+        """
         wait_s = self.configuration.current.policy.replica_wait_ms / 1000
         zone = self.configuration.current.endpoints[summary.endpoint].zone
         is_primary = summary.role is Role.PRIMARY
@@ -309,6 +352,7 @@
         return (
             summary.endpoint in tried,
             too_old,
+            self.source.random() >= self.changes.weight(summary.endpoint),
             is_primary,
             zone != self.zone,
             self.source.random(),
@@ -359,3 +403,7 @@
 
     def _left_s(self, deadline_s: float) -> float:
         return max(0.0, deadline_s - self.clock.now_s())
+
+
+def _is_rerouted(error: EbonyladderError) -> bool:
+    return error.outcome is Outcome.NOT_RUN and error.code in REROUTED
--- a/src/ebonyladder/gateway.py
+++ b/src/ebonyladder/gateway.py
@@ -11,6 +11,7 @@
 
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.dispatch import Dispatcher, RoutedStatement
+from ebonyladder.duty import VmDuty
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import (
     EbonyladderError,
@@ -135,6 +136,8 @@
         Routes statements.
     clock : Clock
         Clock for deadlines.
+    duty : VmDuty, optional
+        Operators' word on this VM.
     """
 
     def __init__(
@@ -148,6 +151,7 @@
         sealer: TokenSealer,
         dispatcher: Dispatcher,
         clock: Clock,
+        duty: VmDuty | None = None,
     ) -> None:
         self.keys = keys
         self.limits = limits
@@ -157,8 +161,19 @@
         self.sealer = sealer
         self.dispatcher = dispatcher
         self.clock = clock
+        self.duty = duty
         self.is_draining = False
 
+    @property
+    def is_leaving(self) -> bool:
+        """True if the balancer should send callers to other VMs."""
+        return self.is_draining or (self.duty is not None and self.duty.is_leaving)
+
+    @property
+    def takes_work(self) -> bool:
+        """False if new work is refused."""
+        return not self.is_draining and (self.duty is None or self.duty.takes_work)
+
     @staticmethod
     def new_request_id() -> RequestId:
         """Return an id that no other request has."""
@@ -223,8 +238,25 @@
         group = self._group(service, asked.partition)
         deadline_s = self._deadline_s(asked.deadline_ms)
         await self._admit(holder, deadline_s)
+
+        async def attempt() -> CallerAnswer:
+            return await self._begin(holder, token, service, group, deadline_s, name)
+
+        return await self.dispatcher.reroute(group, deadline_s, attempt)
+
+    async def _begin(
+        self,
+        holder: KeyHolder,
+        token: SessionToken,
+        service: ServiceId,
+        group: GroupId,
+        deadline_s: float,
+        name: RequestId,
+    ) -> CallerAnswer:
+        """Try once to open a transaction; its id names the owner for later steps."""
         state = await self.dispatcher.group_state(group, deadline_s)
-        if state.primary is None:
+        owner = state.primary and self.dispatcher.ownership.owner_of(state.primary)
+        if state.primary is None or owner is None:
             raise RequestError(
                 code=ErrorCode.NO_PRIMARY, step=Step.ROUTE, peer=group, retry_after_s=1
             )
@@ -232,7 +264,7 @@
             service,
             group,
             state.primary,
-            str(self.dispatcher.ownership.owner_of(state.primary)),
+            owner,
             TransactionId(secrets.token_urlsafe(REQUEST_ID_BYTES)),
         )
         answer = await self._send_step(
@@ -306,7 +338,7 @@
     # Checks.
 
     def _holder(self, key: str, *, is_new_work: bool = True) -> KeyHolder:
-        if self.is_draining and is_new_work:
+        if is_new_work and not self.takes_work:
             raise RequestError(
                 code=ErrorCode.DRAINING, step=Step.CALLER_ACCEPT, retry_after_s=0.0
             )
--- a/src/ebonyladder/group.py
+++ b/src/ebonyladder/group.py
@@ -3,7 +3,8 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import msgspec
 
@@ -67,6 +68,9 @@
 
     Attributes
     ----------
+    users : int
+        Requests and transactions that depend on the view; it is fed until the
+        last one ends, also when the VM no longer owns an endpoint.
     changed : asyncio.Event
         Set at the next change and then replaced, so that each wait on it
         begins with the state as it was read.
@@ -81,8 +85,18 @@
         self.evidence: deque[Evidence] = deque(maxlen=PROBE_HISTORY)
         self.term = Term(0)
         self.probe_number = 0
+        self.users = 0
         self.changed = asyncio.Event()
 
+    @contextmanager
+    def use(self) -> Iterator[None]:
+        """Keep the view fed within the block."""
+        self.users += 1
+        try:
+            yield
+        finally:
+            self.users -= 1
+
     def wake(self) -> None:
         """Wake those who wait for a change."""
         event, self.changed = self.changed, asyncio.Event()
--- a/src/ebonyladder/kernel/kernel.py
+++ b/src/ebonyladder/kernel/kernel.py
@@ -91,6 +91,8 @@
     async def drain(self) -> None:
         """Let every plug-in finish its work, dependants first."""
         self.draining = True
+        for plugin in reversed(self.plugins):
+            await plugin.announce_drain()
         for plugin in reversed(self.plugins):
             await plugin.drain()
         logging.info("[kernel] Drain finished. vm=%s", self.settings.vm)
--- a/src/ebonyladder/kernel/plugin.py
+++ b/src/ebonyladder/kernel/plugin.py
@@ -40,6 +40,9 @@
     async def start(self) -> None:  # noqa: B027
         """Start work; the providers in ``requires`` are running already."""
 
+    async def announce_drain(self) -> None:  # noqa: B027
+        """Tell others that the daemon drains, before any plug-in drains."""
+
     async def drain(self) -> None:  # noqa: B027
         """Refuse new work and return once the work under way has ended."""
 
--- a/src/ebonyladder/membership.py
+++ b/src/ebonyladder/membership.py
@@ -29,6 +29,9 @@
     def suspect(self, vm: VmId) -> None:
         """Note that a call to the VM failed, so that it is checked at once."""
 
+    def note_draining(self, vm: VmId) -> None:  # noqa: B027
+        """Note that a VM has refused work because it drains."""
+
     def workers(self) -> list[PeerRecord]:
         """Return the live VMs that take new work."""
         return [
@@ -51,6 +54,16 @@
         order = self.owner_order(endpoint, zone)
         return order[0] if order else None
 
+    def owner_within(self, endpoint: EndpointId, zone: ZoneId) -> VmId | None:
+        """Return the owner among the VMs of a zone, also if the zone is out."""
+        local = [
+            member.vm
+            for member in self.members()
+            if member.state is VmState.ACTIVE and member.zone == zone
+        ]
+        order = rendezvous_order(endpoint, local)
+        return order[0] if order else None
+
     def owner_order(self, endpoint: EndpointId, zone: ZoneId) -> list[VmId]:
         """Return the VMs that may own the endpoint, the owner first."""
         workers = self.workers()
--- a/src/ebonyladder/messages.py
+++ b/src/ebonyladder/messages.py
@@ -384,5 +384,25 @@
     endpoints: list[EndpointSummary]
 
 
+class HoldWrites(Message, tag="hold-writes"):
+    """Hold back writes of a group during a switchover; answered by WritesHeld.
+
+    Attributes
+    ----------
+    limit_s : float
+        Time for writes and transactions under way to end, in seconds; 0 admits
+        writes again.
+    """
+
+    group: GroupId
+    limit_s: float
+
+
+class WritesHeld(Message, tag="writes-held"):
+    """Tell whether all writes and transactions under way have ended."""
+
+    ended: bool
+
+
 class Done(Message, tag="done"):
     """Plain confirmation."""
--- a/src/ebonyladder/ownership.py
+++ b/src/ebonyladder/ownership.py
@@ -44,6 +44,8 @@
         self.configuration = configuration
         self.clock = clock
         self.cache: dict[EndpointId, _Cached] = {}
+        # A change of zones or endpoints takes effect here at once.
+        configuration.subscribe(lambda _: self.forget())
 
     def owner_of(self, endpoint: EndpointId) -> VmId | None:
         """Return the owner of an endpoint, None if no VM can own it."""
--- a/src/ebonyladder/plugins/caller_front.py
+++ b/src/ebonyladder/plugins/caller_front.py
@@ -13,6 +13,7 @@
 
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.dispatch import Dispatcher
+from ebonyladder.duty import VmDuty
 from ebonyladder.execution import StatementExecutor
 from ebonyladder.gateway import (
     CallerAnswer,
@@ -162,6 +163,12 @@
             sealer=TokenSealer(secrets=[secret]),
             dispatcher=dispatcher,
             clock=self.kernel.clock,
+            duty=VmDuty(
+                vm=settings.vm,
+                zone=settings.zone,
+                configuration=configuration,
+                clock=self.kernel.clock,
+            ),
         )
 
     async def drain(self) -> None:
@@ -277,7 +284,7 @@
 
     async def _health(self, _request: web.Request) -> web.Response:
         """Tell the balancer whether to send callers here."""
-        if self.gateway.is_draining:
+        if self.gateway.is_leaving:
             return web.Response(status=503, text="draining\n")
         try:
             self.gateway.configuration.require_fresh(Step.KEY_CHECK)
--- a/src/ebonyladder/plugins/group_watch.py
+++ b/src/ebonyladder/plugins/group_watch.py
@@ -104,6 +104,8 @@
             for group in self.ownership.owned_groups()
         }
         for group, watched in list(self.watched.items()):
+            if group not in wanted and watched.view.users:
+                continue
             if wanted.get(group) != watched.view.endpoints:
                 self._unwatch(group)
         for group, endpoints in wanted.items():
--- a/src/ebonyladder/plugins/membership.py
+++ b/src/ebonyladder/plugins/membership.py
@@ -27,6 +27,7 @@
 # Three readers every 3 s make one store call a second at any fleet size.
 LIST_READERS = 3
 LIST_INTERVAL_S = 3.0
+ANNOUNCE_LIMIT = 32
 
 
 @register
@@ -58,6 +59,18 @@
         self.kernel.spawn(self._choose_targets(), name="membership-targets")
         self.kernel.spawn(self._follow_list(), name="membership-list")
 
+    async def announce_drain(self) -> None:
+        """Tell peers at once; those beyond ``ANNOUNCE_LIMIT`` hear it from them."""
+        targets = {*self.targets, *(m.vm for m in self.table.live()[:ANNOUNCE_LIMIT])}
+        async with asyncio.TaskGroup() as pings:
+            for vm in targets:
+                pings.create_task(self._ping(vm))
+        logging.info("[membership] Drain is announced. peers=%d", len(targets))
+
+    def note_draining(self, vm: VmId) -> None:
+        """Give the VM no more work; it has said that it drains."""
+        self.table.drain(vm)
+
     def members(self) -> list[PeerRecord]:
         """Return the live VMs, this one included, by name.
 
--- a/src/ebonyladder/plugins/promotion.py
+++ b/src/ebonyladder/plugins/promotion.py
@@ -34,17 +34,6 @@
 SWITCHOVER_RETRY_S = 5.0
 
 
-class ClosedToNobody(WriteGate):
-    """Gate for a daemon without a provider; open transactions are rolled back."""
-
-    async def close(self, group: GroupId, *, limit_s: float) -> bool:
-        """Hold back nothing."""
-        return False
-
-    def open(self, group: GroupId) -> None:
-        """Nothing was held back."""
-
-
 class GroupGuard:
     """Keep one primary in one group.
 
@@ -171,7 +160,13 @@
     """Run one guard for each group of which this VM owns an endpoint."""
 
     name = "promotion"
-    requires = (GroupWatch, EndpointDriver, Membership, ConfigurationSource)
+    requires = (
+        GroupWatch,
+        EndpointDriver,
+        Membership,
+        ConfigurationSource,
+        WriteGate,
+    )
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
@@ -185,7 +180,7 @@
         self.driver = self.kernel.get(EndpointDriver)
         self.membership = self.kernel.get(Membership)
         self.source = self.kernel.get(ConfigurationSource)
-        self.gate = self.kernel.providers.get(WriteGate) or ClosedToNobody()
+        self.gate = self.kernel.get(WriteGate)
         self.source.subscribe(self._wake)
         self.kernel.spawn(self._guard_watched(), name="promotion")
 
--- /dev/null
+++ b/src/ebonyladder/plugins/write_gate.py
@@ -0,0 +1,111 @@
+"""Plug-in that holds back writes here and at the VM that owned them before."""
+
+import asyncio
+from typing import ClassVar, cast
+
+from absl import logging
+
+from ebonyladder.configuration import ConfigurationSource
+from ebonyladder.gate import GroupGate, WriteAdmission
+from ebonyladder.kernel.error import EbonyladderError
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.registry import register
+from ebonyladder.membership import Membership
+from ebonyladder.messages import HoldWrites, Message, WritesHeld
+from ebonyladder.peer import PeerIdentity, PeerLinks
+from ebonyladder.promotion import CATCH_UP_LIMIT_S, WriteGate
+from ebonyladder.types import GroupId, VmId
+
+ANSWER_MARGIN_S = 0.2
+# A VM whose promoter is gone opens its gate after the time that catching up
+# and promoting can take.
+REMOTE_HOLD_S = CATCH_UP_LIMIT_S + 1.0
+
+
+@register
+class WriteGatePlugin(Plugin, WriteAdmission):
+    """Close and open the gates of groups for planned switchovers.
+
+    A zone that goes out moves the ownership of its endpoints, so writes and
+    transactions may be under way at the former owner as well.
+    """
+
+    name: ClassVar[str] = "write-gate"
+    provides: ClassVar[tuple[type, ...]] = (WriteGate, WriteAdmission)
+    requires: ClassVar[tuple[type, ...]] = (PeerLinks, Membership, ConfigurationSource)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.gates: dict[GroupId, GroupGate] = {}
+
+    async def start(self) -> None:
+        """Answer other VMs that switch a group over."""
+        self.peers = self.kernel.get(PeerLinks)
+        self.membership = self.kernel.get(Membership)
+        self.configuration = self.kernel.get(ConfigurationSource)
+        self.peers.handle(HoldWrites, self._answer_hold)
+
+    def gate_of(self, group: GroupId) -> GroupGate:
+        """Return the gate of a group on this VM."""
+        gate = self.gates.get(group)
+        if gate is None:
+            gate = self.gates[group] = GroupGate(group=group)
+        return gate
+
+    async def close(self, group: GroupId, *, limit_s: float) -> bool:
+        """Hold back writes here and at former owners; wait for those under way."""
+        ended = await asyncio.gather(
+            self.gate_of(group).close(limit_s),
+            *(self._close_at(vm, group, limit_s) for vm in self.former_owners(group)),
+        )
+        return all(ended)
+
+    def open(self, group: GroupId) -> None:
+        """Admit writes again."""
+        self.gate_of(group).open()
+        for vm in self.former_owners(group):
+            self.kernel.spawn(
+                self._close_at(vm, group, 0.0), name=f"open-writes-{group}"
+            )
+
+    def former_owners(self, group: GroupId) -> set[VmId]:
+        """Return other VMs that owned endpoints which are now out of service."""
+        current = self.configuration.current
+        spec = current.groups.get(group)
+        owners = {
+            self.membership.owner_within(name, current.endpoints[name].zone)
+            for name in (spec.endpoints if spec else ())
+            if not current.is_endpoint_in_service(name)
+        }
+        return {vm for vm in owners if vm is not None} - {self.kernel.settings.vm}
+
+    async def _close_at(self, vm: VmId, group: GroupId, limit_s: float) -> bool:
+        """Close the gate at another VM, or open it with a limit of 0 s."""
+        message = HoldWrites(group=group, limit_s=limit_s)
+        try:
+            answer = await self.peers.call(
+                vm, message, timeout_s=limit_s + ANSWER_MARGIN_S
+            )
+        except EbonyladderError as error:
+            logging.info("[gate] Former owner did not answer. error=%s", error)
+            return False
+        return cast(WritesHeld, answer).ended
+
+    async def _answer_hold(self, _peer: PeerIdentity, message: Message) -> Message:
+        hold = cast(HoldWrites, message)
+        gate = self.gate_of(hold.group)
+        if hold.limit_s <= 0:
+            gate.open()
+            return WritesHeld(ended=True)
+        ended = await gate.close(hold.limit_s)
+        self.kernel.spawn(
+            self._open_later(gate, gate.closings), name=f"hold-writes-{hold.group}"
+        )
+        return WritesHeld(ended=ended)
+
+    @staticmethod
+    async def _open_later(gate: GroupGate, closing: int) -> None:
+        await asyncio.sleep(REMOTE_HOLD_S)
+        if gate.closings == closing:
+            gate.open()
--- a/src/ebonyladder/transaction.py
+++ b/src/ebonyladder/transaction.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from ebonyladder._owned_endpoints import OwnedEndpoint
 from ebonyladder.endpoint import EndpointConnection
+from ebonyladder.group import GroupView
 from ebonyladder.kernel.error import ErrorCode, Outcome, RequestError
 from ebonyladder.kernel.step import Step
 from ebonyladder.types import EndpointId, GroupId, OrganisationId, TransactionId
@@ -23,6 +25,10 @@
         Its connection.
     ends_s : float
         Time on the owner's clock at which it is rolled back.
+    view : GroupView
+        State of the group, which is fed until the transaction ends.
+    owned : OwnedEndpoint
+        Queue and pool of the endpoint.
     """
 
     def __init__(
@@ -33,12 +39,16 @@
         endpoint: EndpointId,
         connection: EndpointConnection,
         ends_s: float,
+        view: GroupView,
+        owned: OwnedEndpoint,
     ) -> None:
         self.organisation = organisation
         self.group = group
         self.endpoint = endpoint
         self.connection = connection
         self.ends_s = ends_s
+        self.view = view
+        self.owned = owned
         # One statement at a time; a second one waits for the first.
         self.lock = asyncio.Lock()
 
--- /dev/null
+++ b/tests/load.py
@@ -0,0 +1,115 @@
+"""Callers that read, write and run transactions until they are told to stop."""
+
+import asyncio
+import itertools
+
+import aiohttp
+
+from standins.deployment import Deployment
+
+SERVED = 200
+PAUSE_S = 0.01
+# A slow machine must not turn a wait into a failure.
+DEADLINE_MS = 30_000
+
+
+class Load:
+    """Callers behind a balancer that follows ``/healthz``.
+
+    A refusal that says ``draining`` sends the caller to another VM, as the
+    platform's balancer does; any other refusal is a failure.
+    """
+
+    def __init__(self, deployment: Deployment, *, callers: int = 4) -> None:
+        self.deployment = deployment
+        self.names = [f"caller-{number}" for number in range(callers)]
+        self.failures: list[str] = []
+        self.served = {"read": 0, "write": 0, "transaction": 0}
+        self.by_endpoint: list[tuple[str, str]] = []
+        self.is_stopping = False
+        self.progress = asyncio.Event()
+        self.healthy = list(deployment.vms)
+
+    async def __aenter__(self) -> "Load":
+        self.session = aiohttp.ClientSession()
+        self.tasks = [asyncio.create_task(self._call(name)) for name in self.names]
+        self.tasks.append(asyncio.create_task(self._check_health()))
+        return self
+
+    async def __aexit__(self, *_exception: object) -> None:
+        self.is_stopping = True
+        await asyncio.gather(*self.tasks)
+        await self.session.close()
+
+    async def until_served(self, more: int) -> None:
+        """Wait until each kind of request was served ``more`` times again."""
+        wanted = {kind: count + more for kind, count in self.served.items()}
+        async with asyncio.timeout(60):
+            while any(self.served[kind] < count for kind, count in wanted.items()):
+                self.progress.clear()
+                await self.progress.wait()
+
+    async def _check_health(self) -> None:
+        while not self.is_stopping:
+            healthy = []
+            for vm in self.deployment.vms:
+                try:
+                    async with self.session.get(f"{vm.url}/healthz") as answer:
+                        healthy += [vm] if answer.status == SERVED else []
+                except aiohttp.ClientError:
+                    continue
+            self.healthy = healthy or self.healthy
+            await asyncio.sleep(0.2)
+
+    async def _call(self, name: str) -> None:
+        session = ""
+        for number in itertools.count():
+            if self.is_stopping:
+                return
+            kind = ("write", "read", "transaction")[number % 3]
+            run = self._transaction if kind == "transaction" else self._statement
+            session = await run(kind, name, session)
+            self.served[kind] += 1
+            self.progress.set()
+            await asyncio.sleep(PAUSE_S)
+
+    async def _post(self, path: str, body: dict) -> dict:
+        """Send until a VM takes the request; note what callers would see."""
+        headers = {"Authorization": "Bearer key-of-org-1"}
+        body = {**body, "deadline_ms": DEADLINE_MS}
+        for number in itertools.count():
+            vm = self.healthy[number % len(self.healthy)]
+            async with self.session.post(
+                vm.url + path, json=body, headers=headers
+            ) as answer:
+                content = await answer.json()
+            error = content.get("error")
+            if error is None:
+                return content
+            if error["code"] != "draining" or number > 50:
+                self.failures.append(f"{vm.name} {path} {body} {error}")
+                return {"session": body.get("session", ""), "rows": []}
+        raise AssertionError("the loop returns")
+
+    async def _statement(self, kind: str, name: str, session: str) -> str:
+        text = f"PUT {name} 1" if kind == "write" else f"GET {name}"
+        body = {"kind": kind, "statement": text, "partition": name, "session": session}
+        service = self.deployment.site.service
+        answer = await self._post(f"/v1/services/{service}/statements", body)
+        self.by_endpoint.append((kind, answer.get("endpoint", "")))
+        return answer["session"]
+
+    async def _transaction(self, _kind: str, name: str, session: str) -> str:
+        service = self.deployment.site.service
+        opened = await self._post(
+            f"/v1/services/{service}/transactions",
+            {"partition": name, "session": session},
+        )
+        if "transaction" not in opened:
+            return session
+        path = f"/v1/transactions/{opened['transaction']}"
+        statement = {"kind": "write", "statement": f"PUT {name} 1"}
+        await self._post(f"{path}/statements", {**statement, "session": session})
+        await asyncio.sleep(0.2)
+        answer = await self._post(f"{path}/commit", {"session": session})
+        return answer["session"]
--- a/tests/test_promotion.py
+++ b/tests/test_promotion.py
@@ -225,5 +225,6 @@
             "EndpointDriver",
             "Membership",
             "ConfigurationSource",
+            "WriteGate",
         }
         assert asyncio.iscoroutinefunction(plugin.drain)
--- /dev/null
+++ b/tests/test_switchover.py
@@ -0,0 +1,170 @@
+"""Tests of the write gate, of endpoints that leave and of their return."""
+
+import asyncio
+import json
+import urllib.error
+import urllib.request
+
+import pytest
+
+from ebonyladder._owned_endpoints import LEAVING_WRITES_S, OwnedEndpoints
+from ebonyladder.configuration import (
+    Configuration,
+    EndpointSpec,
+    GroupSpec,
+    ZoneSpec,
+)
+from ebonyladder.gate import GroupGate
+from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.kernel.error import EbonyladderError, ErrorCode, Outcome
+from ebonyladder.ramp import RAMP_S, RAMP_START, ServiceChanges
+from ebonyladder.types import EndpointState, RequestKind, ZoneState
+from standins.deployment import OPERATOR_KEY, Deployment, wait_until
+from tests.fakes import FixedConfiguration
+from tests.load import Load
+
+
+def configuration(state=EndpointState.ACTIVE, zone=ZoneState.IN) -> Configuration:
+    spec = EndpointSpec(
+        address="127.0.0.1:1", zone="zone-a", slots=1, connections=8, state=state
+    )
+    return Configuration(
+        groups={"group-1": GroupSpec(endpoints=("db-a",))},
+        endpoints={"db-a": spec},
+        zones={"zone-a": ZoneSpec(region="region", state=zone)},
+    )
+
+
+class AlwaysOwner:
+    vm = "vm-1"
+
+    def owns(self, _endpoint) -> bool:
+        return True
+
+
+class TestGate:
+    """Guards against writes that a switchover cuts off or that fail at once."""
+
+    def test_close_waits_for_work_and_holds_back_new_work(self):
+        async def scenario():
+            gate = GroupGate(group="group-1")
+            await gate.enter(0.0)
+            closing = asyncio.create_task(gate.close(60.0))
+            await asyncio.sleep(0)
+            held = asyncio.create_task(gate.enter(60.0))
+            await asyncio.sleep(0)
+            assert not closing.done()
+            gate.leave()
+            assert await closing
+            assert not held.done()
+            gate.open()
+            await held
+            return gate.under_way
+
+        assert asyncio.run(scenario()) == 1
+
+    def test_close_reports_work_that_did_not_end(self):
+        async def scenario():
+            gate = GroupGate(group="group-1")
+            await gate.enter(0.0)
+            return await gate.close(0.0)
+
+        assert not asyncio.run(scenario())
+
+    def test_held_write_is_refused_not_run_at_its_deadline(self):
+        async def scenario():
+            gate = GroupGate(group="group-1")
+            await gate.close(60.0)
+            with pytest.raises(EbonyladderError) as refusal:
+                await gate.enter(0.0)
+            return refusal.value.code, refusal.value.outcome, gate.under_way
+
+        expected = (ErrorCode.NO_PRIMARY, Outcome.NOT_RUN, 0)
+        assert asyncio.run(scenario()) == expected
+
+
+class TestLeavingEndpoint:
+    """Guards against work for endpoints that left, and against a gap before that."""
+
+    @pytest.mark.parametrize(
+        "change",
+        [{"state": EndpointState.LEAVING}, {"zone": ZoneState.OUT}],
+    )
+    def test_reads_stop_at_once_and_writes_after_the_limit(self, change):
+        clock, source = ManualClock(), FixedConfiguration(configuration())
+        owned = OwnedEndpoints(
+            ownership=AlwaysOwner(), configuration=source, driver=None, clock=clock
+        )
+        owned.require("db-a", RequestKind.READ)
+        source.change(configuration(**change))
+        with pytest.raises(EbonyladderError) as refusal:
+            owned.require("db-a", RequestKind.READ)
+        assert refusal.value.code is ErrorCode.NO_ENDPOINT
+        assert refusal.value.outcome is Outcome.NOT_RUN
+        clock.advance(LEAVING_WRITES_S - 0.1)
+        owned.require("db-a", RequestKind.WRITE)
+        clock.advance(0.1)
+        with pytest.raises(EbonyladderError):
+            owned.require("db-a", RequestKind.WRITE)
+
+
+class TestRamp:
+    """Guards against the whole load on an endpoint that has just returned."""
+
+    def test_weight_rises_after_return_and_only_then(self):
+        clock, source = ManualClock(), FixedConfiguration(configuration())
+        changes = ServiceChanges(configuration=source, clock=clock)
+        assert changes.weight("db-a") == 1.0
+        source.change(configuration(zone=ZoneState.OUT))
+        source.change(configuration())
+        assert changes.weight("db-a") == RAMP_START
+        clock.advance(RAMP_S / 2)
+        assert changes.weight("db-a") == pytest.approx(0.55)
+        clock.advance(RAMP_S)
+        assert changes.weight("db-a") == 1.0
+
+
+def edit(deployment: Deployment, **fields: object) -> dict:
+    """Submit an edit to the first VM."""
+    body = {"edit": fields, "submission_id": f"test-{len(fields)}-{id(fields)}"}
+    request = urllib.request.Request(
+        f"http://{deployment.vms[0].operator}/v1/configuration/edits",
+        data=json.dumps(body).encode(),
+        headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+    )
+    try:
+        with urllib.request.urlopen(request, timeout=60) as answer:
+            return json.load(answer)
+    except urllib.error.HTTPError as error:
+        raise AssertionError(error.read().decode()) from error
+
+
+class TestPlannedChangeUnderLoad:
+    """Guards against failed requests in planned changes, with real processes."""
+
+    @pytest.mark.parametrize("change", ["zone", "endpoint"])
+    def test_no_request_fails(self, change):
+        async def scenario(deployment: Deployment) -> None:
+            async with Load(deployment) as load:
+                await load.until_served(5)
+                primary = deployment.primary_of("g1")
+                fields = (
+                    {"zone": deployment.endpoints[primary][1], "state": "out"}
+                    if change == "zone"
+                    else {"endpoint": primary, "state": "leaving"}
+                )
+                await asyncio.to_thread(edit, deployment, edit=change, **fields)
+                moved = asyncio.to_thread(
+                    wait_until,
+                    lambda: deployment.primary_of("g1") != primary,
+                    "the switchover",
+                )
+                await moved
+                await load.until_served(5)
+                seen = len(load.by_endpoint)
+                await load.until_served(5)
+            assert load.failures == []
+            assert primary not in {name for _, name in load.by_endpoint[seen:]}
+
+        with Deployment(vms=3, groups=1) as deployment:
+            asyncio.run(scenario(deployment))
