Keep a transaction open over the switchover in its test

The test passed in most runs with a gate that waits for nothing, since no transaction happened to be open at that moment. It now holds one open until half a second after the switchover has begun. Edits are repeated with their submission id while the store does not answer, which was seen on fleets that had just started.

--- a/tests/load.py
+++ b/tests/load.py
@@ -9,6 +9,7 @@
 
 SERVED = 200
 PAUSE_S = 0.01
+TRANSACTION_S = 0.2
 # A slow machine must not turn a wait into a failure.
 DEADLINE_MS = 30_000
 
@@ -100,16 +101,27 @@
         return answer["session"]
 
     async def _transaction(self, _kind: str, name: str, session: str) -> str:
+        opened = await self.open_transaction(name, session)
+        if "transaction" not in opened:
+            return session
+        await asyncio.sleep(TRANSACTION_S)
+        return await self.commit(opened)
+
+    async def open_transaction(self, name: str = "caller", session: str = "") -> dict:
+        """Begin a transaction and write in it."""
         service = self.deployment.site.service
         opened = await self._post(
             f"/v1/services/{service}/transactions",
             {"partition": name, "session": session},
         )
-        if "transaction" not in opened:
-            return session
-        path = f"/v1/transactions/{opened['transaction']}"
-        statement = {"kind": "write", "statement": f"PUT {name} 1"}
-        await self._post(f"{path}/statements", {**statement, "session": session})
-        await asyncio.sleep(0.2)
-        answer = await self._post(f"{path}/commit", {"session": session})
-        return answer["session"]
+        if "transaction" in opened:
+            await self._post(
+                f"/v1/transactions/{opened['transaction']}/statements",
+                {"kind": "write", "statement": f"PUT {name} 1", "session": session},
+            )
+        return opened
+
+    async def commit(self, opened: dict) -> str:
+        """Commit a transaction; returns the session."""
+        path = f"/v1/transactions/{opened['transaction']}/commit"
+        return (await self._post(path, {"session": opened["session"]}))["session"]
--- a/tests/test_switchover.py
+++ b/tests/test_switchover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import secrets
 import urllib.error
 import urllib.request
 
@@ -23,6 +24,9 @@
 from tests.fakes import FixedConfiguration
 from tests.load import Load
 
+# Longer than a switchover takes that does not wait for transactions.
+SWITCHOVER_S = 0.5
+
 
 def configuration(state=EndpointState.ACTIVE, zone=ZoneState.IN) -> Configuration:
     spec = EndpointSpec(
@@ -126,17 +130,22 @@
 
 def edit(deployment: Deployment, **fields: object) -> dict:
     """Submit an edit to the first VM."""
-    body = {"edit": fields, "submission_id": f"test-{len(fields)}-{id(fields)}"}
+    name = f"test-{secrets.token_hex(8)}"
+    body = {"edit": fields, "submission_id": name, "wait_s": 0}
     request = urllib.request.Request(
         f"http://{deployment.vms[0].operator}/v1/configuration/edits",
         data=json.dumps(body).encode(),
         headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
     )
-    try:
-        with urllib.request.urlopen(request, timeout=60) as answer:
-            return json.load(answer)
-    except urllib.error.HTTPError as error:
-        raise AssertionError(error.read().decode()) from error
+    while True:
+        try:
+            with urllib.request.urlopen(request, timeout=60) as answer:
+                return json.load(answer)
+        except urllib.error.HTTPError as error:
+            # A fleet that has just started takes hundreds of leases at once;
+            # the submission id makes the repetition safe.
+            text = error.read().decode()
+            assert "store-unavailable" in text, text
 
 
 class TestPlannedChangeUnderLoad:
@@ -145,21 +154,29 @@
     @pytest.mark.parametrize("change", ["zone", "endpoint"])
     def test_no_request_fails(self, change):
         async def scenario(deployment: Deployment) -> None:
+            def begun() -> bool:
+                logs = [p.read_text() for p in deployment.folder.glob("vm-*.log")]
+                return any("Switchover begins" in log for log in logs)
+
             async with Load(deployment) as load:
                 await load.until_served(5)
                 primary = deployment.primary_of("g1")
+                opened = await load.open_transaction()
                 fields = (
                     {"zone": deployment.endpoints[primary][1], "state": "out"}
                     if change == "zone"
                     else {"endpoint": primary, "state": "leaving"}
                 )
                 await asyncio.to_thread(edit, deployment, edit=change, **fields)
-                moved = asyncio.to_thread(
+                await asyncio.to_thread(wait_until, begun, "the switchover")
+                # It waits 3 s for this transaction, which was open before.
+                await asyncio.sleep(SWITCHOVER_S)
+                await load.commit(opened)
+                await asyncio.to_thread(
                     wait_until,
                     lambda: deployment.primary_of("g1") != primary,
-                    "the switchover",
+                    "the new primary",
                 )
-                await moved
                 await load.until_served(5)
                 seen = len(load.by_endpoint)
                 await load.until_served(5)
