Measure the gap at failover with real processes

Cause: the gap was tested in virtual time only. The load tool drives daemons and stand-ins on loopback; three groups are killed in turn, because promotions of one group are 5 s apart by design. The baseline is the same daemon with a silence limit of 3 s (bench.daemon).

--- /dev/null
+++ b/bench/failover.py
@@ -0,0 +1,337 @@
+"""Gap in service when a primary is killed, and promotions of slow primaries."""
+
+import asyncio
+import signal
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+import fire
+import msgspec
+from websockets.asyncio.client import connect
+
+from bench.load import LoadClient, RoamingSession, codes_of, percentile, print_rows
+from ebonyladder.promotion import SILENCE_S
+from ebonyladder.routing import group_of
+from ebonyladder.types import GroupId
+from standins.deployment import SIALC_STRYD, Deployment
+
+GROUPS = 3
+WRITERS = 3
+WRITE_PAUSE_S = 0.01
+WRITE_DEADLINE_MS = 2_000
+ORGANISATION = "org-large-1"
+# Promotions of a group are at least 5 s apart by design; a try within that
+# time would measure the damping.
+TRY_APART_S = 5.2
+RECOVERY_LIMIT_S = 20.0
+BASELINE_SILENCE_S = 3.0
+SLOW_STATEMENT_S = 2.0
+SLOW_S = 4.0
+
+
+class GapRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Gaps of one series of tries.
+
+    Attributes
+    ----------
+    lost : int
+        Acknowledged writes that the last primary does not have.
+    terms : int
+        Terms used by all tries; one for each is the least.
+    """
+
+    series: str
+    tries: int
+    median_s: float
+    worst_s: float
+    acknowledged: int
+    lost: int
+    terms: int
+    gaps_s: list[float]
+    refusals: dict[str, int]
+
+
+class SlowRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Primaries slowed down, and what a time limit on writes would have done."""
+
+    series: str
+    tries: int
+    promotions: int
+    longest_write_gap_s: float
+
+
+class Writers:
+    """Sessions that write new keys to one group all the time.
+
+    Parameters
+    ----------
+    client : LoadClient
+        Client to send with.
+    group : str
+        Group written to.
+    random : Random
+        Source for the choice of VMs.
+    """
+
+    def __init__(self, *, client: LoadClient, group: str, random: Random) -> None:
+        self.client = client
+        self.group = group
+        self.random = random
+        self.partition = partition_in(group)
+        self.acknowledged: list[tuple[float, int, str]] = []
+        self.arrived = asyncio.Event()
+        self.recovered_s = 0.0
+
+    async def run(self, number: int) -> None:
+        """Write until cancelled."""
+        session = RoamingSession(
+            client=self.client,
+            organisation=ORGANISATION,
+            partition=self.partition,
+            random=self.random,
+        )
+        count = 0
+        while True:
+            count += 1
+            key = f"w-{self.group}-{number}-{count}"
+            sample = await session.send(
+                "write", f"PUT {key} {count}", deadline_ms=WRITE_DEADLINE_MS
+            )
+            if sample.is_served:
+                self.acknowledged.append((sample.ended_s, sample.term, key))
+                self.arrived.set()
+            await asyncio.sleep(WRITE_PAUSE_S)
+
+    async def await_term(self, least_term: int) -> float:
+        """Return the time of the first write acknowledged in a newer term."""
+        async with asyncio.timeout(RECOVERY_LIMIT_S):
+            while True:
+                self.arrived.clear()
+                for ended_s, term, _ in reversed(self.acknowledged):
+                    if term < least_term:
+                        break
+                    found_s = ended_s
+                if self.acknowledged and self.acknowledged[-1][1] >= least_term:
+                    return found_s
+                await self.arrived.wait()
+
+
+def partition_in(group: str) -> str:
+    """Return a partition that the group stores."""
+    names = [GroupId(f"g{number}") for number in range(1, GROUPS + 1)]
+    return next(
+        f"p{n}" for n in range(1_000) if group_of(f"p{n}", names) == GroupId(group)
+    )
+
+
+@asynccontextmanager
+async def writing(
+    client: LoadClient, random: Random
+) -> AsyncIterator[dict[str, Writers]]:
+    """Write to all groups within the block."""
+    groups = {
+        f"g{n}": Writers(client=client, group=f"g{n}", random=random)
+        for n in range(1, GROUPS + 1)
+    }
+    tasks = [
+        asyncio.create_task(writers.run(number))
+        for writers in groups.values()
+        for number in range(WRITERS)
+    ]
+    try:
+        for writers in groups.values():
+            await writers.await_term(1)
+        yield groups
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def report_of(deployment: Deployment, endpoint: str) -> dict:
+    """Return the report of an endpoint."""
+    return (await asyncio.to_thread(deployment.admin, endpoint))["report"]
+
+
+async def primary_of(deployment: Deployment, group: str) -> str:
+    """Return the primary of a group; waits until there is one."""
+    async with asyncio.timeout(RECOVERY_LIMIT_S):
+        while True:
+            found = await asyncio.to_thread(deployment.primary_of, group)
+            if found is not None:
+                return found
+            await asyncio.sleep(0.05)
+
+
+async def fail_over(deployment: Deployment, writers: Writers) -> float:
+    """Kill a primary; return the gap in seconds after a restart of the endpoint."""
+    primary = await primary_of(deployment, writers.group)
+    term = (await report_of(deployment, primary))["log_term"]
+    killed_s = time.monotonic()
+    deployment.signal(primary, signal.SIGKILL)
+    gap_s = await writers.await_term(term + 1) - killed_s
+    writers.recovered_s = time.monotonic()
+    deployment.processes[primary].wait()
+    deployment.start_endpoint(primary)
+    await _until_following(deployment, primary)
+    return gap_s
+
+
+async def _until_following(deployment: Deployment, endpoint: str) -> None:
+    async with asyncio.timeout(RECOVERY_LIMIT_S):
+        while True:
+            try:
+                report = await report_of(deployment, endpoint)
+            except OSError:
+                report = {"role": "", "primary_contact_age_s": 1.0}
+            contact_s = report["primary_contact_age_s"]
+            if report["role"] == "replica" and contact_s < 0.3:
+                return
+            await asyncio.sleep(0.05)
+
+
+async def lost_writes(deployment: Deployment, writers: Writers) -> int:
+    """Count acknowledged writes that the group's primary does not have."""
+    primary = await primary_of(deployment, writers.group)
+    address = deployment.endpoints[primary][0]
+    async with connect(f"ws://{address}/sql", max_size=None) as socket:
+        await socket.recv()
+        request = {
+            "id": 1,
+            "op": "execute",
+            "organisation": ORGANISATION,
+            "kind": "read",
+            "text": "SCAN w-",
+        }
+        await socket.send(msgspec.json.encode(request))
+        rows = msgspec.json.decode(await socket.recv())["rows"]
+    found = {key for key, _ in rows}
+    return sum(key not in found for _, _, key in writers.acknowledged)
+
+
+async def _terms(deployment: Deployment) -> int:
+    total = 0
+    for number in range(1, GROUPS + 1):
+        primary = await primary_of(deployment, f"g{number}")
+        total += (await report_of(deployment, primary))["log_term"]
+    return total
+
+
+async def _gaps(
+    deployment: Deployment, series: str, tries: int, random: Random
+) -> GapRow:
+    gaps_s: list[float] = []
+    async with LoadClient(deployment=deployment) as client:
+        async with writing(client, random) as groups:
+            before = await _terms(deployment)
+            for number in range(tries):
+                writers = groups[f"g{number % GROUPS + 1}"]
+                rest_s = writers.recovered_s + TRY_APART_S - time.monotonic()
+                await asyncio.sleep(max(0.0, rest_s) + random.uniform(0.0, 0.1))
+                gaps_s.append(round(await fail_over(deployment, writers), 3))
+            terms = await _terms(deployment) - before
+        lost = 0
+        for writers in groups.values():
+            lost += await lost_writes(deployment, writers)
+        return GapRow(
+            series=series,
+            tries=tries,
+            median_s=percentile(gaps_s, 0.5),
+            worst_s=max(gaps_s),
+            acknowledged=sum(len(one.acknowledged) for one in groups.values()),
+            lost=lost,
+            terms=terms,
+            gaps_s=gaps_s,
+            refusals=codes_of(client.samples),
+        )
+
+
+async def _slow(deployment: Deployment, tries: int, random: Random) -> list[SlowRow]:
+    """Slow down the primaries of all groups, ``tries`` times each."""
+    async with LoadClient(deployment=deployment) as client:
+        async with writing(client, random) as groups:
+            before = await _terms(deployment)
+            began_s = time.monotonic()
+            for _ in range(tries):
+                primaries = [await primary_of(deployment, name) for name in groups]
+                await _set_statement_s(deployment, primaries, SLOW_STATEMENT_S)
+                await asyncio.sleep(SLOW_S)
+                await _set_statement_s(deployment, primaries, 0.001)
+                await asyncio.sleep(1.0)
+            promotions = await _terms(deployment) - before
+        gaps_s = [_longest_gap(one, began_s) for one in groups.values()]
+    count = tries * GROUPS
+    would = sum(gap_s > SILENCE_S for gap_s in gaps_s) * tries
+    return [
+        SlowRow(
+            series="product",
+            tries=count,
+            promotions=promotions,
+            longest_write_gap_s=max(gaps_s),
+        ),
+        SlowRow(
+            series=f"baseline: {SILENCE_S:g} s without a write (computed)",
+            tries=count,
+            promotions=would,
+            longest_write_gap_s=max(gaps_s),
+        ),
+    ]
+
+
+async def _set_statement_s(
+    deployment: Deployment, endpoints: list[str], statement_s: float
+) -> None:
+    for name in endpoints:
+        await asyncio.to_thread(deployment.admin, name, statement_s=statement_s)
+
+
+def _longest_gap(writers: Writers, began_s: float) -> float:
+    times = [began_s] + [t for t, _, _ in writers.acknowledged if t >= began_s]
+    return max(
+        later - earlier for earlier, later in zip(times, times[1:], strict=False)
+    )
+
+
+def main(
+    mode: str = "kill", tries: int = 20, baseline_tries: int = 3, seed: int = 1
+) -> None:
+    """Measure the gap from SIGKILL to the next acknowledged write.
+
+    Parameters
+    ----------
+    mode : str
+        ``kill``; ``store-down``, the same with the store down; ``slow``,
+        primaries that answer slowly, which must not be replaced.
+    tries, baseline_tries : int
+        Tries of the product and of the baseline, which waits 3 s before it
+        promotes (the daemon of ``bench.daemon`` with that limit). The mode
+        ``slow`` makes ``tries`` tries at each group and has no second run.
+    seed : int
+        Seed of VMs chosen and of pauses.
+    """
+    random = Random(seed)
+    if mode == "slow":
+        with Deployment(site=SIALC_STRYD, vms=3, groups=GROUPS) as deployment:
+            print_rows("failover", seed, asyncio.run(_slow(deployment, tries, random)))
+        return
+    rows = []
+    daemons = {
+        "product": ("ebonyladder.daemon",),
+        "baseline 3 s": ("bench.daemon", f"--silence_s={BASELINE_SILENCE_S}"),
+    }
+    for (series, daemon), count in zip(
+        daemons.items(), (tries, baseline_tries), strict=True
+    ):
+        with Deployment(
+            site=SIALC_STRYD, vms=3, groups=GROUPS, daemon=daemon
+        ) as deployment:
+            if mode == "store-down":
+                deployment.control_store(is_down=True)
+            rows.append(asyncio.run(_gaps(deployment, series, count, random)))
+    print_rows(f"failover {mode}", seed, rows)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,231 @@
+"""Load on a deployment: sessions that roam between VMs, recorded results."""
+
+import json
+import math
+import time
+from collections.abc import Iterable, Sequence
+from random import Random
+from types import TracebackType
+
+import aiohttp
+import msgspec
+
+from standins.deployment import Deployment, Vm
+
+CALL_TIMEOUT_S = 30.0
+TRANSPORT = "transport"
+
+
+class Sample(msgspec.Struct, frozen=True, kw_only=True):
+    """One request and what its caller received.
+
+    Attributes
+    ----------
+    started_s, latency_s : float
+        Start on the monotonic clock and duration, in seconds.
+    code, outcome : str
+        Code and outcome of a refusal; empty for a served request. A broken
+        connection has the code ``transport`` and the outcome ``unknown``.
+    """
+
+    organisation: str
+    vm: str
+    kind: str
+    text: str
+    started_s: float
+    latency_s: float
+    code: str = ""
+    outcome: str = ""
+    step: str = ""
+    rows: list = []
+    session: str = ""
+    endpoint: str = ""
+    role: str = ""
+    term: int = 0
+    position: int = 0
+
+    @property
+    def is_served(self) -> bool:
+        """Tell whether the request was answered."""
+        return not self.code
+
+    @property
+    def ended_s(self) -> float:
+        """End on the monotonic clock, in seconds."""
+        return self.started_s + self.latency_s
+
+
+class _Refusal(msgspec.Struct, kw_only=True):
+    code: str = ""
+    outcome: str = ""
+    step: str = ""
+
+
+class _Answer(msgspec.Struct, kw_only=True):
+    rows: list = []
+    session: str = ""
+    endpoint: str = ""
+    role: str = ""
+    term: int = 0
+    position: int = 0
+    error: _Refusal | None = None
+
+
+_ANSWER = msgspec.json.Decoder(_Answer)
+
+
+class LoadClient:
+    """Send statements to the VMs of a deployment and record the results.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Deployment under load.
+
+    Attributes
+    ----------
+    samples : list of Sample
+        Results in the order in which they arrived.
+    """
+
+    def __init__(self, *, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.samples: list[Sample] = []
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+        )
+
+    async def __aenter__(self) -> "LoadClient":
+        """Return the client."""
+        return self
+
+    async def __aexit__(
+        self,
+        _kind: type[BaseException] | None,
+        _error: BaseException | None,
+        _trace: TracebackType | None,
+    ) -> None:
+        """Close all connections."""
+        await self.http.close()
+
+    async def send(
+        self,
+        *,
+        vm: Vm,
+        organisation: str,
+        kind: str,
+        text: str,
+        **options: object,
+    ) -> Sample:
+        """Send one statement; ``options`` are further fields of the body."""
+        body = {"kind": kind, "statement": text, "partition": "p", **options}
+        key = self.deployment.keys[organisation]
+        url = f"{vm.url}/v1/services/{self.deployment.site.service}/statements"
+        headers = {"Authorization": f"Bearer {key}"}
+        began_s = time.monotonic()
+        try:
+            async with self.http.post(url, json=body, headers=headers) as response:
+                answer = _ANSWER.decode(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, msgspec.DecodeError):
+            answer = _Answer(error=_Refusal(code=TRANSPORT, outcome="unknown"))
+        refusal = answer.error or _Refusal()
+        sample = Sample(
+            organisation=organisation,
+            vm=vm.name,
+            kind=kind,
+            text=text,
+            started_s=began_s,
+            latency_s=time.monotonic() - began_s,
+            code=refusal.code,
+            outcome=refusal.outcome,
+            step=refusal.step,
+            rows=answer.rows,
+            session=answer.session,
+            endpoint=answer.endpoint,
+            role=answer.role,
+            term=answer.term,
+            position=answer.position,
+        )
+        self.samples.append(sample)
+        return sample
+
+
+class RoamingSession:
+    """Session of one caller that sends each statement to a random VM.
+
+    Parameters
+    ----------
+    client : LoadClient
+        Client to send with.
+    organisation, partition : str
+        Whose session it is and where its data is.
+    random : Random
+        Source for the choice of VMs.
+    """
+
+    def __init__(
+        self, *, client: LoadClient, organisation: str, partition: str, random: Random
+    ) -> None:
+        self.client = client
+        self.organisation = organisation
+        self.partition = partition
+        self.random = random
+        self.token = ""
+
+    async def send(
+        self, kind: str, text: str, *, vms: Sequence[Vm] = (), **options: object
+    ) -> Sample:
+        """Send one statement and keep the session token of its answer."""
+        sample = await self.client.send(
+            vm=self.random.choice(vms or self.client.deployment.vms),
+            organisation=self.organisation,
+            kind=kind,
+            text=text,
+            partition=self.partition,
+            session=self.token,
+            **options,
+        )
+        if sample.is_served:
+            self.token = sample.session
+        return sample
+
+
+def percentile(values: Iterable[float], share: float) -> float:
+    """Return the least value that ``share`` of all values do not exceed."""
+    ordered = sorted(values)
+    if not ordered:
+        return math.nan
+    return ordered[max(0, math.ceil(share * len(ordered)) - 1)]
+
+
+def codes_of(samples: Iterable[Sample]) -> dict[str, int]:
+    """Return how often each refusal occurred, as ``code/outcome/step``."""
+    found: dict[str, int] = {}
+    for sample in samples:
+        if not sample.is_served:
+            name = f"{sample.code}/{sample.outcome}/{sample.step}"
+            found[name] = found.get(name, 0) + 1
+    return found
+
+
+def print_rows(name: str, seed: int, rows: Sequence[msgspec.Struct]) -> None:
+    """Print one JSON document, then a table with a line for each row."""
+    plain = [msgspec.to_builtins(row) for row in rows]
+    print(json.dumps({"bench": name, "seed": seed, "rows": plain}))
+    columns = [
+        field
+        for field in plain[0]
+        if not any(isinstance(row[field], list | dict) for row in plain)
+    ]
+    widths = {
+        field: max(len(field), *(len(_cell(row[field])) for row in plain)) + 2
+        for field in columns
+    }
+    print("".join(f"{field:>{widths[field]}}" for field in columns))
+    for row in plain:
+        print("".join(f"{_cell(row[f]):>{widths[f]}}" for f in columns))
+
+
+def _cell(value: object) -> str:
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -113,6 +113,8 @@
         Number of database groups, each with one endpoint in each zone.
     log_level : str
         Log level of the daemons.
+    daemon : tuple of str
+        Module of the daemons and further arguments for it.
     """
 
     def __init__(
@@ -122,8 +124,10 @@
         vms: int = 3,
         groups: int = 3,
         log_level: str = "info",
+        daemon: tuple[str, ...] = ("ebonyladder.daemon",),
     ) -> None:
         self.site = site
+        self.daemon = daemon
         self.folder = Path(tempfile.mkdtemp(prefix="ebonyladder-"))
         self.log_level = log_level
         self.processes: dict[str, subprocess.Popen] = {}
@@ -234,7 +238,7 @@
         }
         path = self.folder / f"{vm.name}.json"
         path.write_text("// Settings of one daemon.\n" + json.dumps(settings, indent=2))
-        self._spawn(vm.name, "-m", "ebonyladder.daemon", f"--settings={path}")
+        self._spawn(vm.name, "-m", *self.daemon, f"--settings={path}")
 
     def await_vm(self, vm: Vm) -> None:
         """Wait until a daemon takes new work; raises where it has ended."""
