--- /dev/null
+++ b/bench/organisations.py
@@ -0,0 +1,143 @@
+"""Worst-served organisation while another sends ten times its rate."""
+
+import asyncio
+import time
+from random import Random
+
+import fire
+import msgspec
+
+from bench.load import LoadClient, codes_of, percentile, print_rows
+from standins.deployment import CARONI_BALLAST, Deployment
+
+VMS = 6
+GROUPS = 3
+LARGE = "org-large-1"
+DEMAND_PER_S = 30.0
+EXCESS = 10.0
+WRITE_SHARE = 0.5
+# Three slots of 40 ms make 225 writes/s at the three primaries; the eight use
+# 120 of them, and 255 with the excess.
+STATEMENT_MS = 40.0
+SETTLE_S = 3.0
+# Above each organisation's demand, so that only the excess is refused.
+RATE_LIMIT = (45.0, 45.0)
+NO_LIMIT = (10_000.0, 10_000.0)
+
+
+class OrganisationRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of the seven organisations beside the large one.
+
+    Attributes
+    ----------
+    worst_share : float
+        Served part of its own demand of the organisation served worst.
+    worst_p99_ms, p99_ratio : float
+        Greatest p99 of the seven, and the greatest ratio of an organisation's
+        p99 to its own in the run without excess.
+    """
+
+    rates: str
+    load: str
+    sent: int
+    worst: str
+    worst_share: float
+    worst_p99_ms: float
+    p99_ratio: float
+    large_share: float
+    refusals: dict[str, int]
+
+
+async def _arrivals(
+    client: LoadClient, organisation: str, rate_per_s: float, end_s: float, seed: int
+) -> None:
+    """Send at a Poisson rate, whatever became of earlier requests."""
+    random = Random(f"{organisation}/{seed}")
+    next_s = time.monotonic()
+    async with asyncio.TaskGroup() as group:
+        while next_s < end_s:
+            kind = "write" if random.random() < WRITE_SHARE else "read"
+            number = random.randrange(1_000)
+            vm = random.choice(client.deployment.vms)
+            text = f"PUT o{number} 1" if kind == "write" else f"GET o{number}"
+            next_s += random.expovariate(rate_per_s)
+            await asyncio.sleep(next_s - time.monotonic())
+            group.create_task(
+                client.send(
+                    vm=vm,
+                    organisation=organisation,
+                    kind=kind,
+                    text=text,
+                    partition=f"p{number}",
+                )
+            )
+
+
+async def _load(
+    deployment: Deployment, factor: float, seconds: float, seed: int
+) -> LoadClient:
+    async with LoadClient(deployment=deployment) as client:
+        end_s = time.monotonic() + seconds
+        async with asyncio.TaskGroup() as group:
+            for name in deployment.site.organisations:
+                rate_per_s = DEMAND_PER_S * (factor if name == LARGE else 1.0)
+                group.create_task(_arrivals(client, name, rate_per_s, end_s, seed))
+        return client
+
+
+def _served(client: LoadClient, name: str) -> tuple[float, float]:
+    """Return the served share and the p99 in milliseconds."""
+    own = [one for one in client.samples if one.organisation == name]
+    served_ms = [one.latency_s * 1_000 for one in own if one.is_served]
+    return len(served_ms) / max(1, len(own)), percentile(served_ms, 0.99)
+
+
+def _row(
+    rates: str, load: str, client: LoadClient, alone: LoadClient
+) -> OrganisationRow:
+    others = [name for name in client.deployment.site.organisations if name != LARGE]
+    found = {name: _served(client, name) for name in others}
+    before = {name: _served(alone, name) for name in others}
+    worst = min(others, key=lambda name: found[name][0])
+    of_others = [one for one in client.samples if one.organisation != LARGE]
+    return OrganisationRow(
+        rates=rates,
+        load=load,
+        sent=len(client.samples),
+        worst=worst,
+        worst_share=found[worst][0],
+        worst_p99_ms=max(p99_ms for _, p99_ms in found.values()),
+        p99_ratio=max(found[name][1] / before[name][1] for name in others),
+        large_share=_served(client, LARGE)[0],
+        refusals=codes_of(of_others),
+    )
+
+
+def main(seconds: float = 9.0, seed: int = 1) -> None:
+    """Measure the seven others with and without the excess of the large one.
+
+    Parameters
+    ----------
+    seconds : float
+        Time of each load.
+    seed : int
+        Seed of arrivals, the same with and without the excess.
+    """
+    rows = []
+    for rates, limit in (("limited", RATE_LIMIT), ("unlimited", NO_LIMIT)):
+        site = CARONI_BALLAST._replace(
+            statement_ms=STATEMENT_MS,
+            organisations=dict.fromkeys(CARONI_BALLAST.organisations, limit),
+        )
+        with Deployment(site=site, vms=VMS, groups=GROUPS) as deployment:
+            time.sleep(SETTLE_S)
+            asyncio.run(_load(deployment, 1.0, 1.0, seed))
+            alone = asyncio.run(_load(deployment, 1.0, seconds, seed))
+            rows.append(_row(rates, "alone", alone, alone))
+            excess = asyncio.run(_load(deployment, EXCESS, seconds, seed))
+            rows.append(_row(rates, f"one at {EXCESS:g}x", excess, alone))
+    print_rows("organisations", seed, rows)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
