Grant tokens in the order in which VMs asked for them

A waiting VM asks again only after retry_after_s, so it loses to fresh requests. Change: the holder keeps the unmet requests of each organisation in order of arrival and gives a VM only the tokens that are its turn; its own requests respect the order too. A place lasts until the VM should have asked again plus 0.15 s, and is not kept for longer than the VM's requests wait. The new test of a waiting VM fails on the former code. Conclusion: the refusals came from starvation between VMs. The median wait near the limit stays well above that of an ideal bucket and has another cause.

--- a/src/ebonyladder/_admission.py
+++ b/src/ebonyladder/_admission.py
@@ -39,12 +39,17 @@
     def expected_wait_s(self, place: int) -> float:
         """Estimate the wait of a request with ``place`` others before it.
 
-        The holder shares the first wait among the VMs that ask; after it the
-        estimate assumes that all tokens come to this VM.
+        The holder gives the wait until this VM's turn; after it the estimate
+        assumes that all tokens come to this VM.
         """
         first_s = max(0.0, self.ready_s - self.clock.now_s())
         return first_s + place / self.rate_per_s
 
+    def longest_wait_s(self) -> float:
+        """Return the time until the last waiting request gives up."""
+        latest_s = max((w.deadline_s for w in self.waiters), default=0.0)
+        return max(0.0, latest_s - self.clock.now_s())
+
     def add(self, *, wait_s: float) -> Waiter:
         """Append a request.
 
--- a/src/ebonyladder/messages.py
+++ b/src/ebonyladder/messages.py
@@ -217,12 +217,16 @@
     collect : bool
         The receiver collects from the reserve holders even if it knows of
         another holder of the main lease, which the sender cannot reach.
+    wait_s : float
+        Longest time that a request still waits on the sender. The receiver
+        keeps the sender's place in the order for no longer.
     """
 
     organisation: OrganisationId
     wanted: float
     reserve: bool = False
     collect: bool = False
+    wait_s: float = 0.0
 
 
 class Grant(Message, tag="grant"):
--- a/src/ebonyladder/plugins/limits.py
+++ b/src/ebonyladder/plugins/limits.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from ebonyladder._admission import AdmissionQueue
+from ebonyladder._claims import Claims
 from ebonyladder._collector import Collector
 from ebonyladder._holdings import Holdings
 from ebonyladder._lease_keeper import LeaseKeeper
@@ -35,7 +36,8 @@
 # Bounds the messages of one VM for one organisation to 50 a second.
 RETRY_FLOOR_S = 0.02
 NO_HOLDER_RETRY_S = 0.2
-ASKER_MEMORY_S = 1.0
+# A VM keeps its place this long after the time at which it should ask again.
+CLAIM_GRACE_S = 0.15
 HOLDER_TRIES = 3
 # A VM that collects in place of an unreachable holder is asked this long before
 # the holder is tried again.
@@ -65,7 +67,7 @@
         self.queues: dict[OrganisationId, AdmissionQueue] = {}
         self.pumps: set[OrganisationId] = set()
         self.main_holders: dict[int, Believed] = {}
-        self.askers: dict[OrganisationId, dict[VmId, float]] = {}
+        self.claims: dict[OrganisationId, Claims] = {}
 
     async def start(self) -> None:
         """Start to hold leases and to answer requests for tokens."""
@@ -125,7 +127,8 @@
         """Take a token without asking anybody, where this VM has the main lease."""
         if not self.holdings.holds_main(shard_of(organisation)):
             return False
-        if self._available(organisation) < 1 - TOKEN_TOLERANCE:
+        claimed = self._claims_of(organisation).total()
+        if self._available(organisation) < claimed + 1 - TOKEN_TOLERANCE:
             return False
         return self._take(organisation, 1).granted > 0
 
@@ -133,7 +136,7 @@
         """Ask for the tokens of all requests that wait; ends when none does."""
         try:
             while queue.waiters:
-                grant = await self._ask_holder(queue.organisation, len(queue.waiters))
+                grant = await self._ask_holder(queue)
                 tokens = floor(grant.granted + TOKEN_TOLERANCE)
                 queue.settle(tokens, retry_after_s=grant.retry_after_s)
                 if queue.waiters:
@@ -142,8 +145,9 @@
         finally:
             self.pumps.discard(queue.organisation)
 
-    async def _ask_holder(self, organisation: OrganisationId, wanted: int) -> Grant:
+    async def _ask_holder(self, queue: AdmissionQueue) -> Grant:
         """Return the grant of the main holder, or of a VM that collects for it."""
+        organisation = queue.organisation
         shard = shard_of(organisation)
         order = main_order(shard, self._members()) or [self.vm]
         target = self._believed_holder(shard) or order[0]
@@ -151,7 +155,10 @@
         while target is not None and len(tried) < HOLDER_TRIES:
             tried.append(target)
             request = GrantRequest(
-                organisation=organisation, wanted=wanted, collect=len(tried) > 1
+                organisation=organisation,
+                wanted=len(queue.waiters),
+                collect=len(tried) > 1,
+                wait_s=queue.longest_wait_s(),
             )
             grant = await self._ask_vm(target, request)
             if grant is not None and grant.holder in (None, target):
@@ -214,13 +221,21 @@
         if not holds_main and other is not None and not request.collect:
             return Grant(granted=0.0, holder=other)
         arrived_s = self.clock.now_s()
-        await self._collect(organisation, spec, request.wanted)
-        grant = self._take(organisation, floor(request.wanted), arrived_s=arrived_s)
-        if grant.granted >= request.wanted:
-            self.askers.get(organisation, {}).pop(asker, None)
-            retry_after_s = 0.0
-        else:
-            retry_after_s = self._retry_after_s(organisation, spec, asker)
+        wanted = floor(request.wanted)
+        claims = self._claims_of(organisation)
+        claims.place(asker, wanted, valid_s=CLAIM_GRACE_S)
+        await self._collect(organisation, spec, claims.ahead_of(asker), wanted)
+        due = claims.due(asker, floor(self._available(organisation) + TOKEN_TOLERANCE))
+        grant = self._take(organisation, due, arrived_s=arrived_s)
+        retry_after_s = 0.0
+        if grant.granted < wanted:
+            missing = wanted - floor(grant.granted)
+            claims.place(asker, missing, valid_s=CLAIM_GRACE_S)
+            ahead = claims.ahead_of(asker)
+            retry_after_s = self._retry_after_s(organisation, spec, ahead)
+            claims.place(asker, missing, valid_s=retry_after_s + CLAIM_GRACE_S)
+        if retry_after_s > request.wait_s or grant.granted >= wanted:
+            claims.drop(asker)
         return Grant(
             granted=grant.granted,
             valid_s=grant.valid_s,
@@ -236,15 +251,27 @@
         return Grant(granted=granted, holder=self.vm if buckets else None)
 
     async def _collect(
-        self, organisation: OrganisationId, spec: OrganisationSpec, wanted: float
+        self,
+        organisation: OrganisationId,
+        spec: OrganisationSpec,
+        ahead: int,
+        wanted: int,
     ) -> None:
         """Collect reserve tokens where they complete at least one more token."""
         available = self._available(organisation)
-        next_whole = floor(available + TOKEN_TOLERANCE) + 1
+        next_whole = max(floor(available + TOKEN_TOLERANCE), ahead) + 1
         expected = self.collector.expected(organisation, spec)
-        is_short = available + TOKEN_TOLERANCE < wanted
-        if is_short and available + expected + TOKEN_TOLERANCE >= next_whole:
-            await self.collector.collect(organisation, wanted - available)
+        missing = ahead + wanted - available
+        enough = available + expected + TOKEN_TOLERANCE >= next_whole
+        if missing > TOKEN_TOLERANCE and enough:
+            await self.collector.collect(organisation, missing)
+
+    def _claims_of(self, organisation: OrganisationId) -> Claims:
+        claims = self.claims.get(organisation)
+        if claims is None:
+            claims = Claims(clock=self.clock)
+            self.claims[organisation] = claims
+        return claims
 
     def _available(self, organisation: OrganisationId) -> float:
         buckets = self.holdings.buckets_of(organisation)
@@ -267,18 +294,13 @@
         return Grant(granted=floor(whole - missing + TOKEN_TOLERANCE), valid_s=valid_s)
 
     def _retry_after_s(
-        self, organisation: OrganisationId, spec: OrganisationSpec, asker: VmId
+        self, organisation: OrganisationId, spec: OrganisationSpec, ahead: int
     ) -> float:
-        """Return the wait for the next whole token, shared among the askers."""
-        now_s = self.clock.now_s()
-        askers = self.askers.setdefault(organisation, {})
-        askers[asker] = now_s
-        for vm in [v for v, s in askers.items() if s < now_s - ASKER_MEMORY_S]:
-            del askers[vm]
+        """Return the wait for the first whole token after those claimed ahead."""
         share = RESERVE_SHARE * RESERVES
         if self.holdings.holds_main(shard_of(organisation)):
             share += MAIN_SHARE
-        missing = max(0.0, len(askers) - self._available(organisation))
+        missing = max(0.0, ahead + 1 - self._available(organisation))
         return max(missing / (spec.rate_per_s * share), RETRY_FLOOR_S)
 
     def _other_holder(self, shard: int) -> VmId | None:
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,55 @@
+"""Tests of the order in which VMs get an organisation's tokens."""
+
+import asyncio
+
+from ebonyladder._claims import Claims
+from ebonyladder.kernel.clock import ManualClock
+from tests.limit_fleet import Fleet, run_virtual
+
+
+class TestClaims:
+    """Guards against a VM that loses each new token to a later one."""
+
+    def test_tokens_go_to_the_first_vm_first(self):
+        claims = Claims(clock=ManualClock())
+        claims.place("a", 2, valid_s=1.0)
+        claims.place("b", 3, valid_s=1.0)
+        claims.place("a", 4, valid_s=1.0)
+        assert [claims.due("a", 6), claims.due("b", 6)] == [3, 3]
+        assert [claims.ahead_of("a"), claims.ahead_of("b")] == [0, 2]
+        assert claims.total() == 7
+
+    def test_vm_that_wants_less_gives_up_its_last_places(self):
+        claims = Claims(clock=ManualClock())
+        for vm, wanted in (("a", 1), ("b", 1), ("a", 3), ("a", 2)):
+            claims.place(vm, wanted, valid_s=1.0)
+        assert claims.total() == 3
+        assert claims.due("a", 2) == 1
+
+    def test_vm_that_does_not_return_blocks_nobody(self):
+        clock = ManualClock()
+        claims = Claims(clock=clock)
+        claims.place("a", 5, valid_s=0.2)
+        claims.place("b", 1, valid_s=1.0)
+        clock.advance(0.3)
+        assert claims.due("b", 1) == 1
+
+    def test_waiting_vm_is_served_while_others_ask_all_the_time(self):
+        async def run():
+            fleet = Fleet(rate_per_s=50.0, burst=20.0)
+            await fleet.add(*(f"vm-{n}" for n in range(8)))
+            await asyncio.sleep(8.0)
+            others = [f"vm-{n}" for n in range(1, 8)]
+            sends = [fleet.send(n, rate_per_s=6.8, seconds=20.0) for n in others]
+            load = asyncio.gather(*sends)
+            waits = []
+            for _ in range(20):
+                await asyncio.sleep(0.7)
+                start_s = asyncio.get_running_loop().time()
+                assert await fleet.request("vm-0")
+                waits.append(asyncio.get_running_loop().time() - start_s)
+            await load
+            await fleet.stop()
+            return max(waits)
+
+        assert run_virtual(run()) < 0.3
