Ask again for a hop whose answer a link lost

Cause: a broken peer link made every forwarded write end as unknown, although the owner's duplicate table still had, or was about to have, its answer. Ruled out: a retry as a new hop, which can run a write twice; asking by VM name alone, since a restarted owner has an empty duplicate table. Change: HopSender notes the incarnation of the link that the message goes out on and asks again with the same hop id at that incarnation only, until the deadline. PeerLinks gets identify() and call(incarnation=); the new code peer-replaced says that nothing was sent. A repeatable request is asked for again once and then goes to the retry path.

--- a/src/ebonyladder/dispatch.py
+++ b/src/ebonyladder/dispatch.py
@@ -9,6 +9,7 @@
 
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.execution import StatementExecutor
+from ebonyladder.hop import ANSWER_MARGIN_S, HopSender
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import (
     EbonyladderError,
@@ -24,7 +25,6 @@
     ForwardAnswer,
     GroupStateAnswer,
     GroupStateRequest,
-    Message,
     TransactionStep,
 )
 from ebonyladder.ownership import Ownership
@@ -48,8 +48,6 @@
 GROUP_STATE_WAIT_S = 1.0
 MAX_ATTEMPTS = 8
 REROUTE_PAUSE_S = 0.02
-# Leaves the owner's refusal time to arrive before the caller gives up.
-ANSWER_MARGIN_S = 0.05
 
 # Refusals by which nothing was queued anywhere; another attempt adds no load.
 REROUTED = frozenset(
@@ -57,11 +55,15 @@
         ErrorCode.NO_PRIMARY,
         ErrorCode.NOT_OWNER,
         ErrorCode.PEER_UNREACHABLE,
+        ErrorCode.PEER_REPLACED,
         ErrorCode.DRAINING,
         ErrorCode.REPLICA_BEHIND,
         ErrorCode.NO_ENDPOINT,
     }
 )
+LINK_FAILURES = frozenset(
+    {ErrorCode.PEER_UNREACHABLE, ErrorCode.PEER_REPLACED, ErrorCode.PEER_LOST}
+)
 
 
 class RoutedStatement(msgspec.Struct, frozen=True, kw_only=True):
@@ -136,6 +138,7 @@
         self.ownership = Ownership(
             vm=vm, membership=membership, configuration=configuration, clock=clock
         )
+        self.hops = HopSender(peers=peers, membership=membership, clock=clock)
         self.states: dict[GroupId, _CachedState] = {}
         self.retries = RetryBudget(clock=clock)
 
@@ -179,13 +182,21 @@
             attempt=attempt,
             request_id=routed.request_id,
         )
-        return await self.send(endpoint, forward, lambda: self.executor.run(forward))
+        is_read = routed.statement.kind is RequestKind.READ
+        return await self.send(
+            endpoint,
+            forward,
+            lambda: self.executor.run(forward),
+            is_repeatable=is_read or routed.idempotent,
+        )
 
     async def send(
         self,
         endpoint: EndpointId,
         message: Forward | TransactionStep,
         run_here: Callable[[], Awaitable[ForwardAnswer]],
+        *,
+        is_repeatable: bool = False,
     ) -> ForwardAnswer:
         """Run a message at the endpoint's owner, here or over a peer link."""
         owner = self.ownership.owner_of(endpoint)
@@ -193,25 +204,23 @@
             raise RequestError(
                 code=ErrorCode.NO_ENDPOINT, step=Step.ROUTE, peer=endpoint
             )
-        return await self.send_to(owner, message, run_here)
+        return await self.send_to(owner, message, run_here, is_repeatable=is_repeatable)
 
     async def send_to(
         self,
         owner: VmId,
         message: Forward | TransactionStep,
         run_here: Callable[[], Awaitable[ForwardAnswer]],
+        *,
+        is_repeatable: bool = False,
     ) -> ForwardAnswer:
         """Run a message at a given VM, here or over a peer link."""
         if owner == self.vm:
             return await run_here()
-        return cast(ForwardAnswer, await self._call(owner, message))
-
-    async def _call(self, owner: VmId, message: Forward | TransactionStep) -> Message:
-        timeout_s = message.deadline_left_s + ANSWER_MARGIN_S
         try:
-            return await self.peers.call(owner, message, timeout_s=timeout_s)
+            return await self.hops.send(owner, message, is_repeatable=is_repeatable)
         except EbonyladderError as error:
-            if error.code in (ErrorCode.PEER_UNREACHABLE, ErrorCode.PEER_LOST):
+            if error.code in LINK_FAILURES:
                 self.membership.suspect(owner)
                 self.ownership.forget()
             raise
--- /dev/null
+++ b/src/ebonyladder/hop.py
@@ -0,0 +1,128 @@
+"""Delivery of one message to an owner, asked for again after a link loss."""
+
+import asyncio
+from typing import cast
+
+import msgspec
+from absl import logging
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.kernel.error import EbonyladderError, ErrorCode
+from ebonyladder.membership import Membership
+from ebonyladder.messages import Forward, ForwardAnswer, TransactionStep
+from ebonyladder.peer import PeerLinks
+from ebonyladder.types import Incarnation, VmId
+
+# Leaves the owner's refusal time to arrive before the caller gives up.
+ANSWER_MARGIN_S = 0.05
+FIRST_PAUSE_S = 0.02
+MAX_PAUSE_S = 0.5
+# A repeatable request is sent elsewhere sooner than it is asked for again.
+MAX_ASKS_REPEATABLE = 2
+
+
+class HopSender:
+    """Deliver messages to owners and collect answers that a link lost.
+
+    A hop is asked for again with the same hop id and only at the incarnation of
+    the owner that the first delivery went to, whose duplicate table answers it
+    without running it a second time.
+
+    Parameters
+    ----------
+    peers : PeerLinks
+        Links to the owners.
+    membership : Membership
+        View of the VMs; tells when an owner is gone.
+    clock : Clock
+        Clock for the deadline.
+    """
+
+    def __init__(
+        self, *, peers: PeerLinks, membership: Membership, clock: Clock
+    ) -> None:
+        self.peers = peers
+        self.membership = membership
+        self.clock = clock
+
+    async def send(
+        self,
+        owner: VmId,
+        message: Forward | TransactionStep,
+        *,
+        is_repeatable: bool = False,
+    ) -> ForwardAnswer:
+        """Return the owner's answer to a message.
+
+        Parameters
+        ----------
+        owner : VmId
+            VM that runs the message.
+        message : Forward or TransactionStep
+            Message with its hop id; ``deadline_left_s`` bounds all asks.
+        is_repeatable : bool
+            True if the request may be sent to another owner as a new hop.
+
+        Raises
+        ------
+        EbonyladderError
+            The owner's refusal, PEER_UNREACHABLE or PEER_REPLACED (not run) if
+            nothing was sent, or PEER_LOST (unknown) if the message was sent
+            and the owner was replaced, is gone or did not answer in time.
+        """
+        deadline_s = self.clock.now_s() + message.deadline_left_s
+        identity = await self.peers.identify(owner, timeout_s=message.deadline_left_s)
+        incarnation = identity.incarnation
+        try:
+            return await self._ask(owner, message, incarnation, deadline_s)
+        except EbonyladderError as error:
+            if error.code is not ErrorCode.PEER_LOST:
+                raise
+            self.membership.suspect(owner)
+            lost = error
+        asks, pause_s = 1, FIRST_PAUSE_S
+        while self._may_ask_again(owner, deadline_s, asks, is_repeatable):
+            try:
+                answer = await self._ask(owner, message, incarnation, deadline_s)
+                logging.info("[hop] Lost answer was collected. owner=%s", owner)
+                return answer
+            except EbonyladderError as error:
+                if error.code is ErrorCode.PEER_REPLACED:
+                    break
+                if error.code not in (
+                    ErrorCode.PEER_LOST,
+                    ErrorCode.PEER_UNREACHABLE,
+                ):
+                    raise
+            asks += 1
+            await asyncio.sleep(min(pause_s, max(0.0, deadline_s - self._now_s())))
+            pause_s = min(2 * pause_s, MAX_PAUSE_S)
+        raise lost
+
+    async def _ask(
+        self,
+        owner: VmId,
+        message: Forward | TransactionStep,
+        incarnation: Incarnation,
+        deadline_s: float,
+    ) -> ForwardAnswer:
+        left_s = max(0.0, deadline_s - self._now_s())
+        answer = await self.peers.call(
+            owner,
+            msgspec.structs.replace(message, deadline_left_s=left_s),
+            timeout_s=left_s + ANSWER_MARGIN_S,
+            incarnation=incarnation,
+        )
+        return cast(ForwardAnswer, answer)
+
+    def _may_ask_again(
+        self, owner: VmId, deadline_s: float, asks: int, is_repeatable: bool
+    ) -> bool:
+        if is_repeatable and asks >= MAX_ASKS_REPEATABLE:
+            return False
+        if self.membership.address_of(owner) is None:
+            return False
+        return self._now_s() < deadline_s
+
+    def _now_s(self) -> float:
+        return self.clock.now_s()
--- a/src/ebonyladder/kernel/error.py
+++ b/src/ebonyladder/kernel/error.py
@@ -135,6 +135,12 @@
         503,
         "The peer could not be reached and the message was not sent.",
     )
+    PEER_REPLACED = ErrorInfo(
+        "peer-replaced",
+        Outcome.NOT_RUN,
+        503,
+        "The peer was restarted or replaced and the message was not sent.",
+    )
     PEER_LOST = ErrorInfo(
         "peer-lost",
         Outcome.UNKNOWN,
--- a/src/ebonyladder/peer.py
+++ b/src/ebonyladder/peer.py
@@ -32,13 +32,42 @@
     incarnation: Incarnation
 
     @abstractmethod
-    async def call(self, vm: VmId, message: Message, *, timeout_s: float) -> Message:
+    async def identify(self, vm: VmId, *, timeout_s: float) -> PeerIdentity:
+        """Return the peer of the link to a VM, opening the link if need be.
+
+        Raises
+        ------
+        PeerError
+            PEER_UNREACHABLE if the link could not be opened.
+        """
+
+    @abstractmethod
+    async def call(
+        self,
+        vm: VmId,
+        message: Message,
+        *,
+        timeout_s: float,
+        incarnation: Incarnation | None = None,
+    ) -> Message:
         """Send a message and return the peer's answer.
 
+        Parameters
+        ----------
+        vm : VmId
+            Receiver.
+        message : Message
+            Message to send.
+        timeout_s : float
+            Seconds to wait for the answer.
+        incarnation : Incarnation, optional
+            Send only to this incarnation of the VM.
+
         Raises
         ------
         PeerError
-            PEER_UNREACHABLE if the message was not sent, PEER_LOST if the
+            PEER_UNREACHABLE if the message was not sent, PEER_REPLACED if it
+            was not sent because another incarnation answers, PEER_LOST if the
             link broke or the time ran out after it was sent, or the error
             that the peer answered with.
         """
--- a/src/ebonyladder/plugins/peer_links.py
+++ b/src/ebonyladder/plugins/peer_links.py
@@ -162,12 +162,33 @@
             vm=self.kernel.settings.vm, incarnation=self.incarnation, number=self.hops
         )
 
-    async def call(self, vm: VmId, message: Message, *, timeout_s: float) -> Message:
+    async def identify(self, vm: VmId, *, timeout_s: float) -> PeerIdentity:
+        """Return the peer of the link to a VM, opening the link if need be."""
+        return (await self._link_to(vm, timeout_s)).identity
+
+    async def call(
+        self,
+        vm: VmId,
+        message: Message,
+        *,
+        timeout_s: float,
+        incarnation: Incarnation | None = None,
+    ) -> Message:
         """Send a message to a VM and return its answer."""
+        link = await self._link_to(vm, timeout_s)
+        found = link.identity
+        if incarnation is not None and (found.vm, found.incarnation) != (
+            vm,
+            incarnation,
+        ):
+            raise PeerError(code=ErrorCode.PEER_REPLACED, step=Step.PEER_CALL, peer=vm)
+        return await link.call(message, timeout_s)
+
+    async def _link_to(self, vm: VmId, timeout_s: float) -> PeerLink:
         address = self.kernel.get(Membership).address_of(vm)
         if address is None:
             raise _unreachable(vm, "address of the VM is not known")
-        return await self.call_address(address, message, timeout_s=timeout_s)
+        return self.links.get(address) or await self._open_once(address, timeout_s)
 
     async def call_address(
         self, address: Address, message: Message, *, timeout_s: float
--- a/src/ebonyladder/retry.py
+++ b/src/ebonyladder/retry.py
@@ -21,6 +21,7 @@
         ErrorCode.NOT_OWNER,
         ErrorCode.CONNECT_FAILED,
         ErrorCode.PEER_UNREACHABLE,
+        ErrorCode.PEER_REPLACED,
         ErrorCode.PEER_REFUSED,
         ErrorCode.STALE_CONFIGURATION,
         ErrorCode.DRAINING,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -133,10 +133,27 @@
         self.handlers: dict[type[Message], Handler] = {}
         self.sent = 0
 
-    async def call(self, vm: VmId, message: Message, *, timeout_s: float) -> Message:
+    def _target(self, vm: VmId) -> FakePeerLinks:
         target = self.network.links.get(vm)
         if target is None or (self.vm, vm) in self.network.cut:
             raise self._error(ErrorCode.PEER_UNREACHABLE, vm)
+        return target
+
+    async def identify(self, vm: VmId, *, timeout_s: float) -> PeerIdentity:
+        target = self._target(vm)
+        return PeerIdentity(vm, target.zone, target.incarnation, Address(vm))
+
+    async def call(
+        self,
+        vm: VmId,
+        message: Message,
+        *,
+        timeout_s: float,
+        incarnation: Incarnation | None = None,
+    ) -> Message:
+        target = self._target(vm)
+        if incarnation not in (None, target.incarnation):
+            raise self._error(ErrorCode.PEER_REPLACED, vm)
         self.sent += 1
         identity = PeerIdentity(self.vm, self.zone, self.incarnation, Address(self.vm))
         try:
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -103,14 +103,16 @@
         super().__init__(**options)
         self.running = running
 
-    async def call(self, vm: VmId, message: Message, *, timeout_s: float) -> Message:
+    async def call(
+        self, vm: VmId, message: Message, *, timeout_s: float, **options: Any
+    ) -> Message:
         try:
             async with asyncio.timeout(timeout_s):
                 await asyncio.sleep(self.delay_s)
                 target = self.network.links.get(vm)
                 if target is not None:
                     await target.running.wait()
-                answer = await super().call(vm, message, timeout_s=timeout_s)
+                answer = await super().call(vm, message, timeout_s=timeout_s, **options)
                 await asyncio.sleep(self.delay_s)
         except TimeoutError:
             raise PeerError(
