Refuse a bad frame on an authenticated link with its reason

Cause: the task group of a link's calls raises failures as a group, which no handler caught, so the peer got no reason and the log got a traceback for each lost link. Change: except* for the two cases; the refusal is sent before the link closes. Measured: the new test fails on the former code and passes on this one.

--- a/src/ebonyladder/plugins/peer_links.py
+++ b/src/ebonyladder/plugins/peer_links.py
@@ -3,7 +3,8 @@
 import asyncio
 import secrets
 import time
-from typing import ClassVar
+from contextlib import suppress
+from typing import ClassVar, cast
 
 from absl import logging
 from websockets.asyncio.client import connect
@@ -282,14 +283,17 @@
             return
         except (ConnectionClosed, TimeoutError):
             return
+        # The task group of the calls raises its failures as a group.
         try:
             await self._answer_calls(socket, identity)
-        except ConnectionClosed:
-            pass
-        except PeerError as error:
+        except* ConnectionClosed:
+            logging.info("[peer] Link from a peer has ended. peer=%s", identity.vm)
+        except* PeerError as group:
+            error = cast(PeerError, group.exceptions[0])
             logging.warning("[peer] Frame was refused. error=%s", error)
             failure = failure_of(error, peer=self.kernel.settings.vm)
-            await socket.send(encode(HELLO_NUMBER, failure))
+            with suppress(ConnectionClosed):
+                await socket.send(encode(HELLO_NUMBER, failure))
 
     async def _welcome(self, socket: ServerConnection) -> PeerIdentity:
         settings = self.kernel.settings
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -180,6 +180,25 @@
         assert reason in failure.message
         assert isinstance(good, Done)
 
+    def test_bad_frame_after_the_proof_is_refused(self, tmp_path):
+        async def run():
+            async with Vm(tmp_path, "vm-1") as one, Vm(tmp_path, "vm-2") as two:
+
+                async def answer(_peer, _message):
+                    return Done()
+
+                two.links.handle(Sync, answer)
+                await one.links.call_address(two.address, SYNC, timeout_s=20)
+                link = one.links.links[two.address]
+                refused = asyncio.get_running_loop().create_future()
+                link.waiting[0] = refused
+                await link.socket.send(b"\xff\xff")
+                with pytest.raises(PeerError) as caught:
+                    await asyncio.wait_for(refused, 20)
+                return caught.value
+
+        assert "not valid" in asyncio.run(run()).message
+
     def test_unknown_field_of_a_newer_peer_is_ignored(self):
         frame = cbor2.loads(encode(1, SYNC))
         frame["b"]["new-field"] = [1, 2]
