Bound callers' connections and run transactions over WebSockets

Cause: a caller could trickle headers for ever, stop reading and keep its answer in memory, send any number of calls at once on a WebSocket, and name a service in a forged transaction id whose status then counted a failure. Unknown routes and deeply nested JSON had no refusal in the usual form. A planned stop waited a minute for open WebSockets. WebSockets had no transactions. Ruled out: private hooks of the HTTP library for the header time; a delegating protocol uses its public interface only. Change: the front is split into codec, calls, connection and socket. A WebSocket that ends rolls back what it opened, also a transaction whose begin is still under way. Sockets are closed with 1001 on a stop, after a drain that waits for their transactions.

--- a/src/ebonyladder/_codec.py
+++ b/src/ebonyladder/_codec.py
@@ -57,7 +57,13 @@
     try:
         outer: Any = cbor2.loads(data)
         version = outer["v"]
-    except (cbor2.CBORError, KeyError, TypeError, ValueError) as error:
+    except (
+        cbor2.CBORError,
+        KeyError,
+        TypeError,
+        ValueError,
+        RecursionError,
+    ) as error:
         raise _refused(peer, f"frame is not valid: {error}") from error
     if version != PROTOCOL_VERSION:
         raise _refused(peer, f"protocol version {version!r} is not supported, use 1")
--- a/src/ebonyladder/gateway.py
+++ b/src/ebonyladder/gateway.py
@@ -5,10 +5,16 @@
 """
 
 import secrets
-from typing import NamedTuple
 
 import msgspec
 
+from ebonyladder.caller import (
+    CallerAnswer,
+    CallerStatement,
+    CallerStep,
+    CallerTransaction,
+    TransactionAddress,
+)
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.dispatch import Dispatcher, RoutedStatement
 from ebonyladder.kernel.clock import Clock
@@ -27,11 +33,8 @@
 from ebonyladder.status import CallResult, StatusObserver
 from ebonyladder.token import SessionToken, TokenSealer
 from ebonyladder.types import (
-    EndpointId,
     GroupId,
     RequestId,
-    RequestKind,
-    Role,
     ServiceId,
     Statement,
     TransactionId,
@@ -56,72 +59,6 @@
 )
 
 
-class CallerStatement(msgspec.Struct, frozen=True, kw_only=True):
-    """Statement as a caller sends it.
-
-    Attributes
-    ----------
-    partition : str
-        Names the group that stores the data.
-    session : str
-        Token of the last answer; empty for a new session.
-    max_age_ms : int, optional
-        Greatest accepted age of a read's data, in milliseconds.
-    idempotent : bool
-        True if running the statement twice does no harm.
-    deadline_ms : int, optional
-        Time that the caller waits, in milliseconds.
-    """
-
-    kind: RequestKind
-    statement: str
-    partition: str
-    session: str = ""
-    max_age_ms: int | None = None
-    idempotent: bool = False
-    deadline_ms: int | None = None
-
-
-class CallerTransaction(msgspec.Struct, frozen=True, kw_only=True):
-    """Begin of a transaction as a caller sends it."""
-
-    partition: str
-    session: str = ""
-    deadline_ms: int | None = None
-
-
-class CallerStep(msgspec.Struct, frozen=True, kw_only=True):
-    """Later step of a transaction as a caller sends it."""
-
-    session: str = ""
-    kind: RequestKind = RequestKind.READ
-    statement: str = ""
-    deadline_ms: int | None = None
-
-
-class CallerAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Whole answer to a caller."""
-
-    rows: list
-    session: str
-    request_id: RequestId
-    endpoint: EndpointId
-    role: Role
-    term: int
-    position: int
-    transaction: str = ""
-
-
-class TransactionAddress(NamedTuple):
-    """Where a transaction runs; callers hold it as an opaque id."""
-
-    service: ServiceId
-    group: GroupId
-    endpoint: EndpointId
-    owner: str
-    name: TransactionId
-
-
 class Gateway:
     """Serve callers' requests.
 
@@ -271,6 +208,21 @@
             return self._answer(token, None, answer, name)
         return self._answer(token, address.group, answer, name)
 
+    async def roll_back(self, holder: KeyHolder, transaction: str) -> None:
+        """Roll back the transaction of a caller that has gone.
+
+        The key is not checked: one that was withdrawn meanwhile must not keep
+        its transaction open.
+        """
+        await self._send_step(
+            holder,
+            self._transaction(transaction),
+            TransactionAction.ROLLBACK,
+            CallerStep(),
+            self._deadline_s(None),
+            self.new_request_id(),
+        )
+
     async def _send_step(
         self,
         holder: KeyHolder,
@@ -342,10 +294,21 @@
         return group_of(partition, spec.groups)
 
     def _transaction(self, sealed: str) -> TransactionAddress:
+        """Return where a transaction runs, checked against the configuration."""
         parts = sealed.split("~")
-        if len(parts) != len(TransactionAddress._fields):
-            raise RequestError(code=ErrorCode.TRANSACTION_ENDED, step=Step.ROUTE)
-        return TransactionAddress(*parts)
+        if len(parts) == len(TransactionAddress._fields):
+            address = TransactionAddress(*parts)
+            current = self.configuration.current
+            service = current.services.get(address.service)
+            group = current.groups.get(address.group)
+            if (
+                service is not None
+                and group is not None
+                and address.group in service.groups
+                and address.endpoint in group.endpoints
+            ):
+                return address
+        raise RequestError(code=ErrorCode.TRANSACTION_ENDED, step=Step.ROUTE)
 
     def _deadline_s(self, asked_ms: int | None) -> float:
         policy = self.configuration.current.policy
--- a/src/ebonyladder/plugins/caller_front.py
+++ b/src/ebonyladder/plugins/caller_front.py
@@ -3,24 +3,32 @@
 import asyncio
 import hashlib
 import hmac
+import logging as standard_logging
 import random
 from collections.abc import Awaitable, Callable
-from typing import ClassVar, TypeVar
+from typing import ClassVar
 
-import msgspec
 from absl import logging
-from aiohttp import WSMsgType, web
-
-from ebonyladder.configuration import ConfigurationSource
-from ebonyladder.dispatch import Dispatcher
-from ebonyladder.execution import StatementExecutor
-from ebonyladder.gateway import (
+from aiohttp import web
+
+from ebonyladder._caller_calls import CallerCalls, Served
+from ebonyladder._caller_codec import Reply, decode_body, key_of, refused
+from ebonyladder._caller_connection import (
+    HEADER_TIMEOUT_S,
+    CallerConnection,
+    TimedResponse,
+)
+from ebonyladder._caller_socket import CallerSocket
+from ebonyladder.caller import (
     CallerAnswer,
     CallerStatement,
     CallerStep,
     CallerTransaction,
-    Gateway,
 )
+from ebonyladder.configuration import ConfigurationSource
+from ebonyladder.dispatch import Dispatcher
+from ebonyladder.execution import StatementExecutor
+from ebonyladder.gateway import Gateway
 from ebonyladder.kernel.error import EbonyladderError, ErrorCode, RequestError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
@@ -40,61 +48,25 @@
 BODY_LIMIT_BYTES = 1_048_576
 BODY_TIMEOUT_S = 10.0
 DRAIN_LIMIT_S = 30.0
-BEARER = "Bearer "
+BACKLOG = 4_096
+ACTIONS = {
+    "statements": TransactionAction.EXECUTE,
+    "commit": TransactionAction.COMMIT,
+    "rollback": TransactionAction.ROLLBACK,
+}
 
-T = TypeVar("T")
-Served = Callable[[RequestId], Awaitable[CallerAnswer]]
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
-class SocketCall(msgspec.Struct, kw_only=True):
-    """Frame of a caller's WebSocket.
+def _http_logger() -> standard_logging.Logger:
+    """Return the logger of the HTTP library.
 
-    Attributes
-    ----------
-    id : int
-        Number that the answer carries.
-    service : str
-        Service of the statement.
-    body : msgspec.Raw
-        Statement, as in the body of the HTTP route.
+    The front logs failures of its handlers itself; what is left are malformed
+    requests, each with a traceback that any caller could fill the log with.
     """
-
-    id: int
-    service: str
-    body: msgspec.Raw
-
-
-def refusal_of(error: EbonyladderError, name: RequestId, vm: str) -> dict[str, object]:
-    """Return the JSON form of an error."""
-    fields: dict[str, object] = {
-        "code": error.code.value.code,
-        "outcome": error.outcome.value,
-        "step": error.step.value,
-        "peer": error.peer or vm,
-        "message": error.message,
-        "request_id": name,
-    }
-    if error.retry_after_s is not None:
-        fields["retry_after_s"] = round(error.retry_after_s, 3)
-    return {"error": fields}
-
-
-def decode_body(body: bytes, body_type: type[T]) -> T:
-    """Return a decoded body; raises ``RequestError`` BAD_REQUEST."""
-    try:
-        return msgspec.json.decode(body or b"{}", type=body_type)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise RequestError(
-            code=ErrorCode.BAD_REQUEST, step=Step.CALLER_ACCEPT, message=str(error)
-        ) from error
-
-
-def key_of(request: web.Request) -> str:
-    """Return the key of a request; raises ``RequestError`` KEY_REFUSED."""
-    header = request.headers.get("Authorization", "")
-    if not header.startswith(BEARER):
-        raise RequestError(code=ErrorCode.KEY_REFUSED, step=Step.KEY_CHECK)
-    return header[len(BEARER) :].strip()
+    logger = standard_logging.getLogger("ebonyladder.callers.http")
+    logger.setLevel(standard_logging.CRITICAL)
+    return logger
 
 
 @register
@@ -117,16 +89,20 @@
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
         self.runner: web.AppRunner | None = None
-        self.in_flight = 0
+        self.server: asyncio.Server | None = None
+        self.connections: dict[asyncio.Protocol, CallerConnection] = {}
         self.sockets: dict[KeyDigest, set[web.WebSocketResponse]] = {}
-        self.idle = asyncio.Event()
-        self.idle.set()
+        self.header_timeout_s = HEADER_TIMEOUT_S
+        self.body_timeout_s = BODY_TIMEOUT_S
 
     async def start(self) -> None:
         """Listen for callers."""
         self.gateway = self._make_gateway()
         self.gateway.keys.on_withdrawn(self._close_sockets)
-        app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        self.calls = CallerCalls(gateway=self.gateway, vm=self.kernel.settings.vm)
+        app = web.Application(
+            client_max_size=BODY_LIMIT_BYTES, middlewares=[self._guard]
+        )
         app.router.add_post("/v1/services/{service}/statements", self._statement)
         app.router.add_post("/v1/services/{service}/transactions", self._begin)
         app.router.add_post("/v1/transactions/{transaction}/{action}", self._step)
@@ -134,10 +110,27 @@
         app.router.add_get("/healthz", self._health)
         for path, handler in self.kernel.get(StatusRoutes).status_routes().items():
             app.router.add_get(path, handler)
-        self.runner = web.AppRunner(app, access_log=None, handler_cancellation=False)
+        # A caller that disconnects does not cancel its request: a write that was
+        # sent goes on to its end, so that its outcome is known and counted, and
+        # a slot is never given up while the endpoint still works for it.
+        self.runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=False, logger=_http_logger()
+        )
         await self.runner.setup()
         host, port = split_address(self.kernel.settings.caller)
-        await web.TCPSite(self.runner, host, port, backlog=4096).start()
+        self.server = await asyncio.get_running_loop().create_server(
+            self._accept, host, port, backlog=BACKLOG
+        )
+
+    def _accept(self) -> CallerConnection:
+        inner = self.runner.server()
+        connection = CallerConnection(
+            inner=inner,
+            timeout_s=self.header_timeout_s,
+            on_end=lambda: self.connections.pop(inner, None),
+        )
+        self.connections[inner] = connection
+        return connection
 
     def _make_gateway(self) -> Gateway:
         get, settings = self.kernel.get, self.kernel.settings
@@ -169,78 +162,76 @@
         self.gateway.is_draining = True
         try:
             async with asyncio.timeout(DRAIN_LIMIT_S):
-                await self.idle.wait()
+                await self.calls.idle.wait()
         except TimeoutError:
-            logging.warning("[callers] Requests were left. count=%d", self.in_flight)
+            count = self.calls.in_flight
+            logging.warning("[callers] Requests were left. count=%d", count)
 
     async def stop(self) -> None:
         """Close the listening socket and idle connections."""
+        if self.server is not None:
+            self.server.close()
+        for socket in [s for sockets in self.sockets.values() for s in sockets]:
+            await socket.close(code=1001, message=b"daemon stops")
         if self.runner is not None:
             await self.runner.cleanup()
 
     # HTTP.
 
+    @web.middleware
+    async def _guard(self, request: web.Request, handler: Handler) -> web.Response:
+        """End the header time; refuse unknown routes in the usual form."""
+        connection = self.connections.get(request.protocol)
+        if connection is not None:
+            connection.begin_request()
+        try:
+            return await handler(request)
+        except (web.HTTPNotFound, web.HTTPMethodNotAllowed) as error:
+            message = f"no route {request.method} {request.path!r}"
+            reply = self.calls.refuse(refused(ErrorCode.NOT_FOUND, message))
+            return self._response(reply._replace(status=error.status))
+        finally:
+            if connection is not None:
+                connection.end_request()
+
     async def _read(self, request: web.Request) -> bytes:
         """Return the whole body; a caller that trickles bytes is refused."""
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
+            async with asyncio.timeout(self.body_timeout_s):
                 return await request.read()
         except web.HTTPRequestEntityTooLarge as error:
-            raise RequestError(
-                code=ErrorCode.BODY_TOO_LARGE,
-                step=Step.CALLER_ACCEPT,
-                message=f"body exceeds {BODY_LIMIT_BYTES} bytes",
+            raise refused(
+                ErrorCode.BODY_TOO_LARGE, f"body exceeds {BODY_LIMIT_BYTES} bytes"
             ) from error
         except TimeoutError:
-            raise RequestError(
-                code=ErrorCode.BAD_REQUEST,
-                step=Step.CALLER_ACCEPT,
-                message=f"body did not arrive within {BODY_TIMEOUT_S:.0f} s",
+            raise refused(
+                ErrorCode.BAD_REQUEST,
+                f"body did not arrive within {self.body_timeout_s:.0f} s",
             ) from None
+        except (web.RequestPayloadError, ConnectionError) as error:
+            raise refused(ErrorCode.BAD_REQUEST, f"body is broken: {error}") from error
 
     async def _serve(self, served: Served) -> web.Response:
-        """Run one request and return its answer or refusal."""
-        name = self.gateway.new_request_id()
-        self.in_flight += 1
-        self.idle.clear()
-        try:
-            answer = await served(name)
-            return web.Response(
-                body=msgspec.json.encode(answer), content_type="application/json"
-            )
-        except EbonyladderError as error:
-            return self._refuse(error, name)
-        except Exception as error:  # noqa: BLE001
-            logging.exception("[callers] Request failed. request_id=%s", name)
-            return self._refuse(
-                RequestError(
-                    code=ErrorCode.INTERNAL,
-                    step=Step.ANSWER,
-                    message=type(error).__name__,
-                ),
-                name,
-            )
-        finally:
-            self.in_flight -= 1
-            if not self.in_flight:
-                self.idle.set()
-
-    def _refuse(self, error: EbonyladderError, name: RequestId) -> web.Response:
-        logging.debug("[callers] Request was refused. id=%s error=%s", name, error)
-        response = web.Response(
-            status=error.code.value.http_status,
-            body=msgspec.json.encode(refusal_of(error, name, self.kernel.settings.vm)),
-            content_type="application/json",
+        return self._response(await self.calls.run(served))
+
+    @staticmethod
+    def _response(reply: Reply) -> web.Response:
+        response = TimedResponse(
+            status=reply.status, body=reply.body, content_type="application/json"
         )
+        error = reply.error
+        if error is None:
+            return response
         if error.retry_after_s is not None:
             response.headers["Retry-After"] = str(max(1, round(error.retry_after_s)))
-        if error.code is ErrorCode.DRAINING:
+        # After a refusal of its body the rest of it is not worth reading.
+        if error.code in (ErrorCode.DRAINING, ErrorCode.BODY_TOO_LARGE):
             response.force_close()
         return response
 
     async def _statement(self, request: web.Request) -> web.Response:
         async def served(name: RequestId) -> CallerAnswer:
-            key = key_of(request)
+            key = key_of(request.headers.get("Authorization", ""))
             asked = decode_body(await self._read(request), CallerStatement)
             service = ServiceId(request.match_info["service"])
             return await self.gateway.run_statement(key, service, asked, name)
@@ -249,7 +240,7 @@
 
     async def _begin(self, request: web.Request) -> web.Response:
         async def served(name: RequestId) -> CallerAnswer:
-            key = key_of(request)
+            key = key_of(request.headers.get("Authorization", ""))
             asked = decode_body(await self._read(request), CallerTransaction)
             service = ServiceId(request.match_info["service"])
             return await self.gateway.begin(key, service, asked, name)
@@ -257,15 +248,9 @@
         return await self._serve(served)
 
     async def _step(self, request: web.Request) -> web.Response:
-        actions = {
-            "statements": TransactionAction.EXECUTE,
-            "commit": TransactionAction.COMMIT,
-            "rollback": TransactionAction.ROLLBACK,
-        }
-
         async def served(name: RequestId) -> CallerAnswer:
-            key = key_of(request)
-            action = actions.get(request.match_info["action"])
+            key = key_of(request.headers.get("Authorization", ""))
+            action = ACTIONS.get(request.match_info["action"])
             if action is None:
                 raise RequestError(code=ErrorCode.NOT_FOUND, step=Step.ROUTE)
             asked = decode_body(await self._read(request), CallerStep)
@@ -290,22 +275,22 @@
     async def _connect(self, request: web.Request) -> web.StreamResponse:
         """Serve the statements of one WebSocket until it closes."""
         try:
-            key = key_of(request)
+            key = key_of(request.headers.get("Authorization", ""))
             holder = self.gateway.keys.holder_of(key)
         except EbonyladderError as error:
-            return self._refuse(error, self.gateway.new_request_id())
+            return self._response(self.calls.refuse(error))
         socket = web.WebSocketResponse(max_msg_size=BODY_LIMIT_BYTES, heartbeat=30.0)
         await socket.prepare(request)
-
         sockets = self.sockets.setdefault(holder.digest, set())
         sockets.add(socket)
         try:
-            async with asyncio.TaskGroup() as calls:
-                async for frame in socket:
-                    if frame.type in (WSMsgType.TEXT, WSMsgType.BINARY):
-                        calls.create_task(self._socket_call(socket, key, frame.data))
+            await CallerSocket(
+                socket=socket, calls=self.calls, key=key, holder=holder
+            ).serve(request)
         finally:
             sockets.discard(socket)
+            if not sockets and self.sockets.get(holder.digest) is sockets:
+                del self.sockets[holder.digest]
         return socket
 
     def _close_sockets(self, digest: KeyDigest) -> None:
@@ -315,22 +300,3 @@
                 socket.close(code=1008, message=b"key withdrawn"),
                 name="close-withdrawn",
             )
-
-    async def _socket_call(
-        self, socket: web.WebSocketResponse, key: str, data: str | bytes
-    ) -> None:
-        number = 0
-
-        async def served(name: RequestId) -> CallerAnswer:
-            nonlocal number
-            raw = data.encode() if isinstance(data, str) else data
-            call = decode_body(raw, SocketCall)
-            number = call.id
-            asked = decode_body(bytes(call.body), CallerStatement)
-            return await self.gateway.run_statement(
-                key, ServiceId(call.service), asked, name
-            )
-
-        response = await self._serve(served)
-        if not socket.closed:
-            await socket.send_str(f'{{"id":{number},"body":{response.body.decode()}}}')
--- a/tests/front_vms.py
+++ b/tests/front_vms.py
@@ -123,7 +123,10 @@
 
 
 class OneKey(KeyRing, RateLimits, StatusObserver, StatusRoutes, Metrics):
-    """Admits the holders of one key and counts nothing."""
+    """Admits the holders of one key and keeps the outcomes counted."""
+
+    def __init__(self) -> None:
+        self.outcomes: list[str] = []
 
     def holder_of(self, key: str) -> KeyHolder:
         if key != KEY:
@@ -145,8 +148,8 @@
     def status_routes(self) -> dict:
         return {}
 
-    def observe_request(self, **_fields: Any) -> None:
-        pass
+    def observe_request(self, *, outcome: str, **_fields: Any) -> None:
+        self.outcomes.append(outcome)
 
     def observe_step(self, step: Step, seconds: float) -> None:
         pass
@@ -184,14 +187,14 @@
         self.links = WebSocketPeerLinks(kernel=self.kernel)
         self.executor = Executor()
         self.duplicates = DuplicateTable(clock=self.kernel.clock)
-        stub = OneKey()
+        self.stub = OneKey()
         provided = (KeyRing, RateLimits, StatusObserver, StatusRoutes, Metrics)
         self.kernel.providers = {
             PeerLinks: self.links,
             Membership: members,
             StatementExecutor: self.executor,
             ConfigurationSource: FixedConfiguration(CONFIGURATION),
-            **{interface: stub for interface in provided},
+            **{interface: self.stub for interface in provided},
         }
         self.delivered: asyncio.Queue[Forward | TransactionStep] = asyncio.Queue()
         self.front = CallerFront(kernel=self.kernel)
