--- a/src/ebonyladder/plugins/peer_links.py
+++ b/src/ebonyladder/plugins/peer_links.py
@@ -3,7 +3,8 @@
 import asyncio
 import secrets
 import time
-from typing import ClassVar
+from contextlib import suppress
+from typing import ClassVar, cast
 
 from absl import logging
 from websockets.asyncio.client import connect
@@ -162,12 +163,33 @@
             vm=self.kernel.settings.vm, incarnation=self.incarnation, number=self.hops
         )
 
-    async def call(self, vm: VmId, message: Message, *, timeout_s: float) -> Message:
+    async def identify(self, vm: VmId, *, timeout_s: float) -> PeerIdentity:
+        """Return the peer of the link to a VM, opening the link if need be."""
+        return (await self._link_to(vm, timeout_s)).identity
+
+    async def call(
+        self,
+        vm: VmId,
+        message: Message,
+        *,
+        timeout_s: float,
+        incarnation: Incarnation | None = None,
+    ) -> Message:
         """Send a message to a VM and return its answer."""
+        link = await self._link_to(vm, timeout_s)
+        found = link.identity
+        if incarnation is not None and (found.vm, found.incarnation) != (
+            vm,
+            incarnation,
+        ):
+            raise PeerError(code=ErrorCode.PEER_REPLACED, step=Step.PEER_CALL, peer=vm)
+        return await link.call(message, timeout_s)
+
+    async def _link_to(self, vm: VmId, timeout_s: float) -> PeerLink:
         address = self.kernel.get(Membership).address_of(vm)
         if address is None:
             raise _unreachable(vm, "address of the VM is not known")
-        return await self.call_address(address, message, timeout_s=timeout_s)
+        return self.links.get(address) or await self._open_once(address, timeout_s)
 
     async def call_address(
         self, address: Address, message: Message, *, timeout_s: float
@@ -261,14 +283,17 @@
             return
         except (ConnectionClosed, TimeoutError):
             return
+        # The task group of the calls raises its failures as a group.
         try:
             await self._answer_calls(socket, identity)
-        except ConnectionClosed:
-            pass
-        except PeerError as error:
+        except* ConnectionClosed:
+            logging.info("[peer] Link from a peer has ended. peer=%s", identity.vm)
+        except* PeerError as group:
+            error = cast(PeerError, group.exceptions[0])
             logging.warning("[peer] Frame was refused. error=%s", error)
             failure = failure_of(error, peer=self.kernel.settings.vm)
-            await socket.send(encode(HELLO_NUMBER, failure))
+            with suppress(ConnectionClosed):
+                await socket.send(encode(HELLO_NUMBER, failure))
 
     async def _welcome(self, socket: ServerConnection) -> PeerIdentity:
         settings = self.kernel.settings
