Show operators what VMs hold and explain requests

The operators' views had no content, so members, sessions, shares, primaries and explain were refused, the capacity check had no use of slots, and a submission was reported as in force without the relay roots' word.

Views are gathered over peer links by any VM, which names the VMs that did not answer. The answer to a change waits for most relay roots first and says which VMs confirmed it. Slots in use are a momentary sum over the VMs that answer. The operators' port serves the metrics.

Ruled out: sessions as a list, since they are only in the callers' tokens.

--- a/src/ebonyladder/cli.py
+++ b/src/ebonyladder/cli.py
@@ -60,15 +60,21 @@
             if answer["changed"]
             else f"nothing to change in version {answer['version']}"
         )
-        text += f", in force on {len(confirmed)} VMs"
+        text += f", confirmed by {len(confirmed)} VMs ({', '.join(confirmed)})"
         if missing:
             text += (
-                f"; not confirmed by {', '.join(missing)}, which take no new work "
-                "without a recent configuration"
+                f"; not confirmed by {', '.join(missing)}, which have stopped taking "
+                f"work {answer['unconfirmed_stop_after_s']:g} s after the acceptance"
+            )
+        is_in_force = answer["is_in_force"]
+        if not is_in_force:
+            text += (
+                "; not yet in force: most relay roots do not have it, so VMs may "
+                "work with the version before it"
             )
         lines = [f"{name}: {value}" for name, value in more.items()]
         self.show({**answer, **more}, "\n".join([text, *lines]))
-        if missing:
+        if missing or not is_in_force:
             raise SystemExit(int(ExitCode.NOT_CONFIRMED))
 
     def edit(
--- a/src/ebonyladder/dispatch.py
+++ b/src/ebonyladder/dispatch.py
@@ -10,6 +10,7 @@
 
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.execution import StatementExecutor
+from ebonyladder.journal import RequestJournal
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import (
     EbonyladderError,
@@ -118,6 +119,8 @@
         Clock for deadlines.
     source : random.Random
         Source for the choice among equal replicas.
+    journal : RequestJournal, optional
+        Journal of requests, for operators.
     """
 
     def __init__(
@@ -131,6 +134,7 @@
         configuration: ConfigurationSource,
         clock: Clock,
         source: random.Random,
+        journal: RequestJournal | None = None,
     ) -> None:
         self.vm = vm
         self.zone = zone
@@ -140,6 +144,7 @@
         self.configuration = configuration
         self.clock = clock
         self.source = source
+        self.journal = journal
         self.ownership = Ownership(
             vm=vm, membership=membership, configuration=configuration, clock=clock
         )
@@ -162,12 +167,32 @@
                 return await self._attempt(routed, tried, attempt)
             except EbonyladderError as error:
                 self._note_failure(routed.group, error)
+                self._note_attempt(routed, attempt, error=error)
                 pause_s = self._pause_s(attempt)
                 if not self._may_retry(routed, error, attempt, pause_s):
                     raise
                 await asyncio.sleep(pause_s)
         raise AssertionError("the last attempt returns or raises")
 
+    def _note_attempt(
+        self,
+        routed: RoutedStatement,
+        attempt: int,
+        endpoint: EndpointId | str = "",
+        error: EbonyladderError | None = None,
+    ) -> None:
+        if self.journal is None:
+            return
+        owner = self.ownership.owner_of(EndpointId(endpoint)) if endpoint else None
+        self.journal.note(
+            routed.request_id,
+            Step.ROUTE,
+            endpoint=endpoint,
+            owner=owner or "",
+            attempt=attempt,
+            error=error,
+        )
+
     async def reroute(
         self, group: GroupId, deadline_s: float, attempt: Callable[[], Awaitable[T]]
     ) -> T:
@@ -195,6 +220,7 @@
         state = await self.group_state(routed.group, routed.deadline_s)
         endpoint = self.choose(routed, state, tried)
         tried.add(endpoint)
+        self._note_attempt(routed, attempt, endpoint)
         forward = Forward(
             hop=self.peers.next_hop(),
             organisation=routed.organisation,
--- a/src/ebonyladder/execution.py
+++ b/src/ebonyladder/execution.py
@@ -8,7 +8,7 @@
     GroupStateAnswer,
     TransactionStep,
 )
-from ebonyladder.types import GroupId
+from ebonyladder.types import GroupId, OrganisationId
 
 
 class StatementExecutor(ABC):
@@ -29,3 +29,11 @@
         Waits up to ``wait_s`` seconds for a primary to be known. Raises
         ``RequestError`` NOT_OWNER if this VM does not watch the group.
         """
+
+    def open_transactions(self) -> dict[OrganisationId, int]:
+        """Return the number of open transactions by organisation."""
+        return {}
+
+    def used_slots(self) -> dict[GroupId, float]:
+        """Return the slots in use or waited for here, by group."""
+        return {}
--- a/src/ebonyladder/gateway.py
+++ b/src/ebonyladder/gateway.py
@@ -12,6 +12,7 @@
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.dispatch import Dispatcher, RoutedStatement
 from ebonyladder.duty import VmDuty
+from ebonyladder.journal import SEPARATOR, RequestJournal
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import (
     EbonyladderError,
@@ -138,6 +139,8 @@
         Clock for deadlines.
     duty : VmDuty, optional
         Operators' word on this VM.
+    journal : RequestJournal, optional
+        Journal of requests, for operators.
     """
 
     def __init__(
@@ -152,6 +155,7 @@
         dispatcher: Dispatcher,
         clock: Clock,
         duty: VmDuty | None = None,
+        journal: RequestJournal | None = None,
     ) -> None:
         self.keys = keys
         self.limits = limits
@@ -162,6 +166,7 @@
         self.dispatcher = dispatcher
         self.clock = clock
         self.duty = duty
+        self.journal = journal
         self.is_draining = False
 
     @property
@@ -174,10 +179,10 @@
         """False if new work is refused."""
         return not self.is_draining and (self.duty is None or self.duty.takes_work)
 
-    @staticmethod
-    def new_request_id() -> RequestId:
-        """Return an id that no other request has."""
-        return RequestId(secrets.token_urlsafe(REQUEST_ID_BYTES))
+    def new_request_id(self) -> RequestId:
+        """Return an id that no other request has; it names this VM."""
+        token = secrets.token_urlsafe(REQUEST_ID_BYTES)
+        return RequestId(f"{self.dispatcher.vm}{SEPARATOR}{token}")
 
     async def run_statement(
         self, key: str, service: ServiceId, asked: CallerStatement, name: RequestId
@@ -195,8 +200,10 @@
             holder = self._holder(key)
             answer = await self._run_statement(holder, service, asked, name)
         except EbonyladderError as error:
+            self._note(name, Step.ANSWER, error)
             self._observe(holder, service, asked.kind.value, started_s, error)
             raise
+        self._note(name, Step.ANSWER)
         self._observe(holder, service, asked.kind.value, started_s, None)
         return answer
 
@@ -211,6 +218,7 @@
         group = self._group(service, asked.partition)
         deadline_s = self._deadline_s(asked.deadline_ms)
         await self._admit(holder, deadline_s)
+        self._note(name, Step.RATE_ADMIT)
         max_age_s = None if asked.max_age_ms is None else asked.max_age_ms / 1000
         answer = await self.dispatcher.run(
             RoutedStatement(
@@ -325,6 +333,10 @@
             request_id=name,
         )
         executor = self.dispatcher.executor
+        if self.journal is not None:
+            self.journal.note(
+                name, Step.ROUTE, endpoint=address.endpoint, owner=address.owner
+            )
         try:
             return await self.dispatcher.send_to(
                 VmId(address.owner), step, lambda: executor.run_step(step)
@@ -333,8 +345,15 @@
             if action is not TransactionAction.COMMIT:
                 # Without a COMMIT the endpoint keeps nothing of a transaction.
                 error.outcome = Outcome.NOT_RUN
+            self._note(name, Step.ANSWER, error)
             raise
 
+    def _note(
+        self, name: RequestId, step: Step, error: EbonyladderError | None = None
+    ) -> None:
+        if self.journal is not None:
+            self.journal.note(name, step, error=error)
+
     # Checks.
 
     def _holder(self, key: str, *, is_new_work: bool = True) -> KeyHolder:
--- a/src/ebonyladder/limits.py
+++ b/src/ebonyladder/limits.py
@@ -8,6 +8,7 @@
 
 from ebonyladder.configuration import OrganisationSpec
 from ebonyladder.kernel.clock import Clock
+from ebonyladder.messages import LeaseShare
 from ebonyladder.routing import rendezvous_order
 from ebonyladder.types import OrganisationId, VmId
 
@@ -43,6 +44,10 @@
             RATE_EXCEEDED with ``retry_after_s`` if no token could be had.
         """
 
+    def leases_held(self) -> list[LeaseShare]:
+        """Return the leases that this VM holds, with the tokens in them."""
+        return []
+
 
 class BucketSize(NamedTuple):
     """Rate in tokens a second and capacity in tokens of one bucket."""
--- a/src/ebonyladder/messages.py
+++ b/src/ebonyladder/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from ebonyladder.journal import JournalEntry
 from ebonyladder.types import (
     Address,
     ConfigurationVersion,
@@ -404,5 +405,51 @@
     ended: bool
 
 
+class LeaseShare(msgspec.Struct, frozen=True, kw_only=True):
+    """Limit lease that a VM holds and the tokens in it.
+
+    Attributes
+    ----------
+    lease : str
+        Key of the lease in the store.
+    left_s : float
+        Seconds until it ends unless it is renewed.
+    tokens : dict of OrganisationId to float
+        Tokens that can be granted now.
+    """
+
+    lease: str
+    left_s: float
+    tokens: dict[OrganisationId, float]
+
+
+class LocalRequest(Message, tag="local-request"):
+    """Ask a VM what it holds, or for its journal of one request."""
+
+    request_id: str = ""
+
+
+class LocalReport(Message, tag="local-report"):
+    """What a VM holds.
+
+    Attributes
+    ----------
+    transactions, sockets : dict of OrganisationId to int
+        Open transactions that it owns and WebSockets of its callers.
+    leases : list of LeaseShare
+        Limit leases with tokens of at least one organisation.
+    used_slots : dict of GroupId to float
+        Slots in use or waited for at the endpoints that it owns.
+    entries : list of JournalEntry
+        Journal of the request that was asked for.
+    """
+
+    transactions: dict[OrganisationId, int] = {}
+    sockets: dict[OrganisationId, int] = {}
+    leases: list[LeaseShare] = []
+    used_slots: dict[GroupId, float] = {}
+    entries: list[JournalEntry] = []
+
+
 class Done(Message, tag="done"):
     """Plain confirmation."""
--- a/src/ebonyladder/operator.py
+++ b/src/ebonyladder/operator.py
@@ -10,7 +10,7 @@
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.kernel.error import ConfigurationError, ErrorCode
 from ebonyladder.kernel.step import Step
-from ebonyladder.types import ConfigurationVersion, GroupId, VmId
+from ebonyladder.types import ConfigurationVersion, GroupId, OrganisationId, VmId
 
 # A view takes the query's arguments and returns data that JSON can carry.
 View: TypeAlias = Callable[[Mapping[str, str]], Awaitable[Any]]
@@ -36,6 +36,14 @@
         """Return the slots in use over all VMs, by group."""
 
 
+class CallerConnections(ABC):
+    """Connections that callers hold open to this VM."""
+
+    @abstractmethod
+    def connections(self) -> dict[OrganisationId, int]:
+        """Return the number of open WebSockets by organisation."""
+
+
 class ConfirmationReport(msgspec.Struct, frozen=True, kw_only=True):
     """VMs that have a version in force, and those that did not say so."""
 
--- a/src/ebonyladder/plugins/caller_front.py
+++ b/src/ebonyladder/plugins/caller_front.py
@@ -22,6 +22,7 @@
     CallerTransaction,
     Gateway,
 )
+from ebonyladder.journal import RequestJournal
 from ebonyladder.kernel.error import EbonyladderError, ErrorCode, RequestError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
@@ -32,11 +33,12 @@
 from ebonyladder.membership import Membership
 from ebonyladder.messages import TransactionAction
 from ebonyladder.metrics import Metrics
+from ebonyladder.operator import CallerConnections
 from ebonyladder.peer import PeerLinks
 from ebonyladder.settings import split_address
 from ebonyladder.status import StatusObserver, StatusRoutes
 from ebonyladder.token import TokenSealer
-from ebonyladder.types import KeyDigest, RequestId, ServiceId
+from ebonyladder.types import KeyDigest, OrganisationId, RequestId, ServiceId
 
 BODY_LIMIT_BYTES = 1_048_576
 BODY_TIMEOUT_S = 10.0
@@ -99,10 +101,11 @@
 
 
 @register
-class CallerFront(Plugin):
+class CallerFront(Plugin, CallerConnections):
     """Serve callers; one task of aiohttp for each connection."""
 
     name: ClassVar[str] = "caller-front"
+    provides: ClassVar[tuple[type, ...]] = (CallerConnections,)
     requires: ClassVar[tuple[type, ...]] = (
         StatementExecutor,
         PeerLinks,
@@ -113,6 +116,7 @@
         StatusObserver,
         StatusRoutes,
         Metrics,
+        RequestJournal,
     )
 
     def __init__(self, *, kernel: Kernel) -> None:
@@ -153,6 +157,7 @@
             configuration=configuration,
             clock=self.kernel.clock,
             source=random.Random(),
+            journal=get(RequestJournal),
         )
         return Gateway(
             keys=get(KeyRing),
@@ -163,6 +168,7 @@
             sealer=TokenSealer(secrets=[secret]),
             dispatcher=dispatcher,
             clock=self.kernel.clock,
+            journal=get(RequestJournal),
             duty=VmDuty(
                 vm=settings.vm,
                 zone=settings.zone,
@@ -171,6 +177,16 @@
             ),
         )
 
+    def connections(self) -> dict[OrganisationId, int]:
+        """Return the number of open WebSockets by organisation."""
+        found: dict[OrganisationId, int] = {}
+        for digest, sockets in self.sockets.items():
+            owners = self.kernel.get(ConfigurationSource).current.organisations
+            for name, spec in owners.items():
+                if sockets and digest in spec.key_digests:
+                    found[name] = found.get(name, 0) + len(sockets)
+        return found
+
     async def drain(self) -> None:
         """Refuse new work and wait for the requests under way."""
         self.gateway.is_draining = True
--- a/src/ebonyladder/plugins/endpoint_links.py
+++ b/src/ebonyladder/plugins/endpoint_links.py
@@ -1,6 +1,7 @@
 """Run statements at the endpoints that this VM owns."""
 
 import asyncio
+from collections import Counter
 from typing import ClassVar, cast
 
 from absl import logging
@@ -14,7 +15,8 @@
 from ebonyladder.execution import StatementExecutor
 from ebonyladder.gate import WriteAdmission
 from ebonyladder.group import GroupView, GroupWatch
-from ebonyladder.kernel.error import EndpointError, ErrorCode
+from ebonyladder.journal import RequestJournal
+from ebonyladder.kernel.error import EbonyladderError, EndpointError, ErrorCode
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.registry import register
@@ -28,14 +30,21 @@
     GroupStateAnswer,
     GroupStateRequest,
     Message,
+    TransactionAction,
     TransactionStep,
 )
 from ebonyladder.ownership import Ownership
 from ebonyladder.peer import PeerIdentity, PeerLinks
-from ebonyladder.types import EndpointId, GroupId, RequestKind
+from ebonyladder.types import EndpointId, GroupId, OrganisationId, RequestKind
 
 # A report stream sends at least ten reports a second.
 REACHABLE_S = 0.5
+STEPS = {
+    TransactionAction.BEGIN: Step.BEGIN,
+    TransactionAction.EXECUTE: Step.EXECUTE,
+    TransactionAction.COMMIT: Step.COMMIT,
+    TransactionAction.ROLLBACK: Step.ROLLBACK,
+}
 
 
 @register
@@ -52,6 +61,7 @@
         ConfigurationSource,
         KeyRing,
         WriteAdmission,
+        RequestJournal,
     )
 
     def __init__(self, *, kernel: Kernel) -> None:
@@ -82,6 +92,7 @@
             admission=get(WriteAdmission),
         )
         self.transactions = TransactionRunner(context=self.context)
+        self.journal = get(RequestJournal)
         peers = get(PeerLinks)
         peers.handle(Forward, self._answer_forward)
         peers.handle(TransactionStep, self._answer_step)
@@ -141,14 +152,48 @@
             lag_s=view.age_s(name, now_s),
         )
 
+    def open_transactions(self) -> dict[OrganisationId, int]:
+        """Return the number of open transactions by organisation."""
+        return Counter(t.organisation for t in self.transactions.table.open.values())
+
+    def used_slots(self) -> dict[GroupId, float]:
+        """Return the slots in use or waited for here, by group."""
+        used: dict[GroupId, float] = {}
+        for name, owned in self.owned.endpoints.items():
+            group = self.configuration.current.group_of_endpoint(name)
+            if group is not None:
+                load = owned.queue.running + owned.queue.waiting
+                used[group] = used.get(group, 0.0) + load
+        return used
+
     # Statements.
 
     async def run_step(self, step: TransactionStep) -> ForwardAnswer:
         """Run one step of an interactive transaction."""
-        return await self.transactions.run(step)
+        name, at = step.request_id, step.endpoint
+        try:
+            answer = await self.transactions.run(step)
+        except EbonyladderError as error:
+            self.journal.note(name, Step.EXECUTE, endpoint=at, error=error)
+            raise
+        self.journal.note(name, STEPS[step.action], endpoint=at)
+        return answer
 
     async def run(self, forward: Forward) -> ForwardAnswer:
         """Run one statement at an owned endpoint."""
+        name, at = forward.request_id, forward.endpoint
+        attempt = forward.attempt
+        try:
+            answer = await self._run(forward)
+        except EbonyladderError as error:
+            self.journal.note(
+                name, Step.QUEUE, endpoint=at, attempt=attempt, error=error
+            )
+            raise
+        self.journal.note(name, Step.CONFIRM, endpoint=at, attempt=attempt)
+        return answer
+
+    async def _run(self, forward: Forward) -> ForwardAnswer:
         context = self.context
         deadline_s = context.clock.now_s() + forward.deadline_left_s
         context.require_not_draining()
@@ -195,6 +240,12 @@
             try:
                 context.require_key(forward.key_digest, Step.EXECUTE)
                 answer = await self._execute(connection, forward, deadline_s)
+                self.journal.note(
+                    forward.request_id,
+                    Step.EXECUTE,
+                    endpoint=forward.endpoint,
+                    attempt=forward.attempt,
+                )
             finally:
                 owned.pool.release(connection)
         await context.confirmer(view).confirm(
--- a/src/ebonyladder/plugins/limits.py
+++ b/src/ebonyladder/plugins/limits.py
@@ -27,7 +27,7 @@
     shard_of,
 )
 from ebonyladder.membership import Membership
-from ebonyladder.messages import Grant, GrantRequest, Message
+from ebonyladder.messages import Grant, GrantRequest, LeaseShare, Message
 from ebonyladder.peer import PeerIdentity, PeerLinks
 from ebonyladder.store import PlatformStore
 from ebonyladder.types import OrganisationId, VmId
@@ -121,6 +121,23 @@
             queue.drop_ended()
             raise queue.refusal() from None
 
+    def leases_held(self) -> list[LeaseShare]:
+        """Return the valid leases of shards that have organisations."""
+        now_s = self.clock.now_s()
+        return [
+            LeaseShare(
+                lease=name.key,
+                left_s=round(holding.lease.end_s - now_s, 1),
+                tokens={
+                    organisation: round(bucket.available(), 2)
+                    for organisation, bucket in holding.buckets.items()
+                },
+            )
+            for holdings in self.holdings.held.values()
+            for name, holding in holdings.items()
+            if holding.buckets and holding.lease.is_valid()
+        ]
+
     def _take_local(self, organisation: OrganisationId) -> bool:
         """Take a token without asking anybody, where this VM has the main lease."""
         if not self.holdings.holds_main(shard_of(organisation)):
--- a/src/ebonyladder/plugins/operator_front.py
+++ b/src/ebonyladder/plugins/operator_front.py
@@ -4,6 +4,7 @@
 import hmac
 import ssl
 from collections.abc import Awaitable, Callable
+from time import monotonic
 from typing import Any, TypeVar
 
 import msgspec
@@ -23,6 +24,7 @@
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.registry import register
 from ebonyladder.kernel.step import Step
+from ebonyladder.metrics import Metrics
 from ebonyladder.operator import (
     Confirmation,
     GroupUsage,
@@ -39,7 +41,13 @@
     submit,
     submit_edit,
 )
-from ebonyladder.types import GroupId, KeyDigest, SubmissionId
+from ebonyladder.types import (
+    ConfigurationVersion,
+    GroupId,
+    KeyDigest,
+    SubmissionId,
+    VmId,
+)
 
 T = TypeVar("T")
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -50,6 +58,9 @@
 CONFIRM_WAIT_S = 5.0
 CONFIRM_WAIT_LIMIT_S = 60.0
 STOP_WAIT_S = 5.0
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+# Evidence of 3 s plus the time for it to be noticed; see the freshness limit.
+STALE_STOP_S = 5.0
 
 
 class TextBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -77,6 +88,24 @@
     wait_s: float = CONFIRM_WAIT_S
 
 
+class Settled(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of an accepted change.
+
+    Attributes
+    ----------
+    is_in_force : bool
+        True if most relay roots have it, so that no VM works without it for
+        longer than ``unconfirmed_stop_after_s`` seconds.
+    confirmed, unconfirmed : list of VmId
+        VMs that have it, and those that did not say so.
+    """
+
+    is_in_force: bool
+    confirmed: list[VmId]
+    unconfirmed: list[VmId]
+    unconfirmed_stop_after_s: float
+
+
 @register
 class OperatorFront(Plugin, OperatorView):
     """Serve the operators' API on its own address."""
@@ -130,6 +159,7 @@
         app.router.add_post("/v1/configuration/diff", self._diff)
         app.router.add_post("/v1/configuration/edits", self._edit)
         app.router.add_get("/v1/views/{name}", self._view)
+        app.router.add_get("/metrics", self._metrics)
         return app
 
     @web.middleware
@@ -211,7 +241,7 @@
             body.force,
         )
         wait_s = min(max(body.wait_s, 0.0), CONFIRM_WAIT_LIMIT_S)
-        report = await self._confirmation().confirm(accepted.version, wait_s)
+        report = await settled(self._confirmation(), accepted.version, wait_s)
         return web.json_response(
             {**msgspec.to_builtins(accepted), **msgspec.to_builtins(report)}
         )
@@ -229,6 +259,16 @@
             )
         return self.local
 
+    async def _metrics(self, _request: web.Request) -> web.Response:
+        metrics = self.kernel.providers.get(Metrics)
+        if not isinstance(metrics, Metrics):
+            raise RequestError(
+                code=ErrorCode.NOT_FOUND, step=Step.ROUTE, message="no metrics here"
+            )
+        return web.Response(
+            body=metrics.render(), headers={"Content-Type": METRICS_TYPE}
+        )
+
     async def _view(self, request: web.Request) -> web.Response:
         name = request.match_info["name"]
         view = self.views.get(name)
@@ -242,6 +282,31 @@
         return web.json_response({"view": name, "data": data})
 
 
+async def settled(
+    confirmation: Confirmation, version: ConfigurationVersion, wait_s: float
+) -> Settled:
+    """Wait for most relay roots, then for all VMs, ``wait_s`` seconds in all.
+
+    Without most roots the change may yet be unknown to VMs that work during a
+    store outage, so it must not be reported as in force.
+    """
+    started_s = monotonic()
+    is_in_force = True
+    try:
+        await confirmation.require_roots(version, wait_s)
+    except ConfigurationError as error:
+        logging.warning("[operator] Not in force yet. error=%s", error)
+        is_in_force = False
+    left_s = max(0.0, wait_s - (monotonic() - started_s))
+    report = await confirmation.confirm(version, left_s)
+    return Settled(
+        confirmed=report.confirmed,
+        unconfirmed=report.unconfirmed,
+        is_in_force=is_in_force,
+        unconfirmed_stop_after_s=STALE_STOP_S,
+    )
+
+
 def is_operator_key(key: str, known: tuple[KeyDigest, ...]) -> bool:
     """Tell whether the key's digest is known, in time that tells nothing."""
     digest = hashlib.sha256(key.encode(errors="surrogatepass")).hexdigest()
--- /dev/null
+++ b/src/ebonyladder/plugins/operator_views.py
@@ -0,0 +1,239 @@
+"""Plug-in with the views that operators may ask for."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Mapping
+
+import msgspec
+
+from ebonyladder._fleet_view import FleetAnswers, FleetView
+from ebonyladder.configuration import ConfigurationSource
+from ebonyladder.execution import StatementExecutor
+from ebonyladder.journal import JournalEntry, RequestJournal, entry_vm_of
+from ebonyladder.kernel.error import EbonyladderError, ErrorCode, RequestError
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.registry import register
+from ebonyladder.kernel.step import Step
+from ebonyladder.limits import RateLimits
+from ebonyladder.membership import Membership
+from ebonyladder.messages import (
+    GroupStateAnswer,
+    GroupStateRequest,
+    LocalReport,
+    LocalRequest,
+    Message,
+)
+from ebonyladder.operator import CallerConnections, GroupUsage, OperatorView
+from ebonyladder.ownership import Ownership
+from ebonyladder.peer import PeerIdentity, PeerLinks
+from ebonyladder.types import EndpointId, GroupId, OrganisationId, VmId
+
+STATE_TIMEOUT_S = 1.0
+SESSIONS_NOTE = (
+    "sessions are kept in the callers' signed tokens, not on VMs; shown are open "
+    "transactions and WebSocket connections"
+)
+
+
+class SessionsRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Work that one organisation holds open on one VM."""
+
+    vm: VmId
+    organisation: OrganisationId
+    transactions: int
+    sockets: int
+
+
+class PrimaryRow(msgspec.Struct, frozen=True, kw_only=True):
+    """State of one group.
+
+    Attributes
+    ----------
+    lag_s : dict of EndpointId to float
+        Greatest age of each endpoint's data in seconds; -1 where it is unknown.
+    """
+
+    group: GroupId
+    primary: EndpointId | None
+    term: int
+    lag_s: dict[EndpointId, float]
+    reported_by: VmId | None
+
+
+@register
+class OperatorViews(Plugin, GroupUsage):
+    """Gather views over peer links, so that any VM can show them."""
+
+    name = "operator-views"
+    provides = (GroupUsage,)
+    requires = (
+        OperatorView,
+        Membership,
+        PeerLinks,
+        ConfigurationSource,
+        StatementExecutor,
+        RateLimits,
+        RequestJournal,
+    )
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.vm = kernel.settings.vm
+
+    async def start(self) -> None:
+        """Add the views and answer other VMs."""
+        get = self.kernel.get
+        self.membership = get(Membership)
+        self.peers = get(PeerLinks)
+        self.configuration = get(ConfigurationSource)
+        self.executor = get(StatementExecutor)
+        self.limits = get(RateLimits)
+        self.journal = get(RequestJournal)
+        self.ownership = Ownership(
+            vm=self.vm,
+            membership=self.membership,
+            configuration=self.configuration,
+            clock=self.kernel.clock,
+        )
+        self.fleet = FleetView(vm=self.vm, peers=self.peers, membership=self.membership)
+        self.peers.handle(LocalRequest, self._answer_local)
+        front = get(OperatorView)
+        front.add_view("members", self._members)
+        front.add_view("sessions", self._sessions)
+        front.add_view("shares", self._shares)
+        front.add_view("primaries", self._primaries)
+        front.add_view("explain", self._explain)
+
+    # What this VM holds.
+
+    async def _answer_local(self, _peer: PeerIdentity, message: Message) -> Message:
+        assert isinstance(message, LocalRequest)
+        return self.local_report(message.request_id)
+
+    def local_report(self, request_id: str = "") -> LocalReport:
+        """Return what this VM holds, or its journal of one request."""
+        if request_id:
+            return LocalReport(entries=self.journal.entries(request_id))
+        # Callers' fronts are optional: a test or a third party may run none.
+        front = self.kernel.providers.get(CallerConnections)
+        connections = front.connections() if front is not None else {}
+        return LocalReport(
+            transactions=self.executor.open_transactions(),
+            sockets=connections,
+            leases=self.limits.leases_held(),
+            used_slots=self.executor.used_slots(),
+        )
+
+    async def _ask_all(self) -> FleetAnswers:
+        return await self.fleet.ask(self.local_report())
+
+    # Views.
+
+    async def _members(self, _query: Mapping[str, str]) -> dict:
+        return {"seen_by": self.vm, "members": self.membership.members()}
+
+    async def _sessions(self, _query: Mapping[str, str]) -> dict:
+        answers = await self._ask_all()
+        rows = [
+            SessionsRow(
+                vm=vm,
+                organisation=organisation,
+                transactions=report.transactions.get(organisation, 0),
+                sockets=report.sockets.get(organisation, 0),
+            )
+            for vm, report in sorted(answers.reports.items())
+            for organisation in sorted(report.transactions.keys() | report.sockets)
+        ]
+        return {"note": SESSIONS_NOTE, "open": rows, "missing": answers.missing}
+
+    async def _shares(self, _query: Mapping[str, str]) -> dict:
+        answers = await self._ask_all()
+        leases = {vm: report.leases for vm, report in sorted(answers.reports.items())}
+        return {"leases": leases, "missing": answers.missing}
+
+    async def _primaries(self, _query: Mapping[str, str]) -> dict:
+        groups = sorted(self.configuration.current.groups)
+        rows = await asyncio.gather(*(self._primary(group) for group in groups))
+        return {"groups": rows}
+
+    async def _primary(self, group: GroupId) -> PrimaryRow:
+        for watcher in self.ownership.watchers_of(group):
+            try:
+                state = await self._group_state(watcher, group)
+            except EbonyladderError:
+                continue
+            return PrimaryRow(
+                group=group,
+                primary=state.primary,
+                term=state.term,
+                lag_s={
+                    summary.endpoint: _finite(summary.lag_s)
+                    for summary in state.endpoints
+                },
+                reported_by=watcher,
+            )
+        return PrimaryRow(group=group, primary=None, term=0, lag_s={}, reported_by=None)
+
+    async def _group_state(self, watcher: VmId, group: GroupId) -> GroupStateAnswer:
+        if watcher == self.vm:
+            return await self.executor.group_state(group, wait_s=0.0)
+        request = GroupStateRequest(group=group)
+        answer = await self.peers.call(watcher, request, timeout_s=STATE_TIMEOUT_S)
+        assert isinstance(answer, GroupStateAnswer)
+        return answer
+
+    async def _explain(self, query: Mapping[str, str]) -> dict:
+        """Gather a request's entries from its entry VM and the owners it names."""
+        request_id = query.get("request_id", "")
+        entry_vm = entry_vm_of(request_id)
+        if not entry_vm:
+            raise RequestError(
+                code=ErrorCode.NOT_FOUND,
+                step=Step.ROUTE,
+                message=f"{request_id!r} is no request id of this deployment",
+            )
+        found: dict[VmId, list[JournalEntry]] = {}
+        missing: list[VmId] = []
+        wanted = [entry_vm]
+        while wanted:
+            vm = wanted.pop()
+            entries = await self._entries(vm, request_id)
+            if entries is None:
+                missing.append(vm)
+                continue
+            found[vm] = entries
+            named = {VmId(entry.owner) for entry in entries if entry.owner}
+            wanted = sorted({*wanted, *named} - found.keys() - {*missing})
+        entries = sorted(
+            (entry for each in found.values() for entry in each),
+            key=lambda entry: entry.wall_s,
+        )
+        if not entries and not missing:
+            raise RequestError(
+                code=ErrorCode.NOT_FOUND,
+                step=Step.ROUTE,
+                peer=entry_vm,
+                message=f"{entry_vm} keeps no entry of {request_id}; it may be too old",
+            )
+        return {"request_id": request_id, "entries": entries, "missing": missing}
+
+    async def _entries(self, vm: VmId, request_id: str) -> list[JournalEntry] | None:
+        if vm == self.vm:
+            return self.journal.entries(request_id)
+        report = await self.fleet.ask_vm(vm, LocalRequest(request_id=request_id))
+        return None if report is None else report.entries
+
+    # Use of slots.
+
+    async def used_slots(self) -> dict[GroupId, float]:
+        """Return the slots in use now over the VMs that answer, by group."""
+        used: dict[GroupId, float] = defaultdict(float)
+        for report in (await self._ask_all()).reports.values():
+            for group, slots in report.used_slots.items():
+                used[group] += slots
+        return dict(used)
+
+
+def _finite(lag_s: float) -> float:
+    return round(lag_s, 3) if lag_s != float("inf") else -1.0
