--- a/src/ebonyladder/plugins/caller_front.py
+++ b/src/ebonyladder/plugins/caller_front.py
@@ -30,6 +30,7 @@
 from ebonyladder.duty import VmDuty
 from ebonyladder.execution import StatementExecutor
 from ebonyladder.gateway import Gateway
+from ebonyladder.journal import RequestJournal
 from ebonyladder.kernel.error import EbonyladderError, ErrorCode, RequestError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
@@ -40,11 +41,12 @@
 from ebonyladder.membership import Membership
 from ebonyladder.messages import TransactionAction
 from ebonyladder.metrics import Metrics
+from ebonyladder.operator import CallerConnections
 from ebonyladder.peer import PeerLinks
 from ebonyladder.settings import split_address
 from ebonyladder.status import StatusObserver, StatusRoutes
 from ebonyladder.token import TokenSealer
-from ebonyladder.types import KeyDigest, RequestId, ServiceId
+from ebonyladder.types import KeyDigest, OrganisationId, RequestId, ServiceId
 
 BODY_LIMIT_BYTES = 1_048_576
 BODY_TIMEOUT_S = 10.0
@@ -71,10 +73,11 @@
 
 
 @register
-class CallerFront(Plugin):
+class CallerFront(Plugin, CallerConnections):
     """Serve callers; one task of aiohttp for each connection."""
 
     name: ClassVar[str] = "caller-front"
+    provides: ClassVar[tuple[type, ...]] = (CallerConnections,)
     requires: ClassVar[tuple[type, ...]] = (
         StatementExecutor,
         PeerLinks,
@@ -85,6 +88,7 @@
         StatusObserver,
         StatusRoutes,
         Metrics,
+        RequestJournal,
     )
 
     def __init__(self, *, kernel: Kernel) -> None:
@@ -146,6 +150,7 @@
             configuration=configuration,
             clock=self.kernel.clock,
             source=random.Random(),
+            journal=get(RequestJournal),
         )
         return Gateway(
             keys=get(KeyRing),
@@ -156,6 +161,7 @@
             sealer=TokenSealer(secrets=[secret]),
             dispatcher=dispatcher,
             clock=self.kernel.clock,
+            journal=get(RequestJournal),
             duty=VmDuty(
                 vm=settings.vm,
                 zone=settings.zone,
@@ -164,6 +170,16 @@
             ),
         )
 
+    def open_sockets(self) -> dict[OrganisationId, int]:
+        """Return the number of open WebSockets by organisation."""
+        found: dict[OrganisationId, int] = {}
+        for digest, sockets in self.sockets.items():
+            owners = self.kernel.get(ConfigurationSource).current.organisations
+            for name, spec in owners.items():
+                if sockets and digest in spec.key_digests:
+                    found[name] = found.get(name, 0) + len(sockets)
+        return found
+
     async def drain(self) -> None:
         """Refuse new work and wait for the requests under way."""
         self.gateway.is_draining = True
--- a/tests/front_vms.py
+++ b/tests/front_vms.py
@@ -16,6 +16,7 @@
 )
 from ebonyladder.dedup import DuplicateTable
 from ebonyladder.execution import StatementExecutor
+from ebonyladder.journal import MemoryJournal, RequestJournal
 from ebonyladder.kernel.error import ErrorCode, RequestError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.registry import Registry
@@ -194,6 +195,7 @@
             Membership: members,
             StatementExecutor: self.executor,
             ConfigurationSource: FixedConfiguration(CONFIGURATION),
+            RequestJournal: MemoryJournal(vm=name, clock=self.kernel.clock),
             **{interface: self.stub for interface in provided},
         }
         self.delivered: asyncio.Queue[Forward | TransactionStep] = asyncio.Queue()
