Keep the bound for every burst of 1 and more, in outages too

Cause: a token may be used up to 0.1 s after it was granted, so the bound of a window was strict only for burst >= 1 + 0.1 x rate; and reserves with 40% of less than 2.5 tokens never completed a whole token in an outage. Ruled out: a shorter validity for small bursts. It has to be near zero for burst 1, and anything below about 80 ms refuses callers of other regions (two round trips of 40 ms) where the tokens have to be collected. Change: the capacity is at least 4/3 tokens; where that is more than burst - 0.1 x rate, the rate is lowered so that the first admission above the burst cannot come too early. Small capacities move from the main lease to the reserves, of which six hold a whole token. The collector knows how many reserves each VM holds, asks for whole tokens only and counts what it left; the time to wait counts the reserves' tokens. An organisation with a burst below 4/3 + 0.1 x rate gets less than its rate: the price of the strict bound.

--- a/src/ebonyladder/_collector.py
+++ b/src/ebonyladder/_collector.py
@@ -10,11 +10,11 @@
 from ebonyladder.kernel.error import PeerError
 from ebonyladder.limits import (
     GRANT_VOID_S,
-    RESERVE_SHARE,
     RESERVES,
     TOKEN_TOLERANCE,
-    fleet_capacity,
+    fleet_size,
     reserve_order,
+    reserve_part,
     shard_of,
 )
 from ebonyladder.messages import Grant, GrantRequest
@@ -67,6 +67,8 @@
         self.round_s: dict[OrganisationId, float] = {}
         self.rounds: dict[OrganisationId, asyncio.Future[None]] = {}
         self.skipped_s: dict[tuple[int, VmId], float] = {}
+        self.reserves: dict[tuple[int, VmId], int] = {}
+        self.left: dict[OrganisationId, float] = {}
 
     def available(self, organisation: OrganisationId) -> float:
         """Return the collected tokens that are not void."""
@@ -91,15 +93,32 @@
             asked_s = entry.asked_s if asked_s is None else min(asked_s, entry.asked_s)
         return Taken(tokens=taken, asked_s=asked_s)
 
+    def accrued(self, organisation: OrganisationId, spec: OrganisationSpec) -> float:
+        """Estimate the tokens that the other reserve holders have now."""
+        since_s = self.clock.now_s() - self.round_s.get(organisation, float("-inf"))
+        fleet = fleet_size(spec)
+        share = reserve_part(fleet.capacity) / RESERVES
+        share *= self._known_reserves(shard_of(organisation))
+        added = since_s * fleet.rate_per_s * share
+        return min(fleet.capacity * share, self.left.get(organisation, 0.0) + added)
+
     def expected(self, organisation: OrganisationId, spec: OrganisationSpec) -> float:
-        """Estimate the tokens that the reserve holders have now."""
-        share = RESERVE_SHARE * RESERVES
+        """Return the tokens that a round begun now can bring."""
         since_s = self.clock.now_s() - self.round_s.get(organisation, float("-inf"))
-        if since_s < COLLECT_INTERVAL_S:
-            return 0.0
-        return min(fleet_capacity(spec), since_s * spec.rate_per_s) * share
+        return self.accrued(organisation, spec) if since_s >= COLLECT_INTERVAL_S else 0
+
+    def _known_reserves(self, shard: int) -> int:
+        """Return the reserves of the VMs that would be asked; all if none is known.
 
-    async def collect(self, organisation: OrganisationId, missing: float) -> None:
+        Counting dead ones would start rounds that complete no token, and the
+        fractions they bring are void before the next round.
+        """
+        known = sum(self.reserves.get((shard, vm), 0) for vm in self._candidates(shard))
+        return known or RESERVES
+
+    async def collect(
+        self, organisation: OrganisationId, missing: float, *, expected: float
+    ) -> None:
         """Run one round, or wait for the one that is under way."""
         under_way = self.rounds.get(organisation)
         if under_way is not None:
@@ -108,6 +127,7 @@
         done = asyncio.get_running_loop().create_future()
         self.rounds[organisation] = done
         self.round_s[organisation] = self.clock.now_s()
+        self.left[organisation] = max(0.0, expected - missing)
         try:
             await self._run_round(organisation, missing)
         finally:
@@ -117,11 +137,19 @@
     async def _run_round(self, organisation: OrganisationId, missing: float) -> None:
         holders = self._candidates(shard_of(organisation))
         if holders:
-            wanted = missing / min(len(holders), RESERVES)
+            parts = self._parts(shard_of(organisation), holders)
             await asyncio.gather(
-                *(self._ask(vm, organisation, wanted) for vm in holders)
+                *(self._ask(vm, organisation, missing * parts[vm]) for vm in holders)
             )
 
+    def _parts(self, shard: int, holders: list[VmId]) -> dict[VmId, float]:
+        """Return the part to ask of each VM, by the reserves that it holds."""
+        known = {vm: self.reserves.get((shard, vm)) for vm in holders}
+        if None in known.values():
+            return dict.fromkeys(holders, 1 / min(len(holders), RESERVES))
+        total = sum(known.values()) or 1
+        return {vm: count / total for vm, count in known.items()}
+
     def _candidates(self, shard: int) -> list[VmId]:
         now_s = self.clock.now_s()
         return [
@@ -140,6 +168,7 @@
             self.skipped_s[(shard, vm)] = asked_s + SKIP_S
             self.suspect(vm)
             return
+        self.reserves[(shard, vm)] = grant.reserves if isinstance(grant, Grant) else 0
         if not isinstance(grant, Grant) or grant.holder != vm:
             self.skipped_s[(shard, vm)] = asked_s + SKIP_S
         elif grant.granted > TOKEN_TOLERANCE:
--- a/src/ebonyladder/_holdings.py
+++ b/src/ebonyladder/_holdings.py
@@ -21,7 +21,7 @@
         for gone in self.buckets.keys() - specs.keys():
             del self.buckets[gone]
         for organisation, spec in specs.items():
-            size = bucket_size(spec, self.name.share)
+            size = bucket_size(spec, self.name)
             bucket = self.buckets.get(organisation)
             if bucket is None:
                 bucket = TokenBucket(size=size, clock=self.clock)
--- a/src/ebonyladder/limits.py
+++ b/src/ebonyladder/limits.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
+from math import floor
 from typing import NamedTuple
 
 import xxhash
@@ -13,7 +14,6 @@
 
 SHARDS = 64
 RESERVES = 8
-MAIN_SHARE = 0.6
 RESERVE_SHARE = 0.05
 MAIN_DURATION_S = 6.0
 MAIN_RENEWAL_S = 2.0
@@ -26,6 +26,9 @@
 RESERVE_RETRY_S = 30.0
 # A grant that arrives later than this after it was asked for is not used.
 GRANT_VOID_S = 0.1
+# Six of the eight reserve leases of a shard then hold one whole token, so that an
+# outage of the store and two dead VMs stop no organisation.
+LEAST_CAPACITY = 4 / 3
 # Sums of fractional tokens are compared with this tolerance.
 TOKEN_TOLERANCE = 1e-6
 
@@ -107,11 +110,6 @@
         """Tell whether this is the main lease."""
         return self.reserve is None
 
-    @property
-    def share(self) -> float:
-        """Part of rate and burst that the lease carries."""
-        return MAIN_SHARE if self.is_main else RESERVE_SHARE
-
     @property
     def duration_s(self) -> float:
         """Seconds for which one write holds the lease."""
@@ -133,19 +131,40 @@
     return xxhash.xxh3_64_intdigest(organisation.encode()) % SHARDS
 
 
-def fleet_capacity(spec: OrganisationSpec) -> float:
-    """Return the capacity of all buckets of an organisation together.
+def fleet_size(spec: OrganisationSpec) -> BucketSize:
+    """Return the rate and capacity of all buckets of an organisation together.
 
     A granted token may be used up to ``GRANT_VOID_S`` later, so a window of
-    w seconds can contain the tokens of w + ``GRANT_VOID_S`` seconds. One whole
-    token is the least with which a request can be admitted at all.
+    w seconds can contain floor(rate x (w + ``GRANT_VOID_S``) + capacity)
+    admissions. The capacity is lowered so that this is never more than the
+    organisation's rate x w + burst. Where ``LEAST_CAPACITY`` does not allow
+    that, the rate is lowered too: the first number of admissions above the
+    burst is then the one that comes too early, if any does.
+    """
+    lowered = spec.burst - spec.rate_per_s * GRANT_VOID_S
+    if lowered >= LEAST_CAPACITY:
+        return BucketSize(spec.rate_per_s, lowered)
+    above = floor(spec.burst) + 1
+    earliest_s = GRANT_VOID_S + (above - spec.burst) / spec.rate_per_s
+    rate_per_s = (above - LEAST_CAPACITY) / earliest_s
+    return BucketSize(min(spec.rate_per_s, rate_per_s), LEAST_CAPACITY)
+
+
+def reserve_part(capacity: float) -> float:
+    """Return the part of rate and capacity that all reserve leases carry.
+
+    Small capacities are moved to the reserves, which could not complete a whole
+    token otherwise.
     """
-    return max(spec.burst - spec.rate_per_s * GRANT_VOID_S, 1.0)
+    return min(1.0, max(RESERVE_SHARE * RESERVES, LEAST_CAPACITY / capacity))
 
 
-def bucket_size(spec: OrganisationSpec, share: float) -> BucketSize:
-    """Return the size of the bucket of one lease."""
-    return BucketSize(spec.rate_per_s * share, fleet_capacity(spec) * share)
+def bucket_size(spec: OrganisationSpec, name: LeaseName) -> BucketSize:
+    """Return the size of the organisation's bucket of one lease."""
+    fleet = fleet_size(spec)
+    reserves = reserve_part(fleet.capacity)
+    part = 1.0 - reserves if name.is_main else reserves / RESERVES
+    return BucketSize(fleet.rate_per_s * part, fleet.capacity * part)
 
 
 def main_order(shard: int, vms: Iterable[VmId]) -> list[VmId]:
--- a/src/ebonyladder/messages.py
+++ b/src/ebonyladder/messages.py
@@ -241,12 +241,15 @@
     valid_s : float, optional
         Seconds after the request was sent at which the grant is void, where
         that is sooner than usual.
+    reserves : int
+        Reserve leases of the organisation that the sender holds.
     """
 
     granted: float
     retry_after_s: float = 0.0
     holder: VmId | None = None
     valid_s: float | None = None
+    reserves: int = 0
 
 
 class MinuteCounts(
--- a/src/ebonyladder/plugins/limits.py
+++ b/src/ebonyladder/plugins/limits.py
@@ -19,12 +19,11 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.limits import (
     GRANT_VOID_S,
-    MAIN_SHARE,
-    RESERVE_SHARE,
-    RESERVES,
     TOKEN_TOLERANCE,
     RateLimits,
+    fleet_size,
     main_order,
+    reserve_part,
     shard_of,
 )
 from ebonyladder.membership import Membership
@@ -109,7 +108,7 @@
         if queue is None:
             queue = AdmissionQueue(organisation=organisation, clock=self.clock)
             self.queues[organisation] = queue
-        queue.rate_per_s = spec.rate_per_s
+        queue.rate_per_s = fleet_size(spec).rate_per_s
         if not queue.waiters and self._take_local(organisation):
             return
         waiter = queue.add(wait_s=max(wait_s, GRANT_VOID_S))
@@ -248,7 +247,11 @@
         granted = 0.0
         for bucket in buckets:
             granted += bucket.take(request.wanted - granted)
-        return Grant(granted=granted, holder=self.vm if buckets else None)
+        return Grant(
+            granted=granted,
+            holder=self.vm if buckets else None,
+            reserves=len(buckets),
+        )
 
     async def _collect(
         self,
@@ -259,12 +262,12 @@
     ) -> None:
         """Collect reserve tokens where they complete at least one more token."""
         available = self._available(organisation)
-        next_whole = max(floor(available + TOKEN_TOLERANCE), ahead) + 1
         expected = self.collector.expected(organisation, spec)
-        missing = ahead + wanted - available
-        enough = available + expected + TOKEN_TOLERANCE >= next_whole
-        if missing > TOKEN_TOLERANCE and enough:
-            await self.collector.collect(organisation, missing)
+        # Fractions beyond whole tokens stay in the reserves, where they are not void.
+        whole = floor(available + expected + TOKEN_TOLERANCE)
+        missing = min(ahead + wanted, whole) - available
+        if whole > ahead and missing > TOKEN_TOLERANCE:
+            await self.collector.collect(organisation, missing, expected=expected)
 
     def _claims_of(self, organisation: OrganisationId) -> Claims:
         claims = self.claims.get(organisation)
@@ -297,11 +300,12 @@
         self, organisation: OrganisationId, spec: OrganisationSpec, ahead: int
     ) -> float:
         """Return the wait for the first whole token after those claimed ahead."""
-        share = RESERVE_SHARE * RESERVES
-        if self.holdings.holds_main(shard_of(organisation)):
-            share += MAIN_SHARE
-        missing = max(0.0, ahead + 1 - self._available(organisation))
-        return max(missing / (spec.rate_per_s * share), RETRY_FLOOR_S)
+        fleet = fleet_size(spec)
+        holds_main = self.holdings.holds_main(shard_of(organisation))
+        part = 1.0 if holds_main else reserve_part(fleet.capacity)
+        accrued = self.collector.accrued(organisation, spec)
+        missing = max(0.0, ahead + 1 - self._available(organisation) - accrued)
+        return max(missing / (fleet.rate_per_s * part), RETRY_FLOOR_S)
 
     def _other_holder(self, shard: int) -> VmId | None:
         holder = self.keeper.main_holder(shard)
