Carry large answers between VMs in parts and limit endpoints' answers

Cause: an answer above 4 MB closed the peer link and with it every other call on it; an endpoint's answer was limited to 64 MB only, and one above the limit looked like a lost connection. Ruled out: refusing what does not fit a frame, since the same answer arrives when the entry VM owns the endpoint; a higher frame limit, since a large frame delays all small ones of the link behind it. Change: frames above 1 MB go in parts, one such frame at a time for each link, so the receiver holds at most 40 MB for a link. Measured: three answers of 19 MB each at once over one link arrive whole; an answer above the link's limit is refused and the link goes on.

--- a/src/ebonyladder/_codec.py
+++ b/src/ebonyladder/_codec.py
@@ -46,13 +46,17 @@
 
 
 def decode(data: bytes, *, peer: str) -> Frame:
-    """Return the frame in ``data``.
+    """Return the frame in ``data``; raises as ``load`` and ``unpack`` do."""
+    return unpack(load(data, peer=peer), peer=peer)
+
+
+def load(data: bytes, *, peer: str) -> dict[str, Any]:
+    """Return the outer fields of a frame.
 
     Raises
     ------
     PeerError
-        PEER_REFUSED for invalid CBOR, an unknown version, an unknown type or
-        a body that does not fit the type.
+        PEER_REFUSED for invalid CBOR or an unknown version.
     """
     try:
         outer: Any = cbor2.loads(data)
@@ -64,19 +68,31 @@
         ValueError,
         RecursionError,
     ) as error:
-        raise _refused(peer, f"frame is not valid: {error}") from error
+        raise refused(peer, f"frame is not valid: {error}") from error
     if version != PROTOCOL_VERSION:
-        raise _refused(peer, f"protocol version {version!r} is not supported, use 1")
+        raise refused(peer, f"protocol version {version!r} is not supported, use 1")
+    return outer
+
+
+def unpack(outer: dict[str, Any], *, peer: str) -> Frame:
+    """Return the message in a frame's outer fields.
+
+    Raises
+    ------
+    PeerError
+        PEER_REFUSED for an unknown type or a body that does not fit the type.
+    """
     try:
         message_type = _TYPES[outer["t"]]
         body = {**outer["b"], "type": outer["t"]}
         message = msgspec.convert(body, message_type, builtin_types=(bytes,))
         return Frame(int(outer["id"]), message)
     except (KeyError, TypeError, ValueError) as error:
-        raise _refused(peer, f"message is not valid: {error}") from error
+        raise refused(peer, f"message is not valid: {error}") from error
 
 
-def _refused(peer: str, message: str) -> PeerError:
+def refused(peer: str, message: str) -> PeerError:
+    """Return the error for a frame that is not accepted."""
     return PeerError(
         code=ErrorCode.PEER_REFUSED, step=Step.PEER_CALL, peer=peer, message=message
     )
--- a/src/ebonyladder/gateway.py
+++ b/src/ebonyladder/gateway.py
@@ -54,6 +54,7 @@
         ErrorCode.NOT_FOUND,
         ErrorCode.RATE_EXCEEDED,
         ErrorCode.ENDPOINT_REFUSED,
+        ErrorCode.ANSWER_TOO_LARGE,
         ErrorCode.TRANSACTION_ENDED,
     }
 )
--- a/src/ebonyladder/kernel/error.py
+++ b/src/ebonyladder/kernel/error.py
@@ -117,6 +117,12 @@
         422,
         "The endpoint refused the statement and did not run it.",
     )
+    ANSWER_TOO_LARGE = ErrorInfo(
+        "answer-too-large",
+        Outcome.UNKNOWN,
+        422,
+        "The answer exceeds the size limit; ask for fewer rows.",
+    )
     TRANSACTION_ENDED = ErrorInfo(
         "transaction-ended",
         Outcome.NOT_RUN,
--- a/src/ebonyladder/plugins/endpoint_driver.py
+++ b/src/ebonyladder/plugins/endpoint_driver.py
@@ -7,6 +7,7 @@
 import msgspec
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.frames import CloseCode
 
 from ebonyladder.endpoint import (
     EndpointAnswer,
@@ -26,6 +27,7 @@
     LogPosition,
     OrganisationId,
     Position,
+    RequestKind,
     Role,
     Statement,
     Term,
@@ -36,7 +38,7 @@
 CONTROL_TIMEOUT_S = 1.0
 # An isolated endpoint never answers the closing handshake.
 CLOSE_TIMEOUT_S = 0.2
-ANSWER_LIMIT_BYTES = 64_000_000
+ANSWER_LIMIT_BYTES = 16_000_000
 
 
 class _Answer(msgspec.Struct, kw_only=True):
@@ -70,6 +72,16 @@
         raise _connect_failed(endpoint, error) from error
 
 
+def _is_too_large(error: Exception) -> bool:
+    """Tell whether this side ended the connection for a frame above the limit."""
+    return (
+        isinstance(error, ConnectionClosed)
+        and error.sent is not None
+        and error.sent.code == CloseCode.MESSAGE_TOO_BIG
+        and not error.rcvd_then_sent
+    )
+
+
 def _connect_failed(endpoint: EndpointId, error: Exception) -> EndpointError:
     return EndpointError(
         code=ErrorCode.CONNECT_FAILED,
@@ -105,13 +117,19 @@
         self, *, organisation: OrganisationId, statement: Statement
     ) -> EndpointAnswer:
         """Run one statement."""
-        return await self._request(
-            Step.EXECUTE,
-            op="execute",
-            organisation=organisation,
-            kind=statement.kind.value,
-            text=statement.text,
-        )
+        try:
+            return await self._request(
+                Step.EXECUTE,
+                op="execute",
+                organisation=organisation,
+                kind=statement.kind.value,
+                text=statement.text,
+            )
+        except EndpointError as error:
+            is_read = statement.kind is RequestKind.READ
+            if error.code is ErrorCode.ANSWER_TOO_LARGE and is_read:
+                error.outcome = Outcome.RUN
+            raise
 
     async def begin(self, *, organisation: OrganisationId) -> None:
         """Open a transaction."""
@@ -144,6 +162,8 @@
             await self.socket.send(msgspec.json.encode({"id": self.number, **fields}))
             answer = _ANSWER.decode(await self.socket.recv())
         except (ConnectionClosed, msgspec.DecodeError) as error:
+            if _is_too_large(error):
+                raise self._too_large(step) from error
             raise EndpointError(
                 code=ErrorCode.CONNECTION_LOST,
                 step=step,
@@ -166,6 +186,19 @@
             role=Role(answer.role),
         )
 
+    def _too_large(self, step: Step) -> EndpointError:
+        """Return the error for an answer that was cut off.
+
+        The endpoint had run the statement; whether a majority has a write is
+        not known without the position that the answer carried.
+        """
+        return EndpointError(
+            code=ErrorCode.ANSWER_TOO_LARGE,
+            step=step,
+            peer=self.endpoint,
+            message=f"answer exceeds {ANSWER_LIMIT_BYTES} bytes; ask for fewer rows",
+        )
+
     def _refused(self, step: Step, answer: _Answer) -> EndpointError:
         is_role = answer.error == "not-primary"
         return EndpointError(
--- a/src/ebonyladder/plugins/peer_links.py
+++ b/src/ebonyladder/plugins/peer_links.py
@@ -14,12 +14,15 @@
 
 from ebonyladder._codec import (
     FRAME_LIMIT_BYTES,
+    Frame,
     decode,
     encode,
     error_of,
     failure_of,
 )
 from ebonyladder._handshake import proof_of, require_proof
+from ebonyladder._parts import FrameReader
+from ebonyladder._peer_link import LinkWriter, PeerLink
 from ebonyladder.kernel.error import EbonyladderError, ErrorCode, PeerError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
@@ -39,75 +42,6 @@
 HELLO_NUMBER = 0
 
 
-class PeerLink:
-    """Open link to one peer; answers are matched to calls by number.
-
-    Parameters
-    ----------
-    socket : Connection
-        Authenticated WebSocket.
-    identity : PeerIdentity
-        Peer at the other end.
-    """
-
-    def __init__(self, *, socket: Connection, identity: PeerIdentity) -> None:
-        self.socket = socket
-        self.identity = identity
-        self.number = 0
-        self.waiting: dict[int, asyncio.Future[Message]] = {}
-
-    async def call(self, message: Message, timeout_s: float) -> Message:
-        """Send one message and return the answer to it."""
-        self.number += 1
-        number = self.number
-        answer = asyncio.get_running_loop().create_future()
-        self.waiting[number] = answer
-        try:
-            await self.socket.send(encode(number, message))
-            async with asyncio.timeout(timeout_s):
-                return await answer
-        except (ConnectionClosed, TimeoutError) as error:
-            raise PeerError(
-                code=ErrorCode.PEER_LOST,
-                step=Step.PEER_CALL,
-                peer=self.identity.vm,
-                message=f"no answer from the peer: {error!r}",
-            ) from error
-        finally:
-            del self.waiting[number]
-
-    async def read_answers(self) -> None:
-        """Hand each answer to its call until the link ends."""
-        try:
-            async for data in self.socket:
-                frame = decode(data, peer=self.identity.vm)
-                answer = self.waiting.get(frame.number)
-                if answer is None or answer.done():
-                    continue
-                if isinstance(frame.message, Failure):
-                    answer.set_exception(error_of(frame.message))
-                else:
-                    answer.set_result(frame.message)
-        except (ConnectionClosed, PeerError) as error:
-            logging.info(
-                "[peer] Link has ended. peer=%s error=%s", self.identity.vm, error
-            )
-        finally:
-            await self.socket.close()
-            self._fail_waiting()
-
-    def _fail_waiting(self) -> None:
-        for answer in self.waiting.values():
-            if not answer.done():
-                answer.set_exception(
-                    PeerError(
-                        code=ErrorCode.PEER_LOST,
-                        step=Step.PEER_CALL,
-                        peer=self.identity.vm,
-                    )
-                )
-
-
 @register
 class WebSocketPeerLinks(Plugin, PeerLinks):
     """Calls between VMs over authenticated WebSockets.
@@ -319,21 +253,21 @@
         self, socket: ServerConnection, identity: PeerIdentity
     ) -> None:
         """Run one task for each call; a slow call delays no other."""
+        reader, writer = FrameReader(peer=identity.vm), LinkWriter(socket=socket)
         async with asyncio.TaskGroup() as calls:
             async for data in socket:
-                frame = decode(data, peer=identity.vm)
-                calls.create_task(
-                    self._answer(socket, identity, frame.number, frame.message)
-                )
+                frame = reader.read(data)
+                if frame is not None:
+                    calls.create_task(self._answer(writer, identity, frame))
 
     async def _answer(
         self,
-        socket: ServerConnection,
+        writer: LinkWriter,
         identity: PeerIdentity,
-        number: int,
-        message: Message,
+        frame: Frame,
     ) -> None:
         answer: Message
+        message = frame.message
         try:
             handler = self.handlers.get(type(message))
             if handler is None:
@@ -350,7 +284,11 @@
                 peer=self.kernel.settings.vm,
             )
         try:
-            await socket.send(encode(number, answer))
+            try:
+                await writer.send(frame.number, answer)
+            except PeerError as error:
+                failure = failure_of(error, peer=self.kernel.settings.vm)
+                await writer.send(frame.number, failure)
         except ConnectionClosed:
             logging.info("[peer] Answer was not delivered. peer=%s", identity.vm)
 
--- a/tests/test_hops.py
+++ b/tests/test_hops.py
@@ -2,10 +2,25 @@
 
 import asyncio
 
+import cbor2
 import pytest
+from websockets.asyncio.server import serve
 
+from ebonyladder._codec import decode, encode
+from ebonyladder._parts import PART_BYTES, FrameReader, split
+from ebonyladder.kernel.error import (
+    EndpointError,
+    ErrorCode,
+    Outcome,
+    PeerError,
+)
 from ebonyladder.membership import Membership
-from ebonyladder.messages import TransactionAction
+from ebonyladder.messages import SyncAnswer, TransactionAction
+from ebonyladder.plugins.endpoint_driver import (
+    ANSWER_LIMIT_BYTES,
+    WebSocketEndpointDriver,
+)
+from ebonyladder.types import RequestKind, Statement
 from tests.front_vms import READ, WRITE, FrontVm, Members
 
 
@@ -81,3 +96,82 @@
             assert answer["error"]["outcome"] == "unknown"
             assert len(writes) == 1
         assert len({message.hop.number for message in ran}) == len(ran)
+
+
+class TestLargeAnswers:
+    """Guards against answers that are cut, block a link or fill the memory."""
+
+    def test_answer_above_the_frame_limit_arrives_whole(self, tmp_path):
+        async def scenario(owner, entry):
+            owner.executor.rows = [str(n) * 1000 for n in range(5000)]
+            answers = await asyncio.gather(*(entry.statement(READ) for _ in range(3)))
+            return [answer["rows"] == owner.executor.rows for _, answer in answers]
+
+        assert run_pair(tmp_path, scenario) == [True] * 3
+
+    def test_answer_above_the_link_limit_is_refused(self, tmp_path, monkeypatch):
+        monkeypatch.setattr("ebonyladder._peer_link.MESSAGE_LIMIT_BYTES", 2_000_000)
+
+        async def scenario(owner, entry):
+            owner.executor.rows = ["x" * 2_000_000]
+            refused = await entry.statement(WRITE)
+            owner.executor.rows = []
+            return refused, (await entry.statement(WRITE))[0]
+
+        (status, answer), after = run_pair(tmp_path, scenario)
+        assert (status, answer["error"]["code"]) == (422, "answer-too-large")
+        assert (answer["error"]["outcome"], after) == ("run", 200)
+
+    def test_small_frame_passes_between_parts(self):
+        large = SyncAnswer(version=1, text="x" * (2 * PART_BYTES))
+        first, *rest = split(1, encode(1, large))
+        reader = FrameReader(peer="vm-1")
+        small = encode(2, SyncAnswer(version=2))
+        frames = [reader.read(data) for data in (first, small, *rest)]
+        assert frames[1] == decode(small, peer="vm-1")
+        assert frames[-1].message == large
+        assert frames[0] is frames[2] is None
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"part": {"at": 7, "of": 9}},
+            {"part": {"at": 0, "of": 50_000_000}},
+            {"part": {"at": 0, "of": 2}},
+            {"part": 3},
+            {"b": b""},
+            {"b": 4},
+        ],
+    )
+    def test_invalid_part_is_refused(self, change):
+        part = {"v": 1, "id": 1, "part": {"at": 0, "of": 9}, "b": b"abc"}
+        with pytest.raises(PeerError) as caught:
+            FrameReader(peer="vm-1").read(cbor2.dumps({**part, **change}))
+        assert caught.value.code is ErrorCode.PEER_REFUSED
+
+    @pytest.mark.parametrize(
+        ("kind", "outcome"),
+        [(RequestKind.READ, Outcome.RUN), (RequestKind.WRITE, Outcome.UNKNOWN)],
+    )
+    def test_endpoint_answer_above_the_limit_is_an_error(self, kind, outcome):
+        async def answer(socket):
+            await socket.send("{}")
+            await socket.recv()
+            await socket.send('{"id":1,"rows":["%s"]}' % ("x" * ANSWER_LIMIT_BYTES))
+
+        async def run():
+            driver = WebSocketEndpointDriver(kernel=None)
+            async with serve(answer, "127.0.0.1", 0) as server:
+                port = server.sockets[0].getsockname()[1]
+                connection = await driver.connect(
+                    endpoint="e1", address=f"127.0.0.1:{port}"
+                )
+                with pytest.raises(EndpointError) as caught:
+                    await connection.execute(
+                        organisation="o", statement=Statement(kind=kind, text="GET a")
+                    )
+            return caught.value, connection.is_open
+
+        error, is_open = asyncio.run(run())
+        assert (error.code, error.outcome) == (ErrorCode.ANSWER_TOO_LARGE, outcome)
+        assert not is_open
