--- a/src/ebonyladder/journal.py
+++ b/src/ebonyladder/journal.py
@@ -16,7 +16,7 @@
 SEPARATOR = "."
 
 
-class JournalEntry(msgspec.Struct, frozen=True, kw_only=True):
+class JournalEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One step of a request on one VM.
 
     Attributes
--- a/src/ebonyladder/operator.py
+++ b/src/ebonyladder/operator.py
@@ -27,6 +27,10 @@
     def add_view(self, name: str, view: View) -> None:
         """Add a view; raises ``ValueError`` if the name is taken."""
 
+    @abstractmethod
+    def before_metrics(self, refresh: Callable[[], None]) -> None:
+        """Call ``refresh`` each time before the metrics are shown."""
+
 
 class GroupUsage(ABC):
     """Use of the groups' slots, for the capacity check."""
--- a/src/ebonyladder/plugins/operator_front.py
+++ b/src/ebonyladder/plugins/operator_front.py
@@ -117,6 +117,7 @@
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
         self.views: dict[str, View] = {}
+        self.refreshers: list[Callable[[], None]] = []
         self.local: LocalConfirmation | None = None
         self.runner: web.AppRunner | None = None
 
@@ -126,6 +127,10 @@
             raise ValueError(f"two views are named {name!r}")
         self.views[name] = view
 
+    def before_metrics(self, refresh: Callable[[], None]) -> None:
+        """Call ``refresh`` each time before the metrics are shown."""
+        self.refreshers.append(refresh)
+
     async def start(self) -> None:
         """Listen on the operators' address."""
         settings = self.kernel.settings
@@ -265,6 +270,8 @@
             raise RequestError(
                 code=ErrorCode.NOT_FOUND, step=Step.ROUTE, message="no metrics here"
             )
+        for refresh in self.refreshers:
+            refresh()
         return web.Response(
             body=metrics.render(), headers={"Content-Type": METRICS_TYPE}
         )
--- a/src/ebonyladder/plugins/operator_views.py
+++ b/src/ebonyladder/plugins/operator_views.py
@@ -27,7 +27,15 @@
 from ebonyladder.operator import CallerConnections, GroupUsage, OperatorView
 from ebonyladder.ownership import Ownership
 from ebonyladder.peer import PeerIdentity, PeerLinks
-from ebonyladder.types import EndpointId, GroupId, OrganisationId, VmId
+from ebonyladder.types import (
+    Address,
+    EndpointId,
+    GroupId,
+    OrganisationId,
+    VmId,
+    VmState,
+    ZoneId,
+)
 
 STATE_TIMEOUT_S = 1.0
 SESSIONS_NOTE = (
@@ -36,6 +44,16 @@
 )
 
 
+class MemberRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Live VM; its state is ``drain`` by its own or the operators' word."""
+
+    vm: VmId
+    zone: ZoneId
+    zone_is_in: bool
+    address: Address
+    state: VmState
+
+
 class SessionsRow(msgspec.Struct, frozen=True, kw_only=True):
     """Work that one organisation holds open on one VM."""
 
@@ -131,7 +149,17 @@
     # Views.
 
     async def _members(self, _query: Mapping[str, str]) -> dict:
-        return {"seen_by": self.vm, "members": self.membership.members()}
+        rows = [
+            MemberRow(
+                vm=member.vm,
+                zone=member.zone,
+                zone_is_in=self.membership.is_zone_in(member.zone),
+                address=member.address,
+                state=member.state,
+            )
+            for member in self.membership.members()
+        ]
+        return {"seen_by": self.vm, "members": rows}
 
     async def _sessions(self, _query: Mapping[str, str]) -> dict:
         answers = await self._ask_all()
