Serve callers, operators and peers over TLS

The settings had TLS files, but only the operators' port used them and a new certificate needed a restart. Peers dialled in plain text.

Missing files are named when the settings are read. The command line takes the authority from EBONYLADDER_CA.

--- a/src/ebonyladder/_operator_client.py
+++ b/src/ebonyladder/_operator_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import ssl
 from enum import IntEnum
 from typing import Any
 
@@ -45,10 +46,18 @@
 
 
 class Connection(msgspec.Struct, frozen=True, kw_only=True):
-    """Address and key of one API."""
+    """Address and key of one API.
+
+    Attributes
+    ----------
+    authority : str
+        File with the authorities of the API's certificate, for ``https://``;
+        the system's where it is empty.
+    """
 
     url: str
     key: str
+    authority: str = ""
 
     def call(
         self,
@@ -67,6 +76,17 @@
         """
         return asyncio.run(self._call(method, path, body, query))
 
+    def _tls(self) -> ssl.SSLContext | bool:
+        """Return the context for ``https://``; raises USAGE for a bad file."""
+        if not self.authority:
+            return True
+        try:
+            return ssl.create_default_context(cafile=self.authority)
+        except (OSError, ssl.SSLError) as error:
+            raise CommandError(
+                code=ExitCode.USAGE, message=f"{self.authority}: {error}"
+            ) from error
+
     async def _call(
         self,
         method: str,
@@ -81,7 +101,11 @@
             async with (
                 aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
                 session.request(
-                    method, base.rstrip("/") + path, json=body, params=query
+                    method,
+                    base.rstrip("/") + path,
+                    json=body,
+                    params=query,
+                    ssl=self._tls(),
                 ) as response,
             ):
                 answer = json.loads(await response.text())
--- a/src/ebonyladder/cli.py
+++ b/src/ebonyladder/cli.py
@@ -46,7 +46,8 @@
                 message="set --operator and --key, or EBONYLADDER_OPERATOR and "
                 "EBONYLADDER_OPERATOR_KEY",
             )
-        return Connection(url=self.operator, key=key)
+        authority = os.environ.get("EBONYLADDER_CA", "")
+        return Connection(url=self.operator, key=key, authority=authority)
 
     def show(self, data: dict[str, Any], text: str) -> None:
         """Print a result in the form that was asked for."""
--- a/src/ebonyladder/plugins/caller_front.py
+++ b/src/ebonyladder/plugins/caller_front.py
@@ -37,6 +37,7 @@
 from ebonyladder.peer import PeerLinks
 from ebonyladder.settings import split_address
 from ebonyladder.status import StatusObserver, StatusRoutes
+from ebonyladder.tls import server_context
 from ebonyladder.token import TokenSealer
 from ebonyladder.types import KeyDigest, OrganisationId, RequestId, ServiceId
 
@@ -142,7 +143,10 @@
         self.runner = web.AppRunner(app, access_log=None, handler_cancellation=False)
         await self.runner.setup()
         host, port = split_address(self.kernel.settings.caller)
-        await web.TCPSite(self.runner, host, port, backlog=4096).start()
+        context = server_context(self.kernel, self.kernel.settings.caller_tls)
+        await web.TCPSite(
+            self.runner, host, port, backlog=4096, ssl_context=context
+        ).start()
 
     def _make_gateway(self) -> Gateway:
         get, settings = self.kernel.get, self.kernel.settings
--- a/src/ebonyladder/plugins/operator_front.py
+++ b/src/ebonyladder/plugins/operator_front.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-import ssl
 from collections.abc import Awaitable, Callable
 from time import monotonic
 from typing import Any, TypeVar
@@ -32,7 +31,7 @@
     OperatorView,
     View,
 )
-from ebonyladder.settings import TlsSettings, split_address
+from ebonyladder.settings import split_address
 from ebonyladder.store import PlatformStore
 from ebonyladder.submission import (
     Accepted,
@@ -41,6 +40,7 @@
     submit,
     submit_edit,
 )
+from ebonyladder.tls import server_context
 from ebonyladder.types import (
     ConfigurationVersion,
     GroupId,
@@ -141,7 +141,7 @@
             self.runner,
             host,
             port,
-            ssl_context=_ssl_context(settings.operator_tls),
+            ssl_context=server_context(self.kernel, settings.operator_tls),
             shutdown_timeout=STOP_WAIT_S,
         )
         await site.start()
@@ -362,14 +362,3 @@
         raise RequestError(
             code=ErrorCode.BAD_REQUEST, step=Step.CALLER_ACCEPT, message=str(error)
         ) from error
-
-
-def _ssl_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
-    if tls is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(tls.certificate, tls.key)
-    if tls.authority:
-        context.load_verify_locations(tls.authority)
-        context.verify_mode = ssl.CERT_REQUIRED
-    return context
--- a/src/ebonyladder/plugins/peer_links.py
+++ b/src/ebonyladder/plugins/peer_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 import time
+from ssl import SSLContext
 from typing import ClassVar
 
 from absl import logging
@@ -28,6 +29,7 @@
 from ebonyladder.messages import Failure, Hello, Message, Proof, Welcome
 from ebonyladder.peer import Handler, PeerIdentity, PeerLinks
 from ebonyladder.settings import split_address
+from ebonyladder.tls import client_context, server_context
 from ebonyladder.types import Address, HopId, Incarnation, VmId
 
 OPEN_TIMEOUT_S = 1.0
@@ -127,15 +129,19 @@
         self.links: dict[Address, PeerLink] = {}
         self.opening: dict[Address, asyncio.Task[PeerLink]] = {}
         self.server: Server | None = None
+        self.client_tls: SSLContext | None = None
         self.hops = 0
 
     async def start(self) -> None:
         """Listen for peers."""
         host, port = split_address(self.kernel.settings.peer)
+        tls = self.kernel.settings.peer_tls
+        self.client_tls = client_context(self.kernel, tls)
         self.server = await serve(
             self._accept,
             host,
             port,
+            ssl=server_context(self.kernel, tls),
             max_size=FRAME_LIMIT_BYTES,
             compression=None,
             close_timeout=CLOSE_TIMEOUT_S,
@@ -200,7 +206,8 @@
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_S):
                 socket = await connect(
-                    f"ws://{address}/",
+                    f"{'wss' if self.client_tls else 'ws'}://{address}/",
+                    ssl=self.client_tls,
                     max_size=FRAME_LIMIT_BYTES,
                     compression=None,
                     proxy=None,
--- a/src/ebonyladder/settings.py
+++ b/src/ebonyladder/settings.py
@@ -24,7 +24,16 @@
 class TlsSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """Files of one certificate."""
+    """Files of one certificate, in PEM form.
+
+    Attributes
+    ----------
+    certificate, key : str
+        Certificate with its chain, and its private key.
+    authority : str
+        Authorities whose certificates the other side must show; empty to ask
+        for none.
+    """
 
     certificate: str
     key: str
@@ -100,6 +109,8 @@
 def _findings(settings: Settings) -> Iterator[Finding]:
     for name in ("caller", "peer", "operator", "store"):
         yield from _address_findings(getattr(settings, name), (name,))
+    for name in ("caller_tls", "peer_tls", "operator_tls"):
+        yield from _tls_findings(getattr(settings, name), name)
     for index, seed in enumerate(settings.seeds):
         yield from _address_findings(seed, ("seeds", index))
     for index, digest in enumerate(settings.operator_key_digests):
@@ -117,6 +128,20 @@
         )
 
 
+def _tls_findings(tls: TlsSettings | None, name: str) -> Iterator[Finding]:
+    if tls is None:
+        return
+    for field in ("certificate", "key", "authority"):
+        file = getattr(tls, field)
+        is_optional = field == "authority"
+        if not (is_optional and not file) and not Path(file).is_file():
+            yield Finding(
+                path=(name, field),
+                problem=f"no file {file!r}",
+                fix="write the path of a PEM file that the daemon can read",
+            )
+
+
 def _address_findings(address: Address, path: TextPath) -> Iterator[Finding]:
     # Port 0 lets the system choose the port, which tests use.
     bad = address_problem(address, least_port=0)
