--- a/src/ebonyladder/cli.py
+++ b/src/ebonyladder/cli.py
@@ -64,8 +64,9 @@
         text += f", confirmed by {len(confirmed)} VMs ({', '.join(confirmed)})"
         if missing:
             text += (
-                f"; not confirmed by {', '.join(missing)}, which have stopped taking "
-                f"work {answer['unconfirmed_stop_after_s']:g} s after the acceptance"
+                f"; not confirmed by {', '.join(missing)}: VMs that do not have it "
+                f"take no work {answer['unconfirmed_stop_after_s']:g} s after the "
+                "acceptance"
             )
         is_in_force = answer["is_in_force"]
         if not is_in_force:
--- a/src/ebonyladder/journal.py
+++ b/src/ebonyladder/journal.py
@@ -25,6 +25,8 @@
         Seconds since the Unix epoch on that VM's clock.
     attempt : int
         Number of the attempt, 0 where the step belongs to none.
+    failed_at : str
+        Step at which the failure arose, here or on another VM.
     code, outcome : str
         Refusal or failure; empty where the step succeeded.
     peer : str
@@ -37,6 +39,7 @@
     endpoint: str = ""
     owner: str = ""
     attempt: int = 0
+    failed_at: str = ""
     code: str = ""
     outcome: str = ""
     peer: str = ""
@@ -56,7 +59,7 @@
         attempt: int = 0,
         error: EbonyladderError | None = None,
     ) -> None:
-        """Add an entry; a step that failed is noted where the error arose."""
+        """Add an entry for a step that was done, or that ended with ``error``."""
 
     @abstractmethod
     def entries(self, request_id: str) -> list[JournalEntry]:
@@ -103,10 +106,11 @@
             JournalEntry(
                 wall_s=self.clock.wall_s(),
                 vm=self.vm,
-                step=(error.step if error else step).value,
+                step=step.value,
                 endpoint=endpoint,
                 owner=owner,
                 attempt=attempt,
+                failed_at=error.step.value if error else "",
                 code=error.code.value.code if error else "",
                 outcome=error.outcome.value if error else "",
                 peer=error.peer if error else "",
--- a/src/ebonyladder/plugins/operator_gauges.py
+++ b/src/ebonyladder/plugins/operator_gauges.py
@@ -1,9 +1,12 @@
 """Plug-in that sets the gauges that operators' alarms read."""
 
+from typing import TypeAlias
+
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.execution import StatementExecutor
 from ebonyladder.group import GroupView, GroupWatch
 from ebonyladder.kernel.error import RequestError
+from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.registry import register
 from ebonyladder.kernel.step import Step
@@ -11,10 +14,14 @@
 from ebonyladder.membership import Membership
 from ebonyladder.metrics import Metrics
 from ebonyladder.operator import OperatorView
+from ebonyladder.types import EndpointId
 
 # Reports come ten times a second.
 SILENT_S = 1.0
 
+# Name of a gauge, name of its label and the label's value.
+Series: TypeAlias = tuple[str, str, str]
+
 
 @register
 class OperatorGauges(Plugin):
@@ -31,6 +38,10 @@
         RateLimits,
     )
 
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.known: dict[Series, float] = {}
+
     async def start(self) -> None:
         """Begin to set the gauges on request."""
         get = self.kernel.get
@@ -53,10 +64,25 @@
         gauge("limit_leases", len(self.limits.leases_held()))
         transactions = self.executor.open_transactions()
         gauge("open_transactions", sum(transactions.values()))
-        for group, slots in self.executor.used_slots().items():
-            gauge("used_slots", slots, group=group)
+        self._refresh_labelled()
+
+    def _refresh_labelled(self) -> None:
+        """Set the gauges of what this VM owns and watches now.
+
+        Those of groups that have moved to other VMs become NaN, so that their
+        last value raises no alarm.
+        """
+        series = {
+            ("used_slots", "group", group): slots
+            for group, slots in self.executor.used_slots().items()
+        }
         for view in self.groups.views():
-            self._refresh_group(view)
+            series |= self._group_series(view)
+        for name, label, value in self.known.keys() - series.keys():
+            series[name, label, value] = float("nan")
+        for (name, label, value), number in series.items():
+            self.metrics.gauge(name, number, **{label: value})
+        self.known = series
 
     def _is_fresh(self) -> bool:
         try:
@@ -65,17 +91,22 @@
             return False
         return True
 
-    def _refresh_group(self, view: GroupView) -> None:
-        """Set the gauges of a group that this VM watches."""
+    def _group_series(self, view: GroupView) -> dict[Series, float]:
+        """Return the gauges of a group that this VM watches."""
         now_s = self.kernel.clock.now_s()
-        primary = view.primary
-        is_heard = primary is not None and view.is_reachable(
-            primary, now_s=now_s, silence_s=SILENT_S
-        )
-        self.metrics.gauge("group_has_primary", float(is_heard), group=view.group)
-        self.metrics.gauge("group_term", view.term, group=view.group)
+
+        def is_up(name: EndpointId | None) -> float:
+            return float(
+                name is not None
+                and view.is_reachable(name, now_s=now_s, silence_s=SILENT_S)
+            )
+
+        series: dict[Series, float] = {
+            ("group_has_primary", "group", view.group): is_up(view.primary),
+            ("group_term", "group", view.group): view.term,
+        }
         for name in view.endpoints:
-            is_up = view.is_reachable(name, now_s=now_s, silence_s=SILENT_S)
-            self.metrics.gauge("endpoint_up", float(is_up), endpoint=name)
+            series["endpoint_up", "endpoint", name] = is_up(name)
             lag = view.lag_entries(name)
-            self.metrics.gauge("endpoint_lag_entries", lag, endpoint=name)
+            series["endpoint_lag_entries", "endpoint", name] = lag
+        return series
--- a/src/ebonyladder/plugins/operator_views.py
+++ b/src/ebonyladder/plugins/operator_views.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 import msgspec
+from absl import logging
 
 from ebonyladder._fleet_view import FleetAnswers, FleetView
 from ebonyladder.configuration import ConfigurationSource
@@ -257,7 +258,13 @@
     async def used_slots(self) -> dict[GroupId, float]:
         """Return the slots in use now over the VMs that answer, by group."""
         used: dict[GroupId, float] = defaultdict(float)
-        for report in (await self._ask_all()).reports.values():
+        answers = await self._ask_all()
+        if answers.missing:
+            logging.warning(
+                "[operator] Slots in use lack VMs that did not answer. missing=%s",
+                ",".join(answers.missing),
+            )
+        for report in answers.reports.values():
             for group, slots in report.used_slots.items():
                 used[group] += slots
         return dict(used)
