--- a/src/ebonyladder/cli.py
+++ b/src/ebonyladder/cli.py
@@ -46,7 +46,8 @@
                 message="set --operator and --key, or EBONYLADDER_OPERATOR and "
                 "EBONYLADDER_OPERATOR_KEY",
             )
-        return Connection(url=self.operator, key=key)
+        authority = os.environ.get("EBONYLADDER_CA", "")
+        return Connection(url=self.operator, key=key, authority=authority)
 
     def show(self, data: dict[str, Any], text: str) -> None:
         """Print a result in the form that was asked for."""
@@ -63,8 +64,9 @@
         text += f", confirmed by {len(confirmed)} VMs ({', '.join(confirmed)})"
         if missing:
             text += (
-                f"; not confirmed by {', '.join(missing)}, which have stopped taking "
-                f"work {answer['unconfirmed_stop_after_s']:g} s after the acceptance"
+                f"; not confirmed by {', '.join(missing)}: VMs that do not have it "
+                f"take no work {answer['unconfirmed_stop_after_s']:g} s after the "
+                "acceptance"
             )
         is_in_force = answer["is_in_force"]
         if not is_in_force:
--- a/src/ebonyladder/plugins/caller_front.py
+++ b/src/ebonyladder/plugins/caller_front.py
@@ -45,6 +45,7 @@
 from ebonyladder.peer import PeerLinks
 from ebonyladder.settings import split_address
 from ebonyladder.status import StatusObserver, StatusRoutes
+from ebonyladder.tls import server_context
 from ebonyladder.token import TokenSealer
 from ebonyladder.types import KeyDigest, OrganisationId, RequestId, ServiceId
 
@@ -123,8 +124,9 @@
         )
         await self.runner.setup()
         host, port = split_address(self.kernel.settings.caller)
+        context = server_context(self.kernel, self.kernel.settings.caller_tls)
         self.server = await asyncio.get_running_loop().create_server(
-            self._accept, host, port, backlog=BACKLOG
+            self._accept, host, port, backlog=BACKLOG, ssl=context
         )
 
     def _accept(self) -> CallerConnection:
--- a/src/ebonyladder/plugins/operator_views.py
+++ b/src/ebonyladder/plugins/operator_views.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 import msgspec
+from absl import logging
 
 from ebonyladder._fleet_view import FleetAnswers, FleetView
 from ebonyladder.configuration import ConfigurationSource
@@ -27,7 +28,15 @@
 from ebonyladder.operator import CallerConnections, GroupUsage, OperatorView
 from ebonyladder.ownership import Ownership
 from ebonyladder.peer import PeerIdentity, PeerLinks
-from ebonyladder.types import EndpointId, GroupId, OrganisationId, VmId
+from ebonyladder.types import (
+    Address,
+    EndpointId,
+    GroupId,
+    OrganisationId,
+    VmId,
+    VmState,
+    ZoneId,
+)
 
 STATE_TIMEOUT_S = 1.0
 SESSIONS_NOTE = (
@@ -36,6 +45,16 @@
 )
 
 
+class MemberRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Live VM; its state is ``drain`` by its own or the operators' word."""
+
+    vm: VmId
+    zone: ZoneId
+    zone_is_in: bool
+    address: Address
+    state: VmState
+
+
 class SessionsRow(msgspec.Struct, frozen=True, kw_only=True):
     """Work that one organisation holds open on one VM."""
 
@@ -131,7 +150,17 @@
     # Views.
 
     async def _members(self, _query: Mapping[str, str]) -> dict:
-        return {"seen_by": self.vm, "members": self.membership.members()}
+        rows = [
+            MemberRow(
+                vm=member.vm,
+                zone=member.zone,
+                zone_is_in=self.membership.is_zone_in(member.zone),
+                address=member.address,
+                state=member.state,
+            )
+            for member in self.membership.members()
+        ]
+        return {"seen_by": self.vm, "members": rows}
 
     async def _sessions(self, _query: Mapping[str, str]) -> dict:
         answers = await self._ask_all()
@@ -229,7 +258,13 @@
     async def used_slots(self) -> dict[GroupId, float]:
         """Return the slots in use now over the VMs that answer, by group."""
         used: dict[GroupId, float] = defaultdict(float)
-        for report in (await self._ask_all()).reports.values():
+        answers = await self._ask_all()
+        if answers.missing:
+            logging.warning(
+                "[operator] Slots in use lack VMs that did not answer. missing=%s",
+                ",".join(answers.missing),
+            )
+        for report in answers.reports.values():
             for group, slots in report.used_slots.items():
                 used[group] += slots
         return dict(used)
