--- /dev/null
+++ b/tests/checkers.py
@@ -0,0 +1,254 @@
+"""Checkers of recorded histories; they use nothing of the product.
+
+Each checker returns the violations it found as plain sentences. Writes carry
+values ``<key>=<number>`` that are unique, and rise within a session.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+
+from standins.records import NOT_RUN, Call, History, Logged
+
+WRITES = frozenset({"write", "statement"})
+# These requests take one token; commit and rollback take none.
+ADMITTED_KINDS = frozenset({"read", "write", "begin", "statement"})
+RATE_TOLERANCE = 1e-6
+
+
+def number_of(value: str) -> int:
+    """Return the number in a value, 0 for a row that was never written."""
+    return int(value.rpartition("=")[2]) if value else 0
+
+
+def values_in(entries: Iterable[Logged]) -> Counter[str]:
+    return Counter(str(v) for entry in entries for v in entry.rows.values())
+
+
+def committed(history: History) -> set[str]:
+    """Return the transactions whose commit was acknowledged."""
+    return {
+        call.transaction
+        for call in history.calls
+        if call.kind == "commit" and call.is_answered
+    }
+
+
+def acknowledged(history: History) -> list[Call]:
+    """Return the writes whose effect was acknowledged."""
+    done = committed(history)
+    return [
+        call
+        for call in history.calls
+        if call.kind in WRITES
+        and call.is_answered
+        and (call.kind == "write" or call.transaction in done)
+    ]
+
+
+def check_read_your_writes(history: History) -> list[str]:
+    """A read is not older than what its session has written or read."""
+    found = []
+    newest: dict[tuple[str, str], int] = defaultdict(int)
+    done = committed(history)
+    pending: dict[str, list[Call]] = defaultdict(list)
+    for call in sorted(history.calls, key=lambda call: call.sent_s):
+        if not call.is_answered:
+            continue
+        place = (call.session, call.key)
+        if call.kind == "read":
+            if number_of(call.value) < newest[place]:
+                found.append(
+                    f"{call.session} read {call.value or 'nothing'} of {call.key} "
+                    f"at {call.endpoint} after {newest[place]}"
+                )
+            newest[place] = max(newest[place], number_of(call.value))
+        elif call.kind == "write":
+            newest[place] = max(newest[place], number_of(call.value))
+        elif call.kind == "statement" and call.transaction in done:
+            pending[call.transaction].append(call)
+        elif call.kind == "commit":
+            for written in pending.pop(call.transaction, []):
+                place = (written.session, written.key)
+                newest[place] = max(newest[place], number_of(written.value))
+    return found
+
+
+def check_at_most_once(history: History) -> list[str]:
+    """No value is in the surviving log twice."""
+    counts = values_in(history.surviving)
+    return [f"{value} was written {n} times" for value, n in counts.items() if n > 1]
+
+
+def check_not_run(history: History) -> list[str]:
+    """A write refused with not-run never ran, not even on a lost branch."""
+    logged = values_in(history.logged)
+    ran = {r.text.rpartition(" ")[2] for r in history.ran if not r.transaction}
+    found = [
+        f"{call.value} ran after {call.code} not-run"
+        for call in history.calls
+        if call.kind == "write"
+        and call.outcome == NOT_RUN
+        and (call.value in logged or call.value in ran)
+    ]
+    return found + _check_not_run_commits(history, logged)
+
+
+def _check_not_run_commits(history: History, logged: Counter[str]) -> list[str]:
+    refused = {
+        call.transaction
+        for call in history.calls
+        if call.kind == "commit" and call.outcome == NOT_RUN
+    }
+    return [
+        f"{call.value} ran though the commit of {call.transaction} was not run"
+        for call in history.calls
+        if call.kind == "statement"
+        and call.transaction in refused
+        and call.value in logged
+    ]
+
+
+def check_acknowledged_survive(history: History) -> list[str]:
+    """Every acknowledged write is in the surviving log."""
+    kept = values_in(history.surviving)
+    return [
+        f"{call.value} was acknowledged by {call.endpoint} and is lost"
+        for call in acknowledged(history)
+        if call.value not in kept
+    ]
+
+
+def check_transactions(history: History) -> list[str]:
+    """Transactions are never mixed, and all or nothing of each survives."""
+    label_of = {c.value: c.transaction for c in history.calls if c.kind == "statement"}
+    found = []
+    labels: dict[str, set[str]] = defaultdict(set)
+    for record in history.ran:
+        if record.kind == "write":
+            label = label_of.get(record.text.rpartition(" ")[2], "")
+            place = f"{record.endpoint} {record.transaction}"
+            if bool(label) != bool(record.transaction):
+                found.append(f"{record.text!r} ran in transaction {place!r}")
+            elif label:
+                labels[place].add(label)
+    found += [f"{p} mixes {sorted(s)}" for p, s in labels.items() if len(s) > 1]
+    wanted: dict[str, set[str]] = defaultdict(set)
+    for call in history.calls:
+        if call.kind == "statement" and call.is_answered:
+            wanted[call.transaction].add(call.value)
+    for entry in history.surviving:
+        values = {str(value) for value in entry.rows.values()}
+        for label in {label_of[v] for v in values if label_of.get(v)}:
+            missing = wanted[label] - values
+            if missing or any(label_of.get(v) != label for v in values):
+                found.append(f"{label} survives in part: {sorted(values)}")
+    return found
+
+
+def check_organisations(history: History) -> list[str]:
+    """An endpoint runs a row's statement only for its organisation; no keys."""
+    found = []
+    for record in history.ran:
+        owner = record.text.split(" ")[1].partition(".")[0]
+        if owner != record.organisation:
+            found.append(f"{record.text!r} ran for {record.organisation}")
+    texts = dict(history.texts)
+    texts["endpoint records"] = "\n".join(
+        f"{record.organisation} {record.text}" for record in history.ran
+    )
+    for name, text in texts.items():
+        found += [
+            f"key of {o} is in {name}" for o, k in history.keys.items() if k in text
+        ]
+    return found
+
+
+def check_rate(
+    history: History, *, organisation: str, rate_per_s: float, burst: float
+) -> list[str]:
+    """No window admits more than rate × window + burst.
+
+    A window begins as a request is sent and ends as one is answered; requests
+    that lie within it were admitted within it.
+    """
+    admitted = sorted(
+        (
+            call
+            for call in history.calls
+            if call.organisation == organisation
+            and call.kind in ADMITTED_KINDS
+            # A request refused as not-run may not have reached admission.
+            and call.outcome != NOT_RUN
+        ),
+        key=lambda call: call.answered_s,
+    )
+    for start_s in sorted({call.sent_s for call in admitted}):
+        inside = [call for call in admitted if call.sent_s >= start_s]
+        for count, last in enumerate(inside, 1):
+            allowed = rate_per_s * (last.answered_s - start_s) + burst
+            if count > allowed + RATE_TOLERANCE:
+                return [
+                    f"{count} requests of {organisation} in "
+                    f"{last.answered_s - start_s:.3f} s, {allowed:.1f} are allowed"
+                ]
+    return []
+
+
+def check_terms(history: History) -> list[str]:
+    """Acknowledgements carry the term of the surviving entry and never go back."""
+    place_of = {
+        str(value): entry
+        for entry in history.surviving
+        for value in entry.rows.values()
+    }
+    found = []
+    writes = [call for call in acknowledged(history) if call.kind == "write"]
+    for call in writes:
+        entry = place_of.get(call.value)
+        if entry is not None and entry.term != call.term:
+            found.append(f"{call.value} of term {entry.term} has ack of {call.term}")
+    for group in set(history.groups.values()):
+        inside = [call for call in writes if history.groups[call.endpoint] == group]
+        by_end = sorted(inside, key=lambda call: call.answered_s)
+        highest, done = 0, 0
+        for call in sorted(inside, key=lambda call: call.sent_s):
+            while done < len(by_end) and by_end[done].answered_s < call.sent_s:
+                highest = max(highest, by_end[done].term)
+                done += 1
+            if call.term < highest:
+                found.append(f"{call.value} has ack of {call.term} after {highest}")
+    return found
+
+
+def check_answers(history: History) -> list[str]:
+    """A read is answered with one row, and with a value of the row it asked for."""
+    found = []
+    for call in history.calls:
+        if call.kind == "read" and call.is_answered:
+            if call.rows != 1:
+                found.append(f"read of {call.key} has {call.rows} rows")
+            elif call.value and not call.value.startswith(f"{call.key}="):
+                found.append(f"read of {call.key} got {call.value}")
+    return found
+
+
+Checker = Callable[[History], list[str]]
+CHECKERS: tuple[Checker, ...] = (
+    check_read_your_writes,
+    check_at_most_once,
+    check_not_run,
+    check_acknowledged_survive,
+    check_transactions,
+    check_organisations,
+    check_terms,
+    check_answers,
+)
+
+
+def violations(history: History) -> list[str]:
+    """Return what all checkers find, each with the checker's name."""
+    return [
+        f"{checker.__name__.removeprefix('check_')}: {text}"
+        for checker in CHECKERS
+        for text in checker(history)
+    ]
