Answer a passed deadline in transactions with a typed refusal

Cause: BEGIN and the steps of a transaction ran under a bare asyncio.timeout, so a passed deadline left the owner as TimeoutError. The caller front answered it as an internal error with outcome unknown, also where nothing had run. Ruled out: an endpoint's refusal and the statement path, which already gave the code deadline. Before: in the fault matrix the cells queue/two-way cut, begin/two-way cut, commit/two-way cut and commit/freeze showed callers an untyped TimeoutError.

--- a/src/ebonyladder/plugins/endpoint_links.py
+++ b/src/ebonyladder/plugins/endpoint_links.py
@@ -1,6 +1,8 @@
 """Run statements at the endpoints that this VM owns."""
 
 import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import ClassVar, cast
 
 from absl import logging
@@ -43,6 +45,11 @@
 
 # A report stream sends at least ten reports a second.
 REACHABLE_S = 0.5
+ACTION_STEPS = {
+    TransactionAction.EXECUTE: Step.EXECUTE,
+    TransactionAction.COMMIT: Step.COMMIT,
+    TransactionAction.ROLLBACK: Step.ROLLBACK,
+}
 
 
 class OwnedEndpoint:
@@ -206,14 +213,22 @@
     async def _execute(
         self, connection: EndpointConnection, forward: Forward, deadline_s: float
     ) -> EndpointAnswer:
+        async with self._until(deadline_s, Step.EXECUTE, forward.endpoint):
+            return await connection.execute(
+                organisation=forward.organisation, statement=forward.statement
+            )
+
+    @asynccontextmanager
+    async def _until(
+        self, deadline_s: float, step: Step, endpoint: EndpointId
+    ) -> AsyncIterator[None]:
+        """Bound a block by a deadline; raises ``EndpointError`` DEADLINE."""
         try:
             async with asyncio.timeout(self._left_s(deadline_s)):
-                return await connection.execute(
-                    organisation=forward.organisation, statement=forward.statement
-                )
+                yield
         except TimeoutError:
             raise EndpointError(
-                code=ErrorCode.DEADLINE, step=Step.EXECUTE, peer=forward.endpoint
+                code=ErrorCode.DEADLINE, step=step, peer=endpoint
             ) from None
 
     # Transactions.
@@ -240,7 +255,7 @@
         connection = await owned.pool.acquire(self._left_s(deadline_s))
         try:
             self._require_key(step.key_digest, Step.BEGIN)
-            async with asyncio.timeout(self._left_s(deadline_s)):
+            async with self._until(deadline_s, Step.BEGIN, step.endpoint):
                 await connection.begin(organisation=step.organisation)
         except BaseException:
             owned.pool.release(connection)
@@ -268,7 +283,9 @@
         confirmer = Confirmer(
             view=self._view(transaction.group), clock=self.kernel.clock
         )
-        async with asyncio.timeout(self._left_s(deadline_s)):
+        async with self._until(
+            deadline_s, ACTION_STEPS[step.action], transaction.endpoint
+        ):
             if step.action is TransactionAction.ROLLBACK:
                 await connection.rollback()
                 self._end(step.transaction)
