--- a/tests/matrix_faults.py
+++ b/tests/matrix_faults.py
@@ -19,16 +19,15 @@
 from standins.records import Call, History
 from tests.checkers import check_rate, violations
 from tests.fleet import run_virtual
-from tests.matrix_load import Caller
+from tests.matrix_load import THINK_S, Caller
 from tests.matrix_world import (
-    BURST,
     ENDPOINTS,
     KEYS,
     ORGANISATIONS,
-    RATE_PER_S,
     VMS,
     HookedConfirmer,
     MatrixVm,
+    Rate,
     World,
 )
 
@@ -311,15 +310,16 @@
     seed: int,
     weaken: Callable[[MatrixVm], None] = lambda _vm: None,
     confirmer: type = HookedConfirmer,
+    rate: Rate = Rate(),  # noqa: B008
 ) -> Verdict:
     """Run one scenario with faults at steps and judge its history."""
     clock = ManualClock()
     with patch.object(endpoint_links, "Confirmer", confirmer):
-        return run_virtual(_run(clock, faults, seed, weaken), clock)
+        world = World(seed=seed, clock=clock, rate=rate, weaken=weaken)
+        return run_virtual(_run(world, faults), clock)
 
 
-async def _run(clock, faults, seed: int, weaken) -> Verdict:
-    world = World(seed=seed, clock=clock, weaken=weaken)
+async def _run(world: World, faults) -> Verdict:
     await world.start()
     armed = [ArmedFault(world=world, fault=f, step=s) for s, f in faults]
     callers = [
@@ -349,7 +349,7 @@
     await asyncio.sleep(1)
     history = world.history([call for caller in callers for call in caller.calls])
     await world.stop()
-    return Verdict(history, found + judge(history))
+    return Verdict(history, found + judge(history, world.rate))
 
 
 async def _serves_again(world: World) -> list[str]:
@@ -359,20 +359,22 @@
         probe = Caller(world=world, organisation="org-1", name=f"probe-{name}")
         try:
             async with asyncio.timeout(SERVE_LIMIT_S):
-                while await probe.write(name) is None:
-                    pass
+                answer = None
+                while answer is None:
+                    await asyncio.sleep(THINK_S)
+                    answer = await probe.write(name)
         except TimeoutError:
             codes = sorted({call.code for call in probe.calls})
             found.append(f"{name} does not serve after the fault: {codes}")
     return found
 
 
-def judge(history: History) -> list[str]:
+def judge(history: History, rate: Rate) -> list[str]:
     """Return what all checkers find."""
     found = violations(history)
     for organisation in ORGANISATIONS:
         found += check_rate(
-            history, organisation=organisation, rate_per_s=RATE_PER_S, burst=BURST
+            history, organisation=organisation, rate_per_s=rate.per_s, burst=rate.burst
         )
     return found + [f"dishonest: {c.code}" for c in history.calls if _is_untyped(c)]
 
--- a/tests/matrix_world.py
+++ b/tests/matrix_world.py
@@ -4,6 +4,7 @@
 import json
 from collections.abc import Callable
 from random import Random
+from typing import NamedTuple
 
 from ebonyladder.configuration import ConfigurationSource
 from ebonyladder.confirmation import Confirmer
@@ -54,8 +55,6 @@
 ENDPOINTS = ("db-1", "db-2", "db-3")
 ORGANISATIONS = ("org-1", "org-2")
 KEYS = {name: f"key-of-{name}" for name in ORGANISATIONS}
-RATE_PER_S = 200.0
-BURST = 100.0
 LINK_S = 0.001
 CALL_STEPS = {
     Forward: Step.FORWARD,
@@ -66,6 +65,13 @@
 }
 
 
+class Rate(NamedTuple):
+    """Rate in requests a second and burst of each organisation."""
+
+    per_s: float = 200.0
+    burst: float = 100.0
+
+
 class VmClock(Clock):
     """Clock of one VM; tells hooks in shared classes which VM runs them."""
 
@@ -382,9 +388,11 @@
         *,
         seed: int,
         clock: ManualClock,
+        rate: Rate,
         weaken: Callable[[MatrixVm], None] = lambda _vm: None,
     ) -> None:
         self.seed = seed
+        self.rate = rate
         self.clock = clock
         # Replaces parts of a VM by ones without their guard.
         self.weaken = weaken
@@ -409,8 +417,7 @@
             for name in names
         ]
 
-    @staticmethod
-    def configuration() -> str:
+    def configuration(self) -> str:
         return json.dumps(
             {
                 "services": {"ledger": {"groups": ["g1"], "depends_on": []}},
@@ -427,8 +434,8 @@
                 "zones": {f"zone-{n}": {"region": f"region-{n}"} for n in (1, 2, 3)},
                 "organisations": {
                     name: {
-                        "rate_per_s": RATE_PER_S,
-                        "burst": BURST,
+                        "rate_per_s": self.rate.per_s,
+                        "burst": self.rate.burst,
                         "key_digests": [digest_of(KEYS[name])],
                     }
                     for name in ORGANISATIONS
