--- a/scripts/fault_page.py
+++ b/scripts/fault_page.py
@@ -8,7 +8,8 @@
 from absl import logging
 
 from ebonyladder.kernel.step import Step
-from tests.matrix_faults import IMPOSSIBLE, Fault, run_cell
+from tests.matrix_faults import IMPOSSIBLE, Fault
+from tests.matrix_run import run_cell
 from tests.matrix_table import CELLS, STEPS
 
 PAGE = Path(__file__).parent.parent / "docs" / "FAULTS.md"
--- a/tests/matrix_faults.py
+++ b/tests/matrix_faults.py
@@ -1,43 +1,27 @@
-"""Faults of the matrix, what brings each step about, and one cell's run."""
+"""Faults of the matrix and the cells that cannot occur."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
 from enum import Enum
-from typing import NamedTuple
-from unittest.mock import patch
 
-from ebonyladder.edit import AnyEdit, GrantKey, SetEndpoint, WithdrawKey
-from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.edit import AnyEdit, GrantKey, WithdrawKey
 from ebonyladder.kernel.error import EbonyladderError, Outcome
 from ebonyladder.kernel.step import Step
 from ebonyladder.keys import digest_of
-from ebonyladder.plugins import endpoint_links
 from ebonyladder.store import PlatformStore
 from ebonyladder.submission import submit_edit
-from ebonyladder.types import EndpointState
 from standins.database import Role as DatabaseRole
-from standins.records import Call, History
-from tests.checkers import check_rate, violations
-from tests.fleet import run_virtual
-from tests.matrix_load import THINK_S, Caller
 from tests.matrix_world import (
     ENDPOINTS,
     KEYS,
-    ORGANISATIONS,
     VMS,
-    HookedConfirmer,
     MatrixVm,
-    Rate,
     World,
 )
 
 FAULT_S = 3.0
 # Longer than a main lease of the limits, 6 s.
 FREEZE_S = 8.0
-# Observations go to the status writer each 30 s.
-STATUS_S = 35.0
-REACH_LIMIT_S = 40.0
-SERVE_LIMIT_S = 40.0
 SLOW_S = 0.4
 STORE_SLOW_S = 1.5
 
@@ -109,13 +93,14 @@
             _a_replica(world).is_behind = True
         elif self.fault is Fault.LIST_OUT_OF_DATE:
             world.list_vms(("vm-1", "vm-9"))
-        return _restore(world)
+        return restore(world)
 
     def _operate(self, vm: str, edit: AnyEdit, name: str) -> None:
         self.racing.append(asyncio.ensure_future(operate(self.world, vm, edit, name)))
 
 
-async def _restore(world: World) -> None:
+async def restore(world: World) -> None:
+    """End all faults of store, network, replicas and list."""
     world.store.is_down = False
     world.store.delay_s = 0.0
     world.store.lost_answers = 0
@@ -149,12 +134,12 @@
     others = [other for other in (*VMS, *ENDPOINTS) if other != name]
     world.cut |= {(name, other) for other in others}
     world.cut |= {(other, name) for other in others}
-    return _restore(world)
+    return restore(world)
 
 
 def _lose_endpoint_answers(world: World, name: str, vm: MatrixVm) -> Coroutine:
     world.cut.add((name, vm.name))
-    return _restore(world)
+    return restore(world)
 
 
 def _kill_vm(world: World, vm: MatrixVm) -> Coroutine | None:
@@ -164,12 +149,12 @@
 
 def _cut_vm_one_way(world: World, vm: MatrixVm) -> Coroutine:
     world.network.cut |= {(vm.name, other) for other in VMS if other != vm.name}
-    return _restore(world)
+    return restore(world)
 
 
 def _cut_vm(world: World, vm: MatrixVm) -> Coroutine:
     world.network.isolate(vm.name)
-    return _restore(world)
+    return restore(world)
 
 
 def _freeze_vm(_world: World, vm: MatrixVm) -> Coroutine:
@@ -224,64 +209,6 @@
     return Outcome.UNKNOWN
 
 
-# What brings about the steps that plain statements do not reach.
-
-
-async def _nothing(_world: World) -> None:
-    pass
-
-
-async def _lose_primary(world: World) -> None:
-    restart = kill_endpoint(world, world.primary().name)
-    await asyncio.sleep(5)
-    await restart
-
-
-async def _restart_vm(world: World) -> None:
-    vm = world.vms["vm-3"]
-    vm.kill()
-    await asyncio.sleep(1)
-    await world.start_vm("vm-3", vm.incarnation + 1)
-
-
-async def _replace_vm(world: World) -> None:
-    vm = world.vms["vm-3"]
-    await vm.leave()
-    await asyncio.sleep(2)
-    await world.start_vm("vm-3", vm.incarnation + 1)
-
-
-async def _change_configuration(world: World) -> None:
-    edit = GrantKey(organisation="org-1", digest=digest_of("another-key"))
-    await operate(world, "vm-1", edit, "change-01")
-
-
-async def _remove_primary(world: World) -> None:
-    name = world.primary().name
-    for number, state in enumerate((EndpointState.LEAVING, EndpointState.ACTIVE)):
-        edit = SetEndpoint(endpoint=name, state=state)
-        await operate(world, "vm-1", edit, f"switch-{number}")
-        await asyncio.sleep(6)
-
-
-async def _wait_for_status(_world: World) -> None:
-    await asyncio.sleep(STATUS_S)
-
-
-Prelude = Callable[[World], Coroutine]
-PRELUDES: dict[Step, Prelude] = {
-    **dict.fromkeys(
-        (Step.FAILURE_DETECT, Step.FENCE, Step.PROMOTE, Step.FOLLOW), _lose_primary
-    ),
-    **dict.fromkeys((Step.PEER_HELLO, Step.CONFIG_SYNC), _restart_vm),
-    **dict.fromkeys((Step.DRAIN, Step.LEASE_TAKE, Step.LEASE_RELEASE), _replace_vm),
-    **dict.fromkeys(
-        (Step.CONFIG_CHECK, Step.CONFIG_SUBMIT, Step.CONFIG_APPLY),
-        _change_configuration,
-    ),
-    **dict.fromkeys((Step.STATUS_WRITE, Step.STATUS_READ), _wait_for_status),
-    Step.SWITCHOVER: _remove_primary,
-}
 # A step that never waits cannot be slow by itself.
 UNINTERRUPTED = (
     Step.KEY_CHECK,
@@ -296,88 +223,3 @@
     (step, Fault.SLOW): "the step runs to its end without waiting"
     for step in UNINTERRUPTED
 }
-
-
-class Verdict(NamedTuple):
-    """Result of one cell."""
-
-    history: History
-    found: list[str]
-
-
-def run_cell(
-    faults: tuple[tuple[Step, Fault], ...],
-    seed: int,
-    weaken: Callable[[MatrixVm], None] = lambda _vm: None,
-    confirmer: type = HookedConfirmer,
-    rate: Rate = Rate(),  # noqa: B008
-) -> Verdict:
-    """Run one scenario with faults at steps and judge its history."""
-    clock = ManualClock()
-    with patch.object(endpoint_links, "Confirmer", confirmer):
-        world = World(seed=seed, clock=clock, rate=rate, weaken=weaken)
-        return run_virtual(_run(world, faults), clock)
-
-
-async def _run(world: World, faults) -> Verdict:
-    await world.start()
-    armed = [ArmedFault(world=world, fault=f, step=s) for s, f in faults]
-    callers = [
-        Caller(world=world, organisation=ORGANISATIONS[n % 2], name=f"s{n}")
-        for n in range(3)
-    ]
-    loads = [asyncio.ensure_future(caller.run()) for caller in callers]
-    await asyncio.sleep(1)
-    await asyncio.gather(
-        *(PRELUDES.get(step, _nothing)(world) for step in {s for s, _ in faults})
-    )
-    found = []
-    try:
-        async with asyncio.timeout(REACH_LIMIT_S):
-            for one in armed:
-                await one.over.wait()
-    except TimeoutError:
-        found.append(
-            "unreached: "
-            + ", ".join(one.step.value for one in armed if not one.fired.is_set())
-        )
-    await _restore(world)
-    found += await _serves_again(world)
-    for caller in callers:
-        caller.is_stopping = True
-    await asyncio.gather(*loads)
-    await asyncio.sleep(1)
-    history = world.history([call for caller in callers for call in caller.calls])
-    await world.stop()
-    return Verdict(history, found + judge(history, world.rate))
-
-
-async def _serves_again(world: World) -> list[str]:
-    """Return the VMs that do not serve a write within the limit."""
-    found = []
-    for name in VMS:
-        probe = Caller(world=world, organisation="org-1", name=f"probe-{name}")
-        try:
-            async with asyncio.timeout(SERVE_LIMIT_S):
-                answer = None
-                while answer is None:
-                    await asyncio.sleep(THINK_S)
-                    answer = await probe.write(name)
-        except TimeoutError:
-            codes = sorted({call.code for call in probe.calls})
-            found.append(f"{name} does not serve after the fault: {codes}")
-    return found
-
-
-def judge(history: History, rate: Rate) -> list[str]:
-    """Return what all checkers find."""
-    found = violations(history)
-    for organisation in ORGANISATIONS:
-        found += check_rate(
-            history, organisation=organisation, rate_per_s=rate.per_s, burst=rate.burst
-        )
-    return found + [f"dishonest: {c.code}" for c in history.calls if _is_untyped(c)]
-
-
-def _is_untyped(call: Call) -> bool:
-    return call.code.startswith("untyped")
--- a/tests/matrix_world.py
+++ b/tests/matrix_world.py
@@ -7,14 +7,11 @@
 from typing import NamedTuple
 
 from ebonyladder.configuration import ConfigurationSource
-from ebonyladder.confirmation import Confirmer
 from ebonyladder.dispatch import Dispatcher
 from ebonyladder.document import ConfigurationDocument
 from ebonyladder.endpoint import EndpointDriver
 from ebonyladder.execution import StatementExecutor
-from ebonyladder.gateway import Gateway
 from ebonyladder.kernel.clock import Clock, ManualClock
-from ebonyladder.kernel.error import EbonyladderError, ErrorCode, PeerError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.registry import Registry
@@ -22,17 +19,9 @@
 from ebonyladder.keys import KeyRing, digest_of
 from ebonyladder.limits import RateLimits
 from ebonyladder.membership import Membership
-from ebonyladder.messages import (
-    Forward,
-    GrantRequest,
-    Ping,
-    Sync,
-    TransactionStep,
-)
 from ebonyladder.metrics import Metrics
-from ebonyladder.peer import PeerIdentity, PeerLinks
+from ebonyladder.peer import PeerLinks
 from ebonyladder.plugins.configuration import ConfigurationPlugin
-from ebonyladder.plugins.endpoint_links import OwnedEndpointLinks
 from ebonyladder.plugins.group_watch import OwnedGroupWatch
 from ebonyladder.plugins.keys import KeysPlugin
 from ebonyladder.plugins.limits import LimitsPlugin
@@ -48,21 +37,20 @@
 from ebonyladder.types import VmState
 from standins.database import Role as DatabaseRole
 from standins.records import History, Logged
-from tests.fakes import FakeNetwork, FakePeerLinks, MemoryStore
+from tests.fakes import FakeNetwork, MemoryStore
 from tests.matrix_endpoints import REPLICATION_S, FakeDriver, FakeEndpoint
+from tests.matrix_hooks import (
+    HookedExecutor,
+    HookedGate,
+    HookedGateway,
+    HookedLinks,
+    HookedStore,
+)
 
 VMS = ("vm-1", "vm-2", "vm-3")
 ENDPOINTS = ("db-1", "db-2", "db-3")
 ORGANISATIONS = ("org-1", "org-2")
 KEYS = {name: f"key-of-{name}" for name in ORGANISATIONS}
-LINK_S = 0.001
-CALL_STEPS = {
-    Forward: Step.FORWARD,
-    TransactionStep: Step.FORWARD,
-    GrantRequest: Step.GRANT,
-    Sync: Step.CONFIG_SYNC,
-    Ping: Step.MEMBERSHIP_PING,
-}
 
 
 class Rate(NamedTuple):
@@ -85,139 +73,6 @@
         return self.vm.world.clock.wall_s()
 
 
-class HookedStore(MemoryStore):
-    """One VM's access to the shared store."""
-
-    def __init__(self, vm: "MatrixVm") -> None:
-        super().__init__()
-        self.vm = vm
-        self.shared = vm.world.store
-
-    async def _through(self, call, *steps: Step):
-        for step in steps:
-            await self.vm.reach(step, "store")
-        answer = await call()
-        await self.vm.running.wait()
-        return answer
-
-    @staticmethod
-    def _write_step(key: str, version: int) -> Step:
-        if key.startswith("limits/"):
-            return Step.LEASE_RENEW if version else Step.LEASE_TAKE
-        is_status = key.startswith("status/")
-        return Step.STATUS_WRITE if is_status else Step.CONFIG_SUBMIT
-
-    async def get(self, key):
-        steps = [Step.STORE_READ]
-        if key.startswith("status/"):
-            steps.append(Step.STATUS_READ)
-        return await self._through(lambda: self.shared.get(key), *steps)
-
-    async def list(self, prefix):
-        return await self._through(lambda: self.shared.list(prefix), Step.STORE_READ)
-
-    async def vms(self):
-        return await self._through(self.shared.vms, Step.STORE_READ)
-
-    async def watch(self, key, *, after_version, wait_s):
-        return await self._through(
-            lambda: self.shared.watch(key, after_version=after_version, wait_s=wait_s),
-            Step.STORE_WATCH,
-        )
-
-    async def put(self, key, value, *, expected_version):
-        step = self._write_step(key, expected_version)
-        if self.vm.is_leaving and key.startswith("limits/"):
-            step = Step.LEASE_RELEASE
-        return await self._through(
-            lambda: self.shared.put(key, value, expected_version=expected_version),
-            Step.STORE_WRITE,
-            step,
-        )
-
-    async def delete(self, key, *, expected_version):
-        await self._through(
-            lambda: self.shared.delete(key, expected_version=expected_version),
-            Step.STORE_WRITE,
-            Step.LEASE_RELEASE,
-        )
-
-
-class HookedLinks(FakePeerLinks):
-    """Links of one VM; handlers run in tasks that end with their VM."""
-
-    def __init__(self, vm: "MatrixVm") -> None:
-        super().__init__(network=vm.world.network, vm=vm.name, zone=vm.zone)
-        self.owner = vm
-        self.incarnation = vm.incarnation
-        self.linked: set[str] = set()
-
-    async def call(self, vm, message, *, timeout_s):
-        self.owner.note(Step.PEER_CALL, vm)
-        if vm not in self.linked:
-            self.linked.add(vm)
-            await self.owner.reach(Step.PEER_HELLO, vm)
-        if type(message) in CALL_STEPS:
-            await self.owner.reach(CALL_STEPS[type(message)], vm)
-        target = self.network.links.get(vm)
-        if target is None or (self.vm, vm) in self.network.cut:
-            self.linked.discard(vm)
-            raise self._error(ErrorCode.PEER_UNREACHABLE, vm)
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._deliver(target, vm, message)
-        except TimeoutError:
-            raise self._error(ErrorCode.PEER_LOST, vm) from None
-
-    async def _deliver(self, target: "HookedLinks", vm, message):
-        await asyncio.sleep(LINK_S)
-        await target.owner.running.wait()
-        identity = PeerIdentity(self.vm, self.zone, self.incarnation, self.vm)
-        handler = target.handlers.get(type(message))
-        if handler is None:
-            raise self._error(ErrorCode.PEER_REFUSED, vm)
-        task = target.owner.spawn(handler(identity, message))
-        await asyncio.wait({task})
-        await asyncio.sleep(LINK_S)
-        await self.owner.running.wait()
-        if task.cancelled() or (vm, self.vm) in self.network.cut:
-            self.linked.discard(vm)
-            raise self._error(ErrorCode.PEER_LOST, vm)
-        try:
-            return task.result()
-        except EbonyladderError as error:
-            raise PeerError(
-                code=error.code,
-                step=error.step,
-                peer=error.peer or vm,
-                outcome=error.outcome,
-                message=error.message,
-                retry_after_s=error.retry_after_s,
-            ) from error
-
-
-class HookedGate(WriteGate):
-    """Gate at which a switchover begins; it holds back nothing."""
-
-    def __init__(self, vm: "MatrixVm") -> None:
-        self.vm = vm
-
-    async def close(self, group, *, limit_s: float) -> bool:
-        await self.vm.reach(Step.SWITCHOVER, "db-1")
-        return True
-
-    def open(self, group) -> None:
-        pass
-
-
-class HookedExecutor(OwnedEndpointLinks):
-    """Executor of one VM with a hook before the queue."""
-
-    async def _require_ready(self, confirmer, forward) -> None:
-        await super()._require_ready(confirmer, forward)
-        await self.kernel.vm.reach(Step.QUEUE, forward.endpoint)
-
-
 REAL_PLUGINS = (
     ConfigurationPlugin,
     HookedExecutor,
@@ -231,44 +86,6 @@
 )
 
 
-class HookedConfirmer(Confirmer):
-    """Confirmer with a hook before the confirmation."""
-
-    async def confirm(self, endpoint, answer, wait_s):
-        await self.clock.vm.reach(Step.CONFIRM, endpoint)
-        await super().confirm(endpoint, answer, wait_s)
-
-
-class HookedGateway(Gateway):
-    """Gateway with hooks at its own steps."""
-
-    vm: "MatrixVm"
-
-    def _holder(self, key, *, is_new_work=True):
-        self.vm.note(Step.KEY_CHECK)
-        return super()._holder(key, is_new_work=is_new_work)
-
-    def _token(self, sealed, holder):
-        self.vm.note(Step.TOKEN_CHECK)
-        return super()._token(sealed, holder)
-
-    async def _admit(self, holder, deadline_s):
-        await self.vm.reach(Step.RATE_ADMIT)
-        await super()._admit(holder, deadline_s)
-
-    def _group(self, service, partition):
-        self.vm.note(Step.ROUTE)
-        return super()._group(service, partition)
-
-    def _answer(self, token, group, answer, name):
-        self.vm.note(Step.ANSWER)
-        return super()._answer(token, group, answer, name)
-
-    def _observe(self, *arguments):
-        self.vm.note(Step.STATUS_OBSERVE)
-        super()._observe(*arguments)
-
-
 class MatrixVm:
     """One VM: real plug-ins and gateway on hooked interfaces."""
 
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -13,8 +13,10 @@
 from ebonyladder.types import RequestKind
 from standins.records import History
 from tests.checkers import check_organisations
-from tests.matrix_faults import Fault, run_cell
-from tests.matrix_world import ENDPOINTS, VMS, HookedConfirmer, MatrixVm, Rate
+from tests.matrix_faults import Fault
+from tests.matrix_hooks import HookedConfirmer
+from tests.matrix_run import run_cell
+from tests.matrix_world import ENDPOINTS, VMS, MatrixVm, Rate
 
 SLOW_RATE = Rate(per_s=5.0, burst=10.0)
 CUT_AFTER_S = 7.5
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -5,7 +5,8 @@
 import pytest
 
 from ebonyladder.kernel.step import Step
-from tests.matrix_faults import IMPOSSIBLE, PRELUDES, Fault, run_cell
+from tests.matrix_faults import IMPOSSIBLE, Fault
+from tests.matrix_run import PRELUDES, run_cell
 from tests.matrix_table import CELLS, STEPS
 
 PAIR_SEED = 2_026
