Restart a VM of the matrix only once and end what a killed VM runs

Cause: a VM killed while it drained was started by the fault and by the scenario, so two daemons used the same hop ids and one got the other's answer; a VM killed while it started left the scenario waiting for ever. Change: starts are numbered over the world, a running VM is not started again, and starts and drains run in tasks that end with their VM. Leases are told apart by their record, so taking and releasing are reached.

--- a/tests/matrix_faults.py
+++ b/tests/matrix_faults.py
@@ -144,7 +144,7 @@
 
 def _kill_vm(world: World, vm: MatrixVm) -> Coroutine | None:
     vm.kill()
-    return world.start_vm(vm.name, vm.incarnation + 1)
+    return world.start_vm(vm.name)
 
 
 def _cut_vm_one_way(world: World, vm: MatrixVm) -> Coroutine:
--- a/tests/matrix_hooks.py
+++ b/tests/matrix_hooks.py
@@ -1,6 +1,7 @@
 """Interfaces and parts of one VM with a hook at each step."""
 
 import asyncio
+import json
 from typing import TYPE_CHECKING
 
 from ebonyladder.confirmation import Confirmer
@@ -41,12 +42,15 @@
         await self.vm.running.wait()
         return answer
 
-    @staticmethod
-    def _write_step(key: str, version: int) -> Step:
-        if key.startswith("limits/"):
-            return Step.LEASE_RENEW if version else Step.LEASE_TAKE
-        is_status = key.startswith("status/")
-        return Step.STATUS_WRITE if is_status else Step.CONFIG_SUBMIT
+    def _write_step(self, key: str, value: bytes) -> Step:
+        if not key.startswith("limits/"):
+            is_status = key.startswith("status/")
+            return Step.STATUS_WRITE if is_status else Step.CONFIG_SUBMIT
+        record, stored = json.loads(value), self.shared.objects.get(key)
+        if record["released"]:
+            return Step.LEASE_RELEASE
+        is_mine = stored and json.loads(stored.value)["nonce"] == record["nonce"]
+        return Step.LEASE_RENEW if is_mine else Step.LEASE_TAKE
 
     async def get(self, key):
         steps = [Step.STORE_READ]
@@ -67,9 +71,7 @@
         )
 
     async def put(self, key, value, *, expected_version):
-        step = self._write_step(key, expected_version)
-        if self.vm.is_leaving and key.startswith("limits/"):
-            step = Step.LEASE_RELEASE
+        step = self._write_step(key, value)
         return await self._through(
             lambda: self.shared.put(key, value, expected_version=expected_version),
             Step.STORE_WRITE,
@@ -80,7 +82,6 @@
         await self._through(
             lambda: self.shared.delete(key, expected_version=expected_version),
             Step.STORE_WRITE,
-            Step.LEASE_RELEASE,
         )
 
 
--- a/tests/matrix_load.py
+++ b/tests/matrix_load.py
@@ -108,7 +108,7 @@
         clock, vm = self.world.clock, self.world.vms[name]
         sent_s = clock.now_s()
         answer, code, outcome, step = None, "", "", ""
-        if not vm.is_alive:
+        if not vm.is_up:
             code, outcome = "not-connected", NOT_RUN
             await asyncio.sleep(THINK_S)
         else:
@@ -118,6 +118,8 @@
                 return await serve(vm.gateway, vm.gateway.new_request_id())
 
             task = vm.spawn(served())
+            vm.calls.add(task)
+            task.add_done_callback(vm.calls.discard)
             await asyncio.wait({task}, timeout=ANSWER_LIMIT_S)
             if not task.done() or task.cancelled():
                 code, outcome = "no-answer", UNKNOWN
--- a/tests/matrix_run.py
+++ b/tests/matrix_run.py
@@ -23,6 +23,7 @@
 STATUS_S = 35.0
 REACH_LIMIT_S = 40.0
 SERVE_LIMIT_S = 40.0
+CELL_LIMIT_S = 400.0
 
 
 # What brings about the steps that plain statements do not reach.
@@ -42,14 +43,14 @@
     vm = world.vms["vm-3"]
     vm.kill()
     await asyncio.sleep(1)
-    await world.start_vm("vm-3", vm.incarnation + 1)
+    await world.start_vm("vm-3")
 
 
 async def _replace_vm(world: World) -> None:
     vm = world.vms["vm-3"]
     await vm.leave()
     await asyncio.sleep(2)
-    await world.start_vm("vm-3", vm.incarnation + 1)
+    await world.start_vm("vm-3")
 
 
 async def _change_configuration(world: World) -> None:
@@ -103,7 +104,7 @@
     clock = ManualClock()
     with patch.object(endpoint_links, "Confirmer", confirmer):
         world = World(seed=seed, clock=clock, rate=rate, weaken=weaken)
-        return run_virtual(_run(world, faults), clock)
+        return run_virtual(asyncio.wait_for(_run(world, faults), CELL_LIMIT_S), clock)
 
 
 async def _run(world: World, faults) -> Verdict:
--- a/tests/matrix_world.py
+++ b/tests/matrix_world.py
@@ -98,9 +98,10 @@
         self.running = asyncio.Event()
         self.running.set()
         self.is_alive = True
-        self.is_leaving = False
+        self.is_up = False
         self.delay_s = 0.0
         self.tasks: set[asyncio.Task] = set()
+        self.calls: set[asyncio.Task] = set()
         self.kernel = self._make_kernel()
 
     def _make_kernel(self) -> Kernel:
@@ -158,6 +159,7 @@
         self.gateway.vm = self
         get(ConfigurationSource).subscribe(lambda _: self.note(Step.CONFIG_APPLY))
         self.world.weaken(self)
+        self.is_up = True
 
     def spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.ensure_future(coroutine)
@@ -179,22 +181,31 @@
             await asyncio.Event().wait()
 
     def kill(self) -> None:
-        self.is_alive = False
+        self.is_alive = self.is_up = False
         self.world.network.links.pop(self.name, None)
         executor = self.kernel.get(StatementExecutor)
         for task in [*self.tasks, *self.kernel.tasks, *executor.duplicates.running]:
             task.cancel()
 
+    async def until_done(self, coroutine) -> None:
+        """Run in a task of this VM, which ends if the VM is killed."""
+        task = self.spawn(coroutine)
+        await asyncio.wait({task})
+        if not task.cancelled():
+            task.result()
+
     async def leave(self) -> None:
         """Drain and stop, as at SIGTERM."""
-        self.note(Step.DRAIN)
-        self.is_leaving = True
+        await self.until_done(self._leave())
+        self.kill()
+
+    async def _leave(self) -> None:
+        await self.reach(Step.DRAIN)
         self.gateway.is_draining = True
-        while self.tasks and self.is_alive:
-            await asyncio.wait(set(self.tasks))
+        while self.calls and self.is_alive:
+            await asyncio.wait(set(self.calls))
         await self.kernel.drain()
         await self.kernel.stop()
-        self.kill()
 
 
 class World:
@@ -221,6 +232,7 @@
         self.reached: set[Step] = set()
         self.armed: list = []
         self.vms: dict[str, MatrixVm] = {}
+        self.starts = 0
         self.list_vms()
 
     def list_vms(self, names: tuple[str, ...] = VMS) -> None:
@@ -266,12 +278,16 @@
         await self.store.put("configuration", value, expected_version=0)
         self.replication = asyncio.ensure_future(self._replicate())
         for name in VMS:
-            await self.start_vm(name, 1)
+            await self.start_vm(name)
         await asyncio.sleep(6)
 
-    async def start_vm(self, name: str, incarnation: int) -> None:
-        vm = self.vms[name] = MatrixVm(self, name, incarnation)
-        await vm.start()
+    async def start_vm(self, name: str) -> None:
+        """Start a VM that does not run; returns once it is up or was killed."""
+        if name in self.vms and self.vms[name].is_alive:
+            return
+        self.starts += 1
+        vm = self.vms[name] = MatrixVm(self, name, self.starts)
+        await vm.until_done(vm.start())
 
     async def stop(self) -> None:
         self.replication.cancel()
