Let the hour end in the cells of the status history

Cause: records are written when an hour ends or the configuration changes, and the scenario had neither, so status-write and status-read were not reached.

--- a/tests/matrix_run.py
+++ b/tests/matrix_run.py
@@ -10,6 +10,7 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.keys import digest_of
 from ebonyladder.plugins import endpoint_links
+from ebonyladder.status import SECONDS_PER_HOUR
 from ebonyladder.types import EndpointState
 from standins.records import Call, History
 from tests.checkers import check_rate, violations
@@ -66,7 +67,10 @@
         await asyncio.sleep(6)
 
 
-async def _wait_for_status(_world: World) -> None:
+async def _end_hour(world: World) -> None:
+    """Change the index of the status history and let the hour end."""
+    await _change_configuration(world)
+    world.clock.epoch_s += SECONDS_PER_HOUR
     await asyncio.sleep(STATUS_S)
 
 
@@ -81,7 +85,7 @@
         (Step.CONFIG_CHECK, Step.CONFIG_SUBMIT, Step.CONFIG_APPLY),
         _change_configuration,
     ),
-    **dict.fromkeys((Step.STATUS_WRITE, Step.STATUS_READ), _wait_for_status),
+    **dict.fromkeys((Step.STATUS_WRITE, Step.STATUS_READ), _end_hour),
     Step.SWITCHOVER: _remove_primary,
 }
 
