--- a/tests/matrix_run.py
+++ b/tests/matrix_run.py
@@ -10,6 +10,7 @@
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.kernel.step import Step
 from ebonyladder.keys import digest_of
+from ebonyladder.status import SECONDS_PER_HOUR
 from ebonyladder.types import EndpointState
 from standins.records import Call, History
 from tests.checkers import check_rate, violations
@@ -23,6 +24,7 @@
 STATUS_S = 35.0
 REACH_LIMIT_S = 40.0
 SERVE_LIMIT_S = 40.0
+CELL_LIMIT_S = 400.0
 
 
 # What brings about the steps that plain statements do not reach.
@@ -42,14 +44,14 @@
     vm = world.vms["vm-3"]
     vm.kill()
     await asyncio.sleep(1)
-    await world.start_vm("vm-3", vm.incarnation + 1)
+    await world.start_vm("vm-3")
 
 
 async def _replace_vm(world: World) -> None:
     vm = world.vms["vm-3"]
     await vm.leave()
     await asyncio.sleep(2)
-    await world.start_vm("vm-3", vm.incarnation + 1)
+    await world.start_vm("vm-3")
 
 
 async def _change_configuration(world: World) -> None:
@@ -65,7 +67,10 @@
         await asyncio.sleep(6)
 
 
-async def _wait_for_status(_world: World) -> None:
+async def _end_hour(world: World) -> None:
+    """Change the index of the status history and let the hour end."""
+    await _change_configuration(world)
+    world.clock.epoch_s += SECONDS_PER_HOUR
     await asyncio.sleep(STATUS_S)
 
 
@@ -80,7 +85,7 @@
         (Step.CONFIG_CHECK, Step.CONFIG_SUBMIT, Step.CONFIG_APPLY),
         _change_configuration,
     ),
-    **dict.fromkeys((Step.STATUS_WRITE, Step.STATUS_READ), _wait_for_status),
+    **dict.fromkeys((Step.STATUS_WRITE, Step.STATUS_READ), _end_hour),
     Step.SWITCHOVER: _remove_primary,
 }
 
@@ -103,7 +108,7 @@
     clock = ManualClock()
     with patch.object(_owner_context, "Confirmer", confirmer):
         world = World(seed=seed, clock=clock, rate=rate, weaken=weaken)
-        return run_virtual(_run(world, faults), clock)
+        return run_virtual(asyncio.wait_for(_run(world, faults), CELL_LIMIT_S), clock)
 
 
 async def _run(world: World, faults) -> Verdict:
