Run tests on several workers; deployments of processes stay on one

Cause: the fault matrix takes 5 to 10 minutes on one core. Change: pytest-xdist, process tests in one group.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 KEEP ?= 0
+JOBS ?= 6
 
 .PHONY: setup format test demo bench
 
@@ -20,7 +21,7 @@
 test: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadgroup
 
 demo: setup
 	$(BIN)/python -m scripts.demo --keep=$(KEEP)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -21,6 +21,9 @@
 from tests.load import Load
 from tests.test_kernel import SETTINGS
 
+# Deployments of processes run one after the other, on one worker.
+pytestmark = pytest.mark.xdist_group("processes")
+
 READY = Configuration(zones={"zone-a": ZoneSpec(region="region")})
 LEAVING = [
     Configuration(zones={"zone-a": ZoneSpec(region="region", state=ZoneState.OUT)}),
--- a/tests/test_process_faults.py
+++ b/tests/test_process_faults.py
@@ -15,6 +15,9 @@
 from standins.records import NOT_RUN, Call, History
 from tests.checkers import check_rate, violations
 
+# Deployments of processes run one after the other, on one worker.
+pytestmark = pytest.mark.xdist_group("processes")
+
 GROUP = "g1"
 ISOLATED = ["sql", "reports", "control", "replication"]
 # Longer than a main lease of the limits (6 s) and than the freshness limit.
--- a/tests/test_switchover.py
+++ b/tests/test_switchover.py
@@ -24,6 +24,9 @@
 from tests.fakes import FixedConfiguration
 from tests.load import Load
 
+# Deployments of processes run one after the other, on one worker.
+pytestmark = pytest.mark.xdist_group("processes")
+
 # Longer than a switchover takes that does not wait for transactions.
 SWITCHOVER_S = 0.5
 
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -27,6 +27,9 @@
 from standins.deployment import OPERATOR_KEY, Deployment
 from tests.load import Load
 
+# Deployments of processes run one after the other, on one worker.
+pytestmark = pytest.mark.xdist_group("processes")
+
 
 class TestJournal:
     """Guards against a journal that grows without bound or hides a refusal."""
--- a/tests/test_zone_feature.py
+++ b/tests/test_zone_feature.py
@@ -9,6 +9,9 @@
 from standins.deployment import OPERATOR_KEY, Deployment, wait_until
 from tests.load import Load
 
+# Deployments of processes run one after the other, on one worker.
+pytestmark = pytest.mark.xdist_group("processes")
+
 scenarios("features/zone.feature")
 
 
