Remove store calls for limit leases that other VMs hold

Cause: a VM that starts sees itself alone until its peers answer, so it tried for all 576 leases; it kept those it took for 30 s and watched the others, with one read and one watch for each renewal by the holder. Each of the 576 leases was taken, and the reads and watches came from the preferred VMs that waited for the handover. Ruled out: other readers (with leases settled no read of any kind is left). Change: a starting VM tries for leases once its view has been the same for 2 s, at most 6 s after its start; a waiting VM reads a lease once and then only watches it; retries while the store is down are spread by 50%. Both new tests fail on the former code.

--- a/src/ebonyladder/_lease_keeper.py
+++ b/src/ebonyladder/_lease_keeper.py
@@ -28,6 +28,12 @@
 # Spreads the calls of leases that were taken at the same time.
 RENEWAL_JITTER = 0.25
 RESERVE_START_S = 10.0
+# A VM that starts sees itself alone until peers answer, and would try for all
+# leases. It waits for a view that stays the same, but not for ever.
+VIEW_SETTLE_S = 2.0
+VIEW_SETTLE_LIMIT_S = 6.0
+# Failed calls of many leases must not come back to the store at the same time.
+RETRY_JITTER = 0.5
 
 
 class LeaseKeeper:
@@ -79,16 +85,29 @@
 
     async def _review(self) -> None:
         """Start a task for each lease for which this VM is the first choice."""
+        started_s = self.clock.now_s()
+        is_settled = False
         while True:
             view = self.workers()
+            now_s = self.clock.now_s()
             if view != self.preferred_view:
                 self.preferred_view = view
                 self.preferred = preferred_leases(self.vm, view)
-                self.preferred_since_s = self.clock.now_s()
-            for name in sorted(self.preferred - self.tasks.keys(), key=_start_order):
-                self.tasks[name] = self.kernel.spawn(self._hold(name), name=name.key)
+                self.preferred_since_s = now_s
+            is_settled = (
+                is_settled
+                or now_s - self.preferred_since_s >= VIEW_SETTLE_S
+                or now_s - started_s >= VIEW_SETTLE_LIMIT_S
+            )
+            if is_settled:
+                self._start_tasks()
             await asyncio.sleep(REVIEW_INTERVAL_S)
 
+    def _start_tasks(self) -> None:
+        """Try for the preferred leases that have no task, main leases first."""
+        for name in sorted(self.preferred - self.tasks.keys(), key=_start_order):
+            self.tasks[name] = self.kernel.spawn(self._hold(name), name=name.key)
+
     async def _hold(self, name: LeaseName) -> None:
         """Take and renew one lease while this VM should have it."""
         lease = Lease(
@@ -120,8 +139,9 @@
             async with self.calls:
                 await self._renew_or_hand_over(name, lease)
             return
-        async with self.calls:
-            await lease.observe()
+        if not lease.is_observed:
+            async with self.calls:
+                await lease.observe()
         if lease.state is LeaseState.SEEKING:
             left_s = lease.wait_left_s()
             if left_s > 0:
@@ -153,10 +173,12 @@
     async def _after_failure(
         self, name: LeaseName, lease: Lease, error: StoreError
     ) -> None:
+        lease.is_observed = False
         if lease.state is LeaseState.SEEKING:
             self.holdings.close(name)
         if error.code is ErrorCode.STORE_UNAVAILABLE:
-            await asyncio.sleep(name.retry_s)
+            spread = self.random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+            await asyncio.sleep(name.retry_s * spread)
         else:
             logging.info("[limits] Lease is lost. key=%s peer=%s", name.key, error.peer)
 
--- a/src/ebonyladder/lease.py
+++ b/src/ebonyladder/lease.py
@@ -88,6 +88,7 @@
         self.incarnation = incarnation
         self.nonce = nonce
         self.state = LeaseState.SEEKING
+        self.is_observed = False
         self.record: LeaseRecord | None = None
         self.version = 0
         self.seen_s = NEVER_S
@@ -117,6 +118,7 @@
     async def observe(self) -> None:
         """Read the record; raises ``StoreError`` STORE_UNAVAILABLE."""
         self._note(await self.store.get(self.key))
+        self.is_observed = True
 
     async def watch(self, *, wait_s: float) -> None:
         """Wait up to ``wait_s`` seconds for a newer record."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -17,7 +17,7 @@
     TokenBucket,
     preferred_leases,
 )
-from tests.limit_fleet import ORGANISATION, Fleet, breach, run_virtual
+from tests.limit_fleet import ORGANISATION, Fleet, FleetVm, breach, run_virtual
 
 NAMES = [f"vm-{n}" for n in range(8)]
 RATE_PER_S = 50.0
@@ -241,3 +241,33 @@
         task.cancel()
     holder.running.set()
     await load
+
+
+class TestLeaseCalls:
+    """Guards the store against calls for leases that others hold."""
+
+    def test_starting_vm_that_sees_itself_alone_does_not_try_for_all(self):
+        async def scenario(fleet):
+            await asyncio.sleep(20.0)
+            fleet.vms["late"] = late = FleetVm(fleet=fleet, vm="late", offset_s=9.0)
+            late.membership.view = ["late"]
+            before = fleet.store.calls["get"]
+            await late.kernel.start()
+            await asyncio.sleep(1.0)
+            late.membership.view = [*NAMES, "late"]
+            await asyncio.sleep(20.0)
+            assert fleet.store.calls["get"] - before <= 2 * SHARDS
+
+        run_fleet(scenario)
+
+    def test_waiting_for_a_held_lease_reads_it_once(self):
+        async def scenario(fleet):
+            await asyncio.sleep(20.0)
+            fleet.vms["late"] = late = FleetVm(fleet=fleet, vm="late", offset_s=9.0)
+            late.membership.view = ["late"]
+            before = fleet.store.calls["get"]
+            await late.kernel.start()
+            await asyncio.sleep(60.0)
+            assert fleet.store.calls["get"] - before <= SHARDS * (1 + RESERVES)
+
+        run_fleet(scenario)
