--- /dev/null
+++ b/bench/metered_daemon.py
@@ -0,0 +1,86 @@
+"""Daemon that also counts the bytes of its peer and endpoint links."""
+
+import asyncio
+import json
+import os
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from websockets.asyncio.connection import Connection
+
+from ebonyladder.daemon import main
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.registry import register
+from ebonyladder.messages import Message
+from ebonyladder.plugins import peer_links
+
+FOLDER_VARIABLE = "EBONYLADDER_METER_FOLDER"
+WRITE_INTERVAL_S = 0.25
+
+counts: Counter[str] = Counter()
+
+
+def _tag(message: Message) -> str:
+    return str(type(message).__struct_config__.tag)
+
+
+def _count_messages() -> None:
+    """Count the encoded messages of peer links by type."""
+    encode, decode = peer_links.encode, peer_links.decode
+
+    def counted_encode(number: int, message: Message) -> bytes:
+        data = encode(number, message)
+        counts[f"sent {_tag(message)}"] += len(data)
+        counts["peer sent"] += len(data)
+        return data
+
+    def counted_decode(data: Any, *, peer: str) -> Any:
+        frame = decode(data, peer=peer)
+        counts[f"received {_tag(frame.message)}"] += len(data)
+        counts["peer received"] += len(data)
+        return frame
+
+    peer_links.encode, peer_links.decode = counted_encode, counted_decode
+
+
+def _count_sockets() -> None:
+    """Count the bytes of all WebSockets, those to endpoints included."""
+    send: Callable = Connection.send
+    data_received: Callable = Connection.data_received
+
+    async def counted_send(self: Connection, message: Any, *args: Any) -> None:
+        counts["sockets sent"] += len(message)
+        await send(self, message, *args)
+
+    def counted_received(self: Connection, data: bytes) -> None:
+        counts["sockets received"] += len(data)
+        data_received(self, data)
+
+    Connection.send, Connection.data_received = counted_send, counted_received
+
+
+@register
+class Meter(Plugin):
+    """Write the counts to a file for the bench."""
+
+    name = "meter"
+
+    async def start(self) -> None:
+        """Start to write."""
+        self.kernel.spawn(self._write(), name="meter")
+
+    async def _write(self) -> None:
+        path = Path(os.environ[FOLDER_VARIABLE]) / f"{self.kernel.settings.vm}.counts"
+        while True:
+            part = path.with_suffix(".part")
+            part.write_text(json.dumps(counts))
+            part.replace(path)
+            await asyncio.sleep(WRITE_INTERVAL_S)
+
+
+if __name__ == "__main__":
+    _count_messages()
+    _count_sockets()
+    main()
--- a/src/ebonyladder/ownership.py
+++ b/src/ebonyladder/ownership.py
@@ -2,22 +2,34 @@
 
 from typing import NamedTuple
 
-from ebonyladder.configuration import ConfigurationSource
+from ebonyladder.configuration import (
+    Configuration,
+    ConfigurationSource,
+    ZoneSpec,
+)
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.membership import Membership
-from ebonyladder.types import EndpointId, GroupId, VmId
+from ebonyladder.messages import PeerRecord
+from ebonyladder.routing import rendezvous_order
+from ebonyladder.types import EndpointId, GroupId, VmId, ZoneId
 
-# Rendezvous hashing over hundreds of VMs is too slow for each statement.
+# Rendezvous hashing over hundreds of VMs is too slow for each statement, and over
+# all endpoints too slow for each review. The view is looked at this often.
 CACHE_S = 0.2
 
 
 class _Cached(NamedTuple):
+    zone: ZoneId
     owner: VmId | None
-    until_s: float
+
+
+class _Groups(NamedTuple):
+    configuration: Configuration
+    owned: frozenset[GroupId]
 
 
 class Ownership:
-    """Owners of endpoints by the present view, cached for a short time.
+    """Owners of endpoints by the present view, kept until the view changes.
 
     Parameters
     ----------
@@ -44,33 +56,71 @@
         self.configuration = configuration
         self.clock = clock
         self.cache: dict[EndpointId, _Cached] = {}
+        self.groups: _Groups | None = None
+        self.members: list[PeerRecord] | None = None
+        self.zones: dict[ZoneId, ZoneSpec] | None = None
+        self.workers: list[tuple[VmId, ZoneId]] = []
+        self.local: dict[ZoneId, list[VmId]] = {}
+        self.checked_s = float("-inf")
 
     def owner_of(self, endpoint: EndpointId) -> VmId | None:
         """Return the owner of an endpoint, None if no VM can own it."""
-        now_s = self.clock.now_s()
+        self._follow_view()
+        spec = self.configuration.current.endpoints.get(endpoint)
+        if spec is None:
+            return None
         cached = self.cache.get(endpoint)
-        if cached is None or cached.until_s <= now_s:
-            spec = self.configuration.current.endpoints.get(endpoint)
-            owner = spec and self.membership.owner_of(endpoint, spec.zone)
-            cached = _Cached(owner, now_s + CACHE_S)
+        if cached is None or cached.zone != spec.zone:
+            cached = _Cached(spec.zone, self._choose(endpoint, spec.zone))
             self.cache[endpoint] = cached
         return cached.owner
 
-    def forget(self) -> None:
-        """Drop the cache, after a call to an owner failed."""
+    def _choose(self, endpoint: EndpointId, zone: ZoneId) -> VmId | None:
+        """Return the first of ``Membership.owner_order``."""
+        names = self.local.get(zone) or [vm for vm, _ in self.workers]
+        return rendezvous_order(endpoint, names)[0] if names else None
+
+    def _follow_view(self) -> None:
+        """Drop the owners where other VMs take work than before."""
+        now_s = self.clock.now_s()
+        if now_s < self.checked_s + CACHE_S:
+            return
+        self.checked_s = now_s
+        members = self.membership.members()
+        zones = self.configuration.current.zones
+        if members is self.members and zones is self.zones:
+            return
+        self.members, self.zones = members, zones
+        workers = [(member.vm, member.zone) for member in self.membership.workers()]
+        if workers == self.workers:
+            return
+        self.workers = workers
+        self.local = {}
+        for vm, zone in workers:
+            self.local.setdefault(zone, []).append(vm)
         self.cache.clear()
+        self.groups = None
+
+    def forget(self) -> None:
+        """Look at the view again, after a call to an owner failed."""
+        self.checked_s = float("-inf")
 
     def owns(self, endpoint: EndpointId) -> bool:
         """Tell whether this VM owns the endpoint."""
         return self.owner_of(endpoint) == self.vm
 
-    def owned_groups(self) -> set[GroupId]:
+    def owned_groups(self) -> frozenset[GroupId]:
         """Return the groups of which this VM owns an endpoint."""
-        return {
-            name
-            for name, group in self.configuration.current.groups.items()
-            if any(self.owns(endpoint) for endpoint in group.endpoints)
-        }
+        self._follow_view()
+        configuration = self.configuration.current
+        if self.groups is None or self.groups.configuration is not configuration:
+            owned = frozenset(
+                name
+                for name, group in configuration.groups.items()
+                if any(self.owns(endpoint) for endpoint in group.endpoints)
+            )
+            self.groups = _Groups(configuration, owned)
+        return self.groups.owned
 
     def watchers_of(self, group: GroupId) -> list[VmId]:
         """Return the VMs that watch a group, this one first if it does."""
