--- a/src/ebonyladder/_lease_keeper.py
+++ b/src/ebonyladder/_lease_keeper.py
@@ -27,7 +27,16 @@
 MAX_STORE_CALLS = 8
 # Spreads the calls of leases that were taken at the same time.
 RENEWAL_JITTER = 0.25
-RESERVE_START_S = 10.0
+RESERVE_START_S = 6.0
+# A VM that starts sees itself alone until peers answer, and would try for all
+# leases. It waits for a view that stays the same, but not for ever.
+# Nothing is admitted without the 64 main leases; the 512 reserves can wait longer.
+MAIN_SETTLE_S = 0.3
+RESERVE_SETTLE_S = 1.0
+VIEW_SETTLE_LIMIT_S = 6.0
+START_REVIEW_INTERVAL_S = 0.1
+# Failed calls of many leases must not come back to the store at the same time.
+RETRY_JITTER = 0.5
 
 
 class LeaseKeeper:
@@ -54,6 +63,7 @@
         self.preferred: set[LeaseName] = set()
         self.preferred_view: list[VmId] = []
         self.preferred_since_s = 0.0
+        self.started_s = 0.0
         self.calls = asyncio.Semaphore(MAX_STORE_CALLS)
         self.random = Random(f"{self.vm}/{incarnation}")
 
@@ -79,6 +89,7 @@
 
     async def _review(self) -> None:
         """Start a task for each lease for which this VM is the first choice."""
+        self.started_s = self.clock.now_s()
         while True:
             view = self.workers()
             if view != self.preferred_view:
@@ -86,8 +97,21 @@
                 self.preferred = preferred_leases(self.vm, view)
                 self.preferred_since_s = self.clock.now_s()
             for name in sorted(self.preferred - self.tasks.keys(), key=_start_order):
-                self.tasks[name] = self.kernel.spawn(self._hold(name), name=name.key)
-            await asyncio.sleep(REVIEW_INTERVAL_S)
+                if self._is_settled(name):
+                    self.tasks[name] = self.kernel.spawn(
+                        self._hold(name), name=name.key
+                    )
+            starting = self.clock.now_s() < self.started_s + VIEW_SETTLE_LIMIT_S
+            await asyncio.sleep(
+                START_REVIEW_INTERVAL_S if starting else REVIEW_INTERVAL_S
+            )
+
+    def _is_settled(self, name: LeaseName) -> bool:
+        """Tell whether the view has been the same for long enough after a start."""
+        now_s = self.clock.now_s()
+        settle_s = MAIN_SETTLE_S if name.is_main else RESERVE_SETTLE_S
+        is_quiet = now_s >= self.preferred_since_s + settle_s
+        return is_quiet or now_s >= self.started_s + VIEW_SETTLE_LIMIT_S
 
     async def _hold(self, name: LeaseName) -> None:
         """Take and renew one lease while this VM should have it."""
@@ -120,8 +144,9 @@
             async with self.calls:
                 await self._renew_or_hand_over(name, lease)
             return
-        async with self.calls:
-            await lease.observe()
+        if not lease.is_observed:
+            async with self.calls:
+                await lease.observe()
         if lease.state is LeaseState.SEEKING:
             left_s = lease.wait_left_s()
             if left_s > 0:
@@ -153,10 +178,12 @@
     async def _after_failure(
         self, name: LeaseName, lease: Lease, error: StoreError
     ) -> None:
+        lease.is_observed = False
         if lease.state is LeaseState.SEEKING:
             self.holdings.close(name)
         if error.code is ErrorCode.STORE_UNAVAILABLE:
-            await asyncio.sleep(name.retry_s)
+            spread = self.random.uniform(1 - RETRY_JITTER, 1 + RETRY_JITTER)
+            await asyncio.sleep(name.retry_s * spread)
         else:
             logging.info("[limits] Lease is lost. key=%s peer=%s", name.key, error.peer)
 
