Refuse hopeless replica waits at once and keep the share of replica reads

Cause: with 200 ms of lag a session read after a write waited 100 ms at one replica, was refused and waited 100 ms at the next. Ruled out: only refusing early and going to the primary. Change: the owner measures the time between receipt and visibility and refuses at once when the rest of it exceeds the budget; after one such refusal the entry VM goes to the primary.

--- a/src/ebonyladder/confirmation.py
+++ b/src/ebonyladder/confirmation.py
@@ -46,15 +46,28 @@
         ------
         RequestError
             POSITION_LOST if it never can, REPLICA_BEHIND if it cannot within
-            ``wait_s`` seconds; both not run.
+            ``wait_s`` seconds or is not expected to; both not run.
         """
         heard = self.view.heard.get(forward.endpoint)
         required = forward.required
         if heard and required and is_position_lost(heard.report, required):
             raise self._error(ErrorCode.POSITION_LOST, forward.endpoint)
+        if self.can_read(forward):
+            return
+        if heard and required and self._catch_up_s(forward.endpoint, required) > wait_s:
+            raise self._error(ErrorCode.REPLICA_BEHIND, forward.endpoint)
         if not await self.view.wait_until(lambda: self.can_read(forward), wait_s):
             raise self._error(ErrorCode.REPLICA_BEHIND, forward.endpoint)
 
+    def _catch_up_s(self, endpoint: EndpointId, required: Position) -> float:
+        """Return the expected seconds until reads observe the position."""
+        report = self.view.heard[endpoint].report
+        if report.applied >= required.position:
+            # Only the term or the age is missing; the lag says nothing of them.
+            return 0.0
+        catch_up = self.view.catch_up[endpoint]
+        return catch_up.wait_s(required.position, self.clock.now_s())
+
     async def require_primary(self, endpoint: EndpointId, wait_s: float) -> None:
         """Wait until the endpoint is primary; raises NO_PRIMARY, not run."""
         if not await self.view.wait_until(lambda: self.is_primary(endpoint), wait_s):
--- a/src/ebonyladder/dispatch.py
+++ b/src/ebonyladder/dispatch.py
@@ -29,6 +29,7 @@
 )
 from ebonyladder.ownership import Ownership
 from ebonyladder.peer import PeerLinks
+from ebonyladder.replica_share import ReplicaShare
 from ebonyladder.retry import RetryBudget, RetryDecision
 from ebonyladder.types import (
     EndpointId,
@@ -91,6 +92,22 @@
     idempotent: bool = False
 
 
+class Tried:
+    """What the earlier attempts of a statement met.
+
+    Attributes
+    ----------
+    endpoints : set of EndpointId
+        Endpoints that were tried.
+    is_replica_behind : bool
+        True once a replica was behind the session.
+    """
+
+    def __init__(self) -> None:
+        self.endpoints: set[EndpointId] = set()
+        self.is_replica_behind = False
+
+
 class _CachedState(NamedTuple):
     state: GroupStateAnswer
     until_s: float
@@ -140,6 +157,7 @@
         )
         self.hops = HopSender(peers=peers, membership=membership, clock=clock)
         self.states: dict[GroupId, _CachedState] = {}
+        self.replicas = ReplicaShare()
         self.retries = RetryBudget(clock=clock)
 
     async def run(self, routed: RoutedStatement) -> ForwardAnswer:
@@ -151,23 +169,29 @@
             The last attempt's error.
         """
         self.retries.note_request(routed.organisation)
-        tried: set[EndpointId] = set()
+        tried = Tried()
         for attempt in range(1, MAX_ATTEMPTS + 1):
             try:
-                return await self._attempt(routed, tried, attempt)
+                answer = await self._attempt(routed, tried, attempt)
+                if routed.statement.kind is RequestKind.READ and routed.required:
+                    self.replicas.note(is_replica=answer.role is Role.REPLICA)
+                return answer
             except EbonyladderError as error:
                 self._note_failure(routed.group, error)
                 if not self._may_retry(routed, error, attempt):
                     raise
+                if error.code is ErrorCode.REPLICA_BEHIND:
+                    tried.is_replica_behind = True
+                    continue
                 await asyncio.sleep(REROUTE_PAUSE_S * self.source.random() * attempt)
         raise AssertionError("the last attempt returns or raises")
 
     async def _attempt(
-        self, routed: RoutedStatement, tried: set[EndpointId], attempt: int
+        self, routed: RoutedStatement, tried: Tried, attempt: int
     ) -> ForwardAnswer:
         state = await self.group_state(routed.group, routed.deadline_s)
         endpoint = self.choose(routed, state, tried)
-        tried.add(endpoint)
+        tried.endpoints.add(endpoint)
         forward = Forward(
             hop=self.peers.next_hop(),
             organisation=routed.organisation,
@@ -181,6 +205,9 @@
             key_digest=routed.key_digest,
             attempt=attempt,
             request_id=routed.request_id,
+            replica_wait_s=self.replicas.wait_s(
+                self.configuration.current.policy.replica_wait_ms / 1000
+            ),
         )
         is_read = routed.statement.kind is RequestKind.READ
         return await self.send(
@@ -252,12 +279,13 @@
     # Choice of the endpoint.
 
     def choose(
-        self, routed: RoutedStatement, state: GroupStateAnswer, tried: set[EndpointId]
+        self, routed: RoutedStatement, state: GroupStateAnswer, tried: Tried
     ) -> EndpointId:
         """Return the endpoint for a statement.
 
         Reads prefer a replica of the own zone, then other replicas, then the
-        primary; writes go to the primary.
+        primary; the primary is first once a replica was behind, since the other
+        replicas usually are too. Writes go to the primary.
 
         Raises
         ------
@@ -304,7 +332,7 @@
         self,
         routed: RoutedStatement,
         summary: EndpointSummary,
-        tried: set[EndpointId],
+        tried: Tried,
     ) -> tuple[bool, bool, bool, bool, float]:
         """Return the sort key of an endpoint for a read; the lowest is chosen."""
         wait_s = self.configuration.current.policy.replica_wait_ms / 1000
@@ -316,9 +344,9 @@
             and summary.lag_s > routed.max_age_s + wait_s
         )
         return (
-            summary.endpoint in tried,
+            summary.endpoint in tried.endpoints,
             too_old,
-            is_primary,
+            is_primary is not tried.is_replica_behind,
             zone != self.zone,
             self.source.random(),
         )
--- a/src/ebonyladder/group.py
+++ b/src/ebonyladder/group.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ebonyladder.catch_up import CatchUp
 from ebonyladder.endpoint import EndpointReport
 from ebonyladder.types import (
     Address,
@@ -76,6 +77,7 @@
         self.group = group
         self.endpoints = endpoints
         self.heard: dict[EndpointId, HeardReport] = {}
+        self.catch_up = {name: CatchUp() for name in endpoints}
         self.link_down_since_s: dict[EndpointId, float] = {}
         self.probes: deque[Probe] = deque(maxlen=PROBE_HISTORY)
         self.evidence: deque[Evidence] = deque(maxlen=PROBE_HISTORY)
@@ -115,6 +117,7 @@
     def hear(self, report: EndpointReport, now_s: float) -> None:
         """Take in one report."""
         self.heard[report.endpoint] = HeardReport(report=report, at_s=now_s)
+        self.catch_up.setdefault(report.endpoint, CatchUp()).note(report, now_s)
         self.link_down_since_s.pop(report.endpoint, None)
         self.term = max(self.term, report.fence_term, report.log_term)
         if report.probe:
--- a/src/ebonyladder/messages.py
+++ b/src/ebonyladder/messages.py
@@ -80,6 +80,8 @@
         Greatest accepted age of the data of a read, in seconds.
     key_digest : str
         Digest of the caller's key, for the check before execution.
+    replica_wait_s : float, optional
+        Seconds that a read may wait for a replica; the policy's if absent.
     """
 
     hop: HopId
@@ -94,6 +96,7 @@
     key_digest: str = ""
     attempt: int = 1
     request_id: str = ""
+    replica_wait_s: float | None = None
 
 
 class ForwardAnswer(Message, tag="forward-answer"):
--- a/src/ebonyladder/plugins/endpoint_links.py
+++ b/src/ebonyladder/plugins/endpoint_links.py
@@ -196,8 +196,10 @@
 
     async def _require_ready(self, confirmer: Confirmer, forward: Forward) -> None:
         """Wait until the endpoint can serve the statement."""
-        policy = self.configuration.current.policy
-        wait_s = min(policy.replica_wait_ms / 1000, forward.deadline_left_s)
+        wait_s = forward.replica_wait_s
+        if wait_s is None:
+            wait_s = self.configuration.current.policy.replica_wait_ms / 1000
+        wait_s = min(wait_s, forward.deadline_left_s)
         if forward.statement.kind is RequestKind.READ:
             await confirmer.require_readable(forward, wait_s)
         else:
--- /dev/null
+++ b/tests/test_catch_up.py
@@ -0,0 +1,93 @@
+"""Tests of the wait for replicas."""
+
+import asyncio
+
+import pytest
+
+from ebonyladder.confirmation import Confirmer
+from ebonyladder.endpoint import EndpointReport
+from ebonyladder.group import GroupView
+from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.kernel.error import ErrorCode, RequestError
+from ebonyladder.messages import Forward
+from ebonyladder.replica_share import LONG_WAIT_S, ReplicaShare
+from ebonyladder.types import HopId, Position, RequestKind, Role, Statement
+
+# The time of the first report is not that of its entries' receipt.
+MEASURED = ((-0.1, 0, 0), (0.0, 1, 0), (0.2, 1, 1), (1.0, 2, 1))
+
+
+def view_at(now_s: float, *reports: tuple[float, int, int]) -> tuple:
+    """Return view and clock after reports of (time, received, applied)."""
+    view, clock = GroupView(group="g", endpoints={"e": "a"}), ManualClock()
+    for at_s, received, applied in reports:
+        report = EndpointReport(
+            endpoint="e",
+            role=Role.REPLICA,
+            fence_term=1,
+            log_term=1,
+            term_start=0,
+            received=received,
+            applied=applied,
+            primary_contact_age_s=0.0,
+        )
+        view.hear(report, at_s)
+    clock.advance(now_s - clock.now_s())
+    return view, clock
+
+
+class TestExpectedWait:
+    """Guards against waits that cannot succeed and refusals without evidence."""
+
+    @pytest.mark.parametrize(
+        ("now_s", "position", "expected_s"),
+        [(1.0, 2, 0.2), (1.15, 2, 0.05), (1.5, 2, 0.0), (1.0, 9, 0.2)],
+    )
+    def test_measured_lag_less_the_time_since_receipt(
+        self, now_s, position, expected_s
+    ):
+        view, _ = view_at(0, *MEASURED)
+        found_s = view.catch_up["e"].wait_s(position, now_s)
+        assert found_s == pytest.approx(expected_s)
+
+    @pytest.mark.parametrize(
+        ("reports", "is_refused"),
+        [(MEASURED, True), ([(0.9, 1, 1), (1.0, 2, 1)], False)],
+        ids=["measured", "unmeasured"],
+    )
+    def test_read_is_refused_at_once_only_on_evidence(self, reports, is_refused):
+        async def run():
+            view, clock = view_at(1.0, *reports)
+            forward = Forward(
+                hop=HopId(vm="v", incarnation=1, number=1),
+                organisation="o",
+                service="s",
+                group="g",
+                endpoint="e",
+                statement=Statement(kind=RequestKind.READ, text="GET a"),
+                deadline_left_s=9.0,
+                required=Position(term=1, position=2),
+            )
+            confirmer = Confirmer(view=view, clock=clock)
+            wait = asyncio.create_task(confirmer.require_readable(forward, 0.1))
+            await asyncio.sleep(0)
+            was_refused = wait.done()
+            with pytest.raises(RequestError) as caught:
+                await wait
+            return was_refused, caught.value.code
+
+        assert asyncio.run(run()) == (is_refused, ErrorCode.REPLICA_BEHIND)
+
+
+class TestReplicaShare:
+    """Guards against sessions that stay at the primary."""
+
+    def test_reads_wait_longer_while_too_few_are_at_replicas(self):
+        share = ReplicaShare()
+        assert share.wait_s(0.1) == 0.1
+        for _ in range(20):
+            share.note(is_replica=False)
+        assert share.wait_s(0.1) == LONG_WAIT_S
+        for _ in range(100):
+            share.note(is_replica=True)
+        assert share.wait_s(0.1) == 0.1
