--- a/src/ebonyladder/dispatch.py
+++ b/src/ebonyladder/dispatch.py
@@ -32,6 +32,7 @@
 from ebonyladder.ownership import Ownership
 from ebonyladder.peer import PeerLinks
 from ebonyladder.ramp import ServiceChanges
+from ebonyladder.replica_share import ReplicaShare
 from ebonyladder.retry import RetryBudget, RetryDecision
 from ebonyladder.types import (
     EndpointId,
@@ -99,6 +100,22 @@
     idempotent: bool = False
 
 
+class Tried:
+    """What the earlier attempts of a statement met.
+
+    Attributes
+    ----------
+    endpoints : set of EndpointId
+        Endpoints that were tried.
+    is_replica_behind : bool
+        True once a replica was behind the session.
+    """
+
+    def __init__(self) -> None:
+        self.endpoints: set[EndpointId] = set()
+        self.is_replica_behind = False
+
+
 class _CachedState(NamedTuple):
     state: GroupStateAnswer
     until_s: float
@@ -153,6 +170,7 @@
         self.changes = ServiceChanges(configuration=configuration, clock=clock)
         self.hops = HopSender(peers=peers, membership=membership, clock=clock)
         self.states: dict[GroupId, _CachedState] = {}
+        self.replicas = ReplicaShare()
         self.retries = RetryBudget(clock=clock)
 
     async def run(self, routed: RoutedStatement) -> ForwardAnswer:
@@ -164,16 +182,22 @@
             The last attempt's error.
         """
         self.retries.note_request(routed.organisation)
-        tried: set[EndpointId] = set()
+        tried = Tried()
         for attempt in count(1):
             try:
-                return await self._attempt(routed, tried, attempt)
+                answer = await self._attempt(routed, tried, attempt)
+                if routed.statement.kind is RequestKind.READ and routed.required:
+                    self.replicas.note(is_replica=answer.role is Role.REPLICA)
+                return answer
             except EbonyladderError as error:
                 self._note_failure(routed.group, error)
                 self._note_attempt(routed, attempt, error=error)
                 pause_s = self._pause_s(attempt)
                 if not self._may_retry(routed, error, attempt, pause_s):
                     raise
+                if error.code is ErrorCode.REPLICA_BEHIND:
+                    tried.is_replica_behind = True
+                    continue
                 await asyncio.sleep(pause_s)
         raise AssertionError("the last attempt returns or raises")
 
@@ -218,11 +242,11 @@
         return limit_s * self.source.uniform(0.5, 1.0)
 
     async def _attempt(
-        self, routed: RoutedStatement, tried: set[EndpointId], attempt: int
+        self, routed: RoutedStatement, tried: Tried, attempt: int
     ) -> ForwardAnswer:
         state = await self.group_state(routed.group, routed.deadline_s)
         endpoint = self.choose(routed, state, tried)
-        tried.add(endpoint)
+        tried.endpoints.add(endpoint)
         self._note_attempt(routed, attempt, endpoint)
         forward = Forward(
             hop=self.peers.next_hop(),
@@ -237,6 +261,9 @@
             key_digest=routed.key_digest,
             attempt=attempt,
             request_id=routed.request_id,
+            replica_wait_s=self.replicas.wait_s(
+                self.configuration.current.policy.replica_wait_ms / 1000
+            ),
         )
         is_read = routed.statement.kind is RequestKind.READ
         return await self.send(
@@ -317,12 +344,13 @@
     # Choice of the endpoint.
 
     def choose(
-        self, routed: RoutedStatement, state: GroupStateAnswer, tried: set[EndpointId]
+        self, routed: RoutedStatement, state: GroupStateAnswer, tried: Tried
     ) -> EndpointId:
         """Return the endpoint for a statement.
 
         Reads prefer a replica of the own zone, then other replicas, then the
-        primary; writes go to the primary.
+        primary; the primary is first once a replica was behind, since the other
+        replicas usually are too. Writes go to the primary.
 
         Raises
         ------
@@ -369,7 +397,7 @@
         self,
         routed: RoutedStatement,
         summary: EndpointSummary,
-        tried: set[EndpointId],
+        tried: Tried,
     ) -> tuple[bool, bool, bool, bool, bool, float]:
         """Return the sort key of an endpoint for a read; the lowest is chosen.
 
@@ -385,10 +413,10 @@
             and summary.lag_s > routed.max_age_s + wait_s
         )
         return (
-            summary.endpoint in tried,
+            summary.endpoint in tried.endpoints,
             too_old,
             self.source.random() >= self.changes.weight(summary.endpoint),
-            is_primary,
+            is_primary is not tried.is_replica_behind,
             zone != self.zone,
             self.source.random(),
         )
--- a/src/ebonyladder/group.py
+++ b/src/ebonyladder/group.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ebonyladder.catch_up import CatchUp
 from ebonyladder.endpoint import EndpointReport
 from ebonyladder.types import (
     Address,
@@ -80,6 +81,7 @@
         self.group = group
         self.endpoints = endpoints
         self.heard: dict[EndpointId, HeardReport] = {}
+        self.catch_up = {name: CatchUp() for name in endpoints}
         self.link_down_since_s: dict[EndpointId, float] = {}
         self.probes: deque[Probe] = deque(maxlen=PROBE_HISTORY)
         self.evidence: deque[Evidence] = deque(maxlen=PROBE_HISTORY)
@@ -104,6 +106,9 @@
 
     async def wait_until(self, condition: Callable[[], bool], wait_s: float) -> bool:
         """Wait until ``condition`` holds; False if ``wait_s`` seconds passed."""
+        # Most calls need no wait; a timer for each of them costs more than that.
+        if condition():
+            return True
         try:
             async with asyncio.timeout(wait_s):
                 while not condition():
@@ -129,6 +134,7 @@
     def hear(self, report: EndpointReport, now_s: float) -> None:
         """Take in one report."""
         self.heard[report.endpoint] = HeardReport(report=report, at_s=now_s)
+        self.catch_up.setdefault(report.endpoint, CatchUp()).note(report, now_s)
         self.link_down_since_s.pop(report.endpoint, None)
         self.term = max(self.term, report.fence_term, report.log_term)
         if report.probe:
--- a/src/ebonyladder/plugins/endpoint_links.py
+++ b/src/ebonyladder/plugins/endpoint_links.py
@@ -203,8 +203,10 @@
         self, view: GroupView, forward: Forward, deadline_s: float
     ) -> ForwardAnswer:
         owned = self.owned.require(forward.endpoint, RequestKind.READ)
-        policy = self.context.policy
-        wait_s = min(policy.replica_wait_ms / 1000, forward.deadline_left_s)
+        wait_s = forward.replica_wait_s
+        if wait_s is None:
+            wait_s = self.context.policy.replica_wait_ms / 1000
+        wait_s = min(wait_s, forward.deadline_left_s)
         await self.context.confirmer(view).require_readable(forward, wait_s)
         return await self._run_at(owned, view, forward, deadline_s)
 
