Open store connections without limit for waiting watches

Cause: each lease that a VM waits for holds a watch open, and the HTTP client allowed 100 connections in all. VMs that were first choice for more leases had all 100 taken by watches, so renewals, reads and operators' submissions waited for a connection until their timeout of 1 s. Open: so many waiting watches count as store calls and as connections; leases could be watched by one call for each shard or by prefix.

--- a/src/ebonyladder/plugins/platform_store.py
+++ b/src/ebonyladder/plugins/platform_store.py
@@ -4,7 +4,7 @@
 from typing import Any, ClassVar
 
 import msgspec
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
 from ebonyladder.kernel.kernel import Kernel
@@ -38,7 +38,9 @@
 
     async def start(self) -> None:
         """Open the HTTP session; connections are opened on demand."""
-        self.session = ClientSession()
+        # Each waiting watch takes a connection, and a VM can wait for hundreds of
+        # leases; with the default limit of 100 other calls would queue behind them.
+        self.session = ClientSession(connector=TCPConnector(limit=0))
 
     async def stop(self) -> None:
         """Close the HTTP session."""
