--- a/bench/failover.py
+++ b/bench/failover.py
@@ -228,8 +228,8 @@
     async with LoadClient(deployment=deployment) as client:
         async with writing(client, random) as groups:
             if is_down:
-                # VMs that have just met do not yet agree on the relay roots,
-                # and refuse all work if the store is lost before they do.
+                # All VMs refuse work if the store is lost within 0.1 s of the
+                # start, probably because they have no relay roots by then.
                 await asyncio.sleep(SETTLE_S)
                 deployment.control_store(is_down=True)
                 await asyncio.sleep(FRESHNESS_LIMIT_S)
