Repeat refused connections until the promotion

After the kill of a primary, writes and begins were answered with connect-failed, not-run, once the retry budget was used, although the design has them wait within their deadline. A refused connection queues nothing, so it is repeated like the other refusals of the place.

--- a/src/ebonyladder/dispatch.py
+++ b/src/ebonyladder/dispatch.py
@@ -68,6 +68,8 @@
         ErrorCode.DRAINING,
         ErrorCode.REPLICA_BEHIND,
         ErrorCode.NO_ENDPOINT,
+        # A primary that has died refuses connections until the promotion.
+        ErrorCode.CONNECT_FAILED,
     }
 )
 
--- a/tests/test_switchover.py
+++ b/tests/test_switchover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import secrets
 import urllib.error
 import urllib.request
@@ -15,9 +16,11 @@
     GroupSpec,
     ZoneSpec,
 )
+from ebonyladder.dispatch import Dispatcher
 from ebonyladder.gate import GroupGate
 from ebonyladder.kernel.clock import ManualClock
-from ebonyladder.kernel.error import EbonyladderError, ErrorCode, Outcome
+from ebonyladder.kernel.error import EbonyladderError, EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.step import Step
 from ebonyladder.ramp import RAMP_S, RAMP_START, ServiceChanges
 from ebonyladder.types import EndpointState, RequestKind, ZoneState
 from standins.deployment import OPERATOR_KEY, Deployment, wait_until
@@ -128,6 +131,55 @@
         assert changes.weight("db-a") == 1.0
 
 
+class TestReroute:
+    """Guards against failed requests where views differ, and writes run twice."""
+
+    @staticmethod
+    def attempts(outcome: Outcome, code: ErrorCode) -> int:
+        """Return how often an attempt is made that fails twice."""
+        made = 0
+
+        async def attempt() -> str:
+            nonlocal made
+            made += 1
+            if made <= 2:
+                raise EndpointError(code=code, step=Step.CONNECT, outcome=outcome)
+            return "served"
+
+        async def scenario() -> str:
+            clock = ManualClock()
+            dispatcher = Dispatcher(
+                vm="vm-1",
+                zone="zone-a",
+                executor=None,
+                peers=None,
+                membership=None,
+                configuration=FixedConfiguration(configuration()),
+                clock=clock,
+                source=random.Random(1),
+            )
+            return await dispatcher.reroute("group-1", clock.now_s() + 60, attempt)
+
+        if outcome is Outcome.NOT_RUN and code is not ErrorCode.ENDPOINT_REFUSED:
+            assert asyncio.run(scenario()) == "served"
+        else:
+            with pytest.raises(EndpointError):
+                asyncio.run(scenario())
+        return made
+
+    @pytest.mark.parametrize(
+        ("outcome", "code", "made"),
+        [
+            (Outcome.NOT_RUN, ErrorCode.CONNECT_FAILED, 3),
+            (Outcome.NOT_RUN, ErrorCode.DRAINING, 3),
+            (Outcome.UNKNOWN, ErrorCode.CONNECT_FAILED, 1),
+            (Outcome.NOT_RUN, ErrorCode.ENDPOINT_REFUSED, 1),
+        ],
+    )
+    def test_only_refusals_of_the_place_are_repeated(self, outcome, code, made):
+        assert self.attempts(outcome, code) == made
+
+
 def edit(deployment: Deployment, **fields: object) -> dict:
     """Submit an edit to the first VM."""
     name = f"test-{secrets.token_hex(8)}"
