Close connections that a former owner no longer needs

Pools of endpoints that moved to other owners, or left, kept their idle connections for ever, so a third owner in a row could meet the endpoint's limit. Each second the owner closes idle connections to endpoints that get no work from it; those in use follow once they are given back.

--- a/src/ebonyladder/_owned_endpoints.py
+++ b/src/ebonyladder/_owned_endpoints.py
@@ -94,6 +94,18 @@
             message=f"{endpoint} is out of service",
         )
 
+    async def close_unused(self) -> None:
+        """Close idle connections to endpoints that get no work from this VM.
+
+        A former owner must not hold connections that the next owners may open.
+        """
+        for name, owned in list(self.endpoints.items()):
+            is_out = self.changes.out_for_s(name) >= LEAVING_WRITES_S
+            if is_out or not self.ownership.owns(name):
+                await owned.pool.close()
+                if not owned.pool.size and self.endpoints.get(name) is owned:
+                    del self.endpoints[name]
+
     async def close(self) -> None:
         """Close all idle connections."""
         for owned in self.endpoints.values():
--- a/src/ebonyladder/plugins/endpoint_links.py
+++ b/src/ebonyladder/plugins/endpoint_links.py
@@ -39,6 +39,7 @@
 
 # A report stream sends at least ten reports a second.
 REACHABLE_S = 0.5
+CLOSE_UNUSED_S = 1.0
 STEPS = {
     TransactionAction.BEGIN: Step.BEGIN,
     TransactionAction.EXECUTE: Step.EXECUTE,
@@ -97,6 +98,12 @@
         peers.handle(Forward, self._answer_forward)
         peers.handle(TransactionStep, self._answer_step)
         peers.handle(GroupStateRequest, self._answer_group_state)
+        self.kernel.spawn(self._close_unused(), name="close-unused")
+
+    async def _close_unused(self) -> None:
+        while True:
+            await asyncio.sleep(CLOSE_UNUSED_S)
+            await self.owned.close_unused()
 
     async def drain(self) -> None:
         """Let open transactions and queued statements end."""
