--- a/tests/test_switchover.py
+++ b/tests/test_switchover.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import json
+import random
 import secrets
 import urllib.error
 import urllib.request
+from contextlib import suppress
 
 import pytest
 
@@ -15,9 +17,11 @@
     GroupSpec,
     ZoneSpec,
 )
+from ebonyladder.dispatch import Dispatcher
 from ebonyladder.gate import GroupGate
 from ebonyladder.kernel.clock import ManualClock
-from ebonyladder.kernel.error import EbonyladderError, ErrorCode, Outcome
+from ebonyladder.kernel.error import EbonyladderError, EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.step import Step
 from ebonyladder.ramp import RAMP_S, RAMP_START, ServiceChanges
 from ebonyladder.types import EndpointState, RequestKind, ZoneState
 from standins.deployment import OPERATOR_KEY, Deployment, wait_until
@@ -42,11 +46,24 @@
     )
 
 
-class AlwaysOwner:
+class FixedOwner:
     vm = "vm-1"
+    is_owner = True
 
     def owns(self, _endpoint) -> bool:
-        return True
+        return self.is_owner
+
+
+class FakeConnection:
+    """Connection, and the driver that opens it."""
+
+    is_open = True
+
+    async def connect(self, **_place) -> "FakeConnection":
+        return self
+
+    async def close(self) -> None:
+        self.is_open = False
 
 
 class TestGate:
@@ -100,7 +117,7 @@
     def test_reads_stop_at_once_and_writes_after_the_limit(self, change):
         clock, source = ManualClock(), FixedConfiguration(configuration())
         owned = OwnedEndpoints(
-            ownership=AlwaysOwner(), configuration=source, driver=None, clock=clock
+            ownership=FixedOwner(), configuration=source, driver=None, clock=clock
         )
         owned.require("db-a", RequestKind.READ)
         source.change(configuration(**change))
@@ -115,6 +132,31 @@
             owned.require("db-a", RequestKind.WRITE)
 
 
+class TestFormerOwner:
+    """Guards against connections that former owners hold for ever."""
+
+    def test_idle_connections_are_closed_and_used_ones_later(self):
+        async def scenario() -> None:
+            ownership, connection = FixedOwner(), FakeConnection()
+            owned = OwnedEndpoints(
+                ownership=ownership,
+                configuration=FixedConfiguration(configuration()),
+                driver=connection,
+                clock=ManualClock(),
+            )
+            pool = owned.require("db-a", RequestKind.READ).pool
+            await pool.acquire(60.0)
+            ownership.is_owner = False
+            await owned.close_unused()
+            assert connection.is_open
+            pool.release(connection)
+            await owned.close_unused()
+            assert not connection.is_open
+            assert owned.endpoints == {}
+
+        asyncio.run(scenario())
+
+
 class TestRamp:
     """Guards against the whole load on an endpoint that has just returned."""
 
@@ -131,6 +173,49 @@
         assert changes.weight("db-a") == 1.0
 
 
+class TestReroute:
+    """Guards against failed requests where views differ, and writes run twice."""
+
+    @staticmethod
+    async def attempts(failure: EndpointError) -> int:
+        """Return how often an attempt is made that fails twice."""
+        made = 0
+
+        async def attempt() -> None:
+            nonlocal made
+            made += 1
+            if made <= 2:
+                raise failure
+
+        clock = ManualClock()
+        dispatcher = Dispatcher(
+            vm="vm-1",
+            zone="zone-a",
+            executor=None,
+            peers=None,
+            membership=None,
+            configuration=FixedConfiguration(configuration()),
+            clock=clock,
+            source=random.Random(1),
+        )
+        with suppress(EndpointError):
+            await dispatcher.reroute("group-1", clock.now_s() + 60, attempt)
+        return made
+
+    @pytest.mark.parametrize(
+        ("outcome", "code", "made"),
+        [
+            (Outcome.NOT_RUN, ErrorCode.CONNECT_FAILED, 3),
+            (Outcome.NOT_RUN, ErrorCode.DRAINING, 3),
+            (Outcome.UNKNOWN, ErrorCode.CONNECT_FAILED, 1),
+            (Outcome.NOT_RUN, ErrorCode.ENDPOINT_REFUSED, 1),
+        ],
+    )
+    def test_only_refusals_of_the_place_are_repeated(self, outcome, code, made):
+        failure = EndpointError(code=code, step=Step.CONNECT, outcome=outcome)
+        assert asyncio.run(self.attempts(failure)) == made
+
+
 def edit(deployment: Deployment, **fields: object) -> dict:
     """Submit an edit to the first VM."""
     name = f"test-{secrets.token_hex(8)}"
