--- a/tests/front_vms.py
+++ b/tests/front_vms.py
@@ -97,7 +97,7 @@
 
 
 class Members(Membership):
-    """VMs of one test; the first owns all endpoints."""
+    """VMs of one test; the first, alone in the endpoints' zone, owns them all."""
 
     def __init__(self) -> None:
         self.addresses: dict[str, str] = {}
@@ -105,9 +105,14 @@
     def members(self) -> list[PeerRecord]:
         return [
             PeerRecord(
-                vm=vm, zone="z", address=address, incarnation=1, state=VmState.ACTIVE
+                vm=vm,
+                zone="y" if place else "z",
+                address=address,
+                incarnation=1,
+                state=VmState.ACTIVE,
+                heard_ago_s=0.0,
             )
-            for vm, address in self.addresses.items()
+            for place, (vm, address) in enumerate(self.addresses.items())
         ]
 
     def owner_order(self, endpoint: str, zone: str) -> list[str]:
