Ask VMs that take work for tokens, and the own main lease first

Cause: after a planned stop of the main holder, other VMs went on asking it for tokens: it still answered while its transactions ended, came first in the order of all members, and had only the reserves to collect from. The VM that had taken the main lease did not ask itself. Ruled out: a gap between release and taking (0.4 s in the log) and an empty new bucket. Change: the order is that of the VMs that take new work; a VM that has the main lease asks itself. The new test in virtual time fails without the change.

--- a/src/ebonyladder/plugins/limits.py
+++ b/src/ebonyladder/plugins/limits.py
@@ -165,7 +165,8 @@
         """Return the grant of the main holder, or of a VM that collects for it."""
         organisation = queue.organisation
         shard = shard_of(organisation)
-        order = main_order(shard, self._members()) or [self.vm]
+        # A VM that drains answers still, but has released its leases.
+        order = main_order(shard, self._workers()) or [self.vm]
         target = self._believed_holder(shard) or order[0]
         tried: list[VmId] = []
         while target is not None and len(tried) < HOLDER_TRIES:
@@ -186,6 +187,8 @@
         return Grant(granted=0.0, retry_after_s=NO_HOLDER_RETRY_S)
 
     def _believed_holder(self, shard: int) -> VmId | None:
+        if self.holdings.holds_main(shard):
+            return self.vm
         believed = self.main_holders.get(shard)
         if believed is None or believed.until_s < self.clock.now_s():
             return None
--- a/tests/limit_fleet.py
+++ b/tests/limit_fleet.py
@@ -68,8 +68,9 @@
 class FixedMembership(Membership):
     """View that the test sets."""
 
-    def __init__(self, view: list[str]) -> None:
+    def __init__(self, view: list[str], draining: set[str]) -> None:
         self.view = view
+        self.draining = draining
 
     def members(self) -> list[PeerRecord]:
         return [
@@ -78,7 +79,7 @@
                 zone="zone-a",
                 address=vm,
                 incarnation=1,
-                state=VmState.ACTIVE,
+                state=VmState.DRAIN if vm in self.draining else VmState.ACTIVE,
                 heard_ago_s=0.0,
             )
             for vm in sorted(self.view)
@@ -147,7 +148,7 @@
         self.vm = vm
         self.running = asyncio.Event()
         self.running.set()
-        self.membership = FixedMembership(fleet.view)
+        self.membership = FixedMembership(fleet.view, fleet.draining)
         network = fleet.network
         links = DelayedLinks(network=network, vm=vm, zone="a", running=self.running)
         links.incarnation = Incarnation(len(network.links) + 1)
@@ -183,6 +184,7 @@
         self.store = MemoryStore()
         self.network = FakeNetwork()
         self.view: list[str] = []
+        self.draining: set[str] = set()
         self.vms: dict[str, FleetVm] = {}
         self.admitted_s: list[float] = []
         self.refusals: list[RequestError] = []
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -226,6 +226,19 @@
 
         run_fleet(scenario)
 
+    def test_vm_that_drains_but_still_answers_is_not_asked_for_tokens(self):
+        async def scenario(fleet):
+            await asyncio.sleep(10.0)
+            holder = fleet.main_holder()
+            fleet.draining.add(holder.vm)
+            await holder.kernel.drain()
+            await asyncio.sleep(3.0)
+            others = [name for name in NAMES if name != holder.vm]
+            sends = (fleet.send(name, rate_per_s=4.0, seconds=5.0) for name in others)
+            assert await asyncio.gather(*sends) == [20] * len(others)
+
+        run_fleet(scenario)
+
 
 async def freeze_holder(fleet: Fleet) -> None:
     """Freeze the main holder past its lease, let another take it, resume it."""
