--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -25,7 +25,7 @@
     """View that does not change, with VMs spread over zones."""
 
     def __init__(self, *, vms: int, zones: int) -> None:
-        super().__init__([f"entry-{number:05}" for number in range(vms)])
+        super().__init__([f"entry-{number:05}" for number in range(vms)], set())
         records = super().members()
         self.records = [
             type(record)(
@@ -44,7 +44,8 @@
         return self.records
 
 
-def _configuration(endpoints: int, zones: int) -> Configuration:
+def configuration_of(endpoints: int, zones: int) -> Configuration:
+    """Return a configuration with groups of three endpoints, spread over zones."""
     names = [f"endpoint-{number:05}" for number in range(endpoints)]
     starts = range(0, endpoints, ENDPOINTS_OF_GROUP)
     return Configuration(
@@ -78,7 +79,7 @@
     ownership = Ownership(
         vm="entry-00007",
         membership=FixedView(vms=vms, zones=zones),
-        configuration=FixedConfiguration(_configuration(endpoints, zones)),
+        configuration=FixedConfiguration(configuration_of(endpoints, zones)),
         clock=clock,
     )
     times_s = []
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,6 +1,6 @@
 """Tests of the owners of endpoints."""
 
-from bench.ownership import FixedView, _configuration
+from bench.ownership import FixedView, configuration_of
 from ebonyladder import ownership as module
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.ownership import CACHE_S, Ownership
@@ -15,7 +15,7 @@
     def setup_method(self) -> None:
         self.clock = ManualClock()
         self.view = FixedView(vms=12, zones=3)
-        self.source = FixedConfiguration(_configuration(30, 3))
+        self.source = FixedConfiguration(configuration_of(30, 3))
         self.ownership = Ownership(
             vm=VM,
             membership=self.view,
@@ -49,7 +49,7 @@
     def test_owner_follows_a_zone_that_is_taken_out(self, monkeypatch):
         self.found()
         monkeypatch.setattr(self.view, "is_zone_in", lambda zone: zone != "zone-1")
-        self.source.change(_configuration(30, 3))
+        self.source.change(configuration_of(30, 3))
         self.clock.advance(CACHE_S)
         assert self.found() == self.expected()
 
@@ -58,7 +58,7 @@
         self.ownership.owned_groups()
         monkeypatch.setattr(module, "rendezvous_order", None)
         self.clock.advance(10.0)
-        self.source.change(_configuration(30, 3))
+        self.source.change(configuration_of(30, 3))
         self.ownership.forget()
         self.found()
         self.ownership.owned_groups()
