Spread the callers of planned-change tests over all VMs

All callers used the first healthy VM, which prefers the replica of its own zone; since a session that finds a replica behind goes to the primary, no read reached the other replica any more. Whether the test met this depended on which endpoint was primary. Change: callers take the healthy VMs in turn, as a balancer does; sessions roam with them.

--- a/tests/load.py
+++ b/tests/load.py
@@ -28,6 +28,7 @@
         self.served = {"read": 0, "write": 0, "transaction": 0}
         self.by_endpoint: list[tuple[str, str]] = []
         self.is_stopping = False
+        self.turns = itertools.count()
         self.progress = asyncio.Event()
         self.healthy = list(deployment.vms)
 
@@ -81,7 +82,8 @@
         headers = {"Authorization": "Bearer key-of-org-1"}
         body = {**body, "deadline_ms": DEADLINE_MS}
         for number in itertools.count():
-            vm = self.healthy[number % len(self.healthy)]
+            # Callers of all zones: each VM prefers the replica of its own zone.
+            vm = self.healthy[next(self.turns) % len(self.healthy)]
             try:
                 async with self.session.post(
                     vm.url + path, json=body, headers=headers
