--- a/src/ebonyladder/kernel/clock.py
+++ b/src/ebonyladder/kernel/clock.py
@@ -20,8 +20,8 @@
     """Clock of this machine."""
 
     def now_s(self) -> float:
-        """Return ``time.monotonic()``."""
-        return time.monotonic()
+        """Return the time since boot, which counts a suspended VM's pause too."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall_s(self) -> float:
         """Return ``time.time()``."""
--- a/src/ebonyladder/kernel/kernel.py
+++ b/src/ebonyladder/kernel/kernel.py
@@ -2,24 +2,32 @@
 
 import asyncio
 from collections.abc import Coroutine
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 from absl import logging
 
 from ebonyladder.kernel.clock import Clock, SystemClock
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.registry import REGISTRY, Registry
-from ebonyladder.settings import Settings
+from ebonyladder.types import VmId
 
 T = TypeVar("T")
 
 
+class DaemonSettings(Protocol):
+    """What the kernel itself reads of a daemon's settings."""
+
+    @property
+    def vm(self) -> VmId:
+        """Name of this VM."""
+
+
 class Kernel:
     """Run the registered plug-ins of one daemon.
 
     Parameters
     ----------
-    settings : Settings
+    settings : DaemonSettings
         Settings of this daemon.
     clock : Clock, optional
         Clock for decisions.
@@ -32,7 +40,7 @@
     def __init__(
         self,
         *,
-        settings: Settings,
+        settings: DaemonSettings,
         clock: Clock | None = None,
         registry: Registry = REGISTRY,
         disabled: frozenset[str] = frozenset(),
--- /dev/null
+++ b/src/ebonyladder/platform/object_store.py
@@ -0,0 +1,210 @@
+"""Client of the platform's metadata store."""
+
+import socket
+from typing import Any, ClassVar
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+
+from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.step import Step
+from ebonyladder.metrics import Metrics
+from ebonyladder.platform.sockets import keep_alive
+from ebonyladder.sessions.objects import (
+    Change,
+    Changes,
+    Kind,
+    Listing,
+    ObjectStore,
+    Revision,
+    StoreObject,
+)
+from ebonyladder.sessions.registry import register
+
+STORE_PEER = "store"
+# Time for one answer, in seconds; the store's slow answers take a quarter of one.
+CALL_LIMIT_S = 1.5
+
+
+class _Meta(msgspec.Struct, kw_only=True):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct, kw_only=True):
+    meta: _Meta
+    spec: Any = None
+
+
+class _Event(msgspec.Struct, kw_only=True):
+    object: _Object
+    removed: bool
+
+
+class _Page(msgspec.Struct, kw_only=True):
+    items: list[_Object]
+    has_more: bool
+    as_of: int
+
+
+class _Events(msgspec.Struct, kw_only=True):
+    events: list[_Event]
+    as_of: int
+
+
+def _decoded(found: _Object) -> StoreObject:
+    return StoreObject(
+        name=found.meta.name, revision=Revision(found.meta.revision), content=found.spec
+    )
+
+
+def _socket(address_info: tuple) -> socket.socket:
+    family, kind, protocol, _, _ = address_info
+    sock = socket.socket(family=family, type=kind, proto=protocol)
+    keep_alive(sock)
+    return sock
+
+
+@register
+class PlatformObjectStore(Plugin, ObjectStore):
+    """Objects of the platform's store over HTTP."""
+
+    name: ClassVar[str] = "object-store"
+    provides: ClassVar[tuple[type, ...]] = (ObjectStore,)
+    requires: ClassVar[tuple[type, ...]] = (Metrics,)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.base = f"http://{kernel.settings.store}/objects"
+        self.session: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the HTTP session; connections are opened on demand."""
+        self.metrics = self.kernel.get(Metrics)
+        connector = TCPConnector(limit=0, socket_factory=_socket)
+        self.session = ClientSession(connector=connector)
+
+    async def stop(self) -> None:
+        """Close the HTTP session."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def get(self, kind: Kind, name: str) -> StoreObject | None:
+        """Return one object, None if there is none."""
+        status, body = await self._call(Step.STORE_READ, "GET", f"/{kind}/{name}")
+        if status == 404:
+            return None
+        return _decoded(self._parse(Step.STORE_READ, body, _Object))
+
+    async def list(self, kind: Kind) -> Listing:
+        """Return all objects of a kind."""
+        objects: list[StoreObject] = []
+        after: dict[str, str] = {}
+        while True:
+            _, body = await self._call(Step.STORE_READ, "GET", f"/{kind}", params=after)
+            page = self._parse(Step.STORE_READ, body, _Page)
+            objects += [_decoded(item) for item in page.items]
+            if not page.has_more or not page.items:
+                return Listing(objects=tuple(objects), as_of=Revision(page.as_of))
+            after = {"after": page.items[-1].meta.name}
+
+    async def watch(self, kind: Kind, after: Revision, wait_s: float) -> Changes:
+        """Wait for changes after a revision."""
+        query = {"watch": str(after), "wait_ms": str(int(wait_s * 1000))}
+        _, body = await self._call(
+            Step.STORE_WATCH,
+            "GET",
+            f"/{kind}",
+            params=query,
+            limit_s=wait_s + CALL_LIMIT_S,
+        )
+        found = self._parse(Step.STORE_WATCH, body, _Events)
+        changes = tuple(
+            Change(object=_decoded(e.object), is_removed=e.removed)
+            for e in found.events
+        )
+        return Changes(changes=changes, as_of=Revision(found.as_of))
+
+    async def create(self, kind: Kind, name: str, content: Any) -> StoreObject:
+        """Create an object."""
+        body = {"meta": {"name": name}, "spec": content}
+        _, answer = await self._call(Step.STORE_WRITE, "POST", f"/{kind}", json=body)
+        return _decoded(self._parse(Step.STORE_WRITE, answer, _Object))
+
+    async def replace(
+        self, kind: Kind, name: str, content: Any, revision: Revision
+    ) -> StoreObject:
+        """Replace an object that is still at ``revision``."""
+        body = {"meta": {"name": name, "revision": revision}, "spec": content}
+        _, answer = await self._call(
+            Step.STORE_WRITE, "PUT", f"/{kind}/{name}", json=body
+        )
+        return _decoded(self._parse(Step.STORE_WRITE, answer, _Object))
+
+    async def delete(self, kind: Kind, name: str, revision: Revision) -> None:
+        """Delete an object that is still at ``revision``."""
+        await self._call(
+            Step.STORE_WRITE,
+            "DELETE",
+            f"/{kind}/{name}",
+            params={"revision": str(revision)},
+        )
+
+    async def _call(
+        self,
+        step: Step,
+        method: str,
+        path: str,
+        *,
+        limit_s: float = CALL_LIMIT_S,
+        **options: Any,
+    ) -> tuple[int, bytes]:
+        """Return status and body of one call that the store took."""
+        self.metrics.count("store_calls", step=step.value)
+        try:
+            async with self.session.request(
+                method,
+                self.base + path,
+                timeout=ClientTimeout(total=limit_s),
+                **options,
+            ) as response:
+                body = await response.read()
+        except (ClientError, TimeoutError, OSError) as error:
+            # A write without an answer may still have taken effect, or may later.
+            outcome = Outcome.UNKNOWN if step is Step.STORE_WRITE else Outcome.NOT_RUN
+            raise self._error(
+                ErrorCode.STORE_UNAVAILABLE, step, f"no answer: {error!r}", outcome
+            ) from error
+        if response.status == 409:
+            raise self._error(ErrorCode.STORE_CONFLICT, step, f"conflict at {path}")
+        if response.status == 410:
+            raise self._error(ErrorCode.NOT_FOUND, step, "the history is gone")
+        is_missing = response.status == 404
+        if is_missing and step is Step.STORE_WRITE:
+            raise self._error(ErrorCode.STORE_CONFLICT, step, f"no object at {path}")
+        if response.status >= 400 and not is_missing:
+            raise self._error(
+                ErrorCode.STORE_UNAVAILABLE,
+                step,
+                f"status {response.status}",
+                Outcome.NOT_RUN,
+            )
+        return response.status, body
+
+    def _parse(self, step: Step, body: bytes, kind: type) -> Any:
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.DecodeError as error:
+            raise self._error(
+                ErrorCode.STORE_UNAVAILABLE, step, f"unreadable answer: {error}"
+            ) from error
+
+    @staticmethod
+    def _error(
+        code: ErrorCode, step: Step, message: str, outcome: Outcome | None = None
+    ) -> StoreError:
+        return StoreError(
+            code=code, step=step, peer=STORE_PEER, message=message, outcome=outcome
+        )
--- /dev/null
+++ b/src/ebonyladder/platform/probe.py
@@ -0,0 +1,55 @@
+"""Readiness probe and metrics over HTTP."""
+
+from typing import ClassVar
+
+from absl import logging
+from aiohttp import web
+
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.metrics import Metrics
+from ebonyladder.sessions.readiness import Readiness
+from ebonyladder.sessions.registry import register
+from ebonyladder.sessions.roster import Roster
+from ebonyladder.settings import split_address
+
+
+@register
+class Probe(Plugin):
+    """Answers the balancer's probes and serves the metrics."""
+
+    name: ClassVar[str] = "probe"
+    requires: ClassVar[tuple[type, ...]] = (Roster, Metrics)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Listen on both addresses."""
+        self.readiness = Readiness(kernel=self.kernel, roster=self.kernel.get(Roster))
+        self.metrics = self.kernel.get(Metrics)
+        settings = self.kernel.settings
+        await self._serve(settings.readiness, "/readiness", self._ready)
+        await self._serve(settings.metrics, "/metrics", self._metrics)
+
+    async def stop(self) -> None:
+        """Close both listeners."""
+        for runner in self.runners:
+            await runner.cleanup()
+
+    async def _serve(self, address: str, path: str, handler) -> None:
+        app = web.Application()
+        app.router.add_get(path, handler)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        host, port = split_address(address)
+        await web.TCPSite(runner, host, port).start()
+        self.runners.append(runner)
+        logging.info("[probe] Listening. address=%s path=%s", address, path)
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        return web.Response(status=200 if self.readiness.is_ready else 503)
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        return web.Response(body=self.metrics.render(), content_type="text/plain")
--- /dev/null
+++ b/src/ebonyladder/platform/promotion.py
@@ -0,0 +1,72 @@
+"""The platform's call that promotes a database."""
+
+from typing import ClassVar
+
+from absl import logging
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.kernel.step import Step
+from ebonyladder.sessions.link import PromotionCaller
+from ebonyladder.sessions.registry import register
+from ebonyladder.types import EndpointId, ServiceId, VmId
+
+PEER = "promotion"
+# Time for the call's answer, in seconds.
+CALL_LIMIT_S = 1.0
+
+
+@register
+class PlatformPromotion(Plugin, PromotionCaller):
+    """Calls the platform to promote a database."""
+
+    name: ClassVar[str] = "promotion-call"
+    provides: ClassVar[tuple[type, ...]] = (PromotionCaller,)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.url = f"http://{kernel.settings.promotion}/promote"
+
+    async def promote(
+        self, *, service: ServiceId, endpoint: EndpointId, holder: VmId, token: int
+    ) -> bool:
+        """Promote a database; False where it isn't running."""
+        headers = {
+            "X-Ebonyladder-Lease-Holder": holder,
+            "X-Ebonyladder-Fencing-Token": str(token),
+        }
+        try:
+            async with (
+                ClientSession(timeout=ClientTimeout(total=CALL_LIMIT_S)) as session,
+                session.post(
+                    self.url, json={"service": service, "id": endpoint}, headers=headers
+                ) as response,
+            ):
+                status = response.status
+        except (ClientError, TimeoutError, OSError) as error:
+            raise self._error(f"no answer: {error!r}", Outcome.UNKNOWN) from error
+        logging.info(
+            "[platform] Promotion is asked for. service=%s endpoint=%s token=%d "
+            "status=%d",
+            service,
+            endpoint,
+            token,
+            status,
+        )
+        if status == 409:
+            return False
+        if status != 200:
+            raise self._error(f"status {status}", Outcome.NOT_RUN)
+        return True
+
+    @staticmethod
+    def _error(message: str, outcome: Outcome) -> StoreError:
+        return StoreError(
+            code=ErrorCode.STORE_UNAVAILABLE,
+            step=Step.PROMOTE,
+            peer=PEER,
+            message=message,
+            outcome=outcome,
+        )
--- /dev/null
+++ b/src/ebonyladder/platform/settings.py
@@ -0,0 +1,73 @@
+"""Settings file of a process on the platform."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from ebonyladder.kernel.error import ConfigurationError, ErrorCode
+from ebonyladder.kernel.step import Step
+from ebonyladder.sessions.settings import SessionSettings
+from ebonyladder.types import Address, RegionId, VmId, ZoneId
+
+SETTINGS_VARIABLE = "EBONYLADDER_SETTINGS"
+DEFAULT_PATH = "/etc/ebonyladder/settings.toml"
+
+
+class _Addresses(msgspec.Struct, frozen=True, kw_only=True):
+    frontend: str
+    ready: str
+
+
+class _Bounds(msgspec.Struct, frozen=True, kw_only=True):
+    grace_s: float = 6.0
+
+
+class _Remote(msgspec.Struct, frozen=True, kw_only=True):
+    address: str
+
+
+class _File(msgspec.Struct, frozen=True, kw_only=True):
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: tuple[int, int]
+    zones: dict[str, str]
+    bind_addresses: _Addresses
+    platform: _Remote
+    # The calls that change roles of databases; not a cloud in the usual sense.
+    cloud: _Remote
+    bounds: _Bounds = _Bounds()
+
+
+def load_settings(path: str) -> SessionSettings:
+    """Read the settings file.
+
+    Raises
+    ------
+    ConfigurationError
+        CONFIGURATION_INVALID with the field at fault.
+    """
+    try:
+        text = tomllib.loads(Path(path).read_text())
+        found = msgspec.convert(text, _File)
+    except (OSError, ValueError, msgspec.ValidationError) as error:
+        raise ConfigurationError(
+            code=ErrorCode.CONFIGURATION_INVALID,
+            step=Step.CONFIG_CHECK,
+            peer=path,
+            message=f"settings file {path}: {error}",
+        ) from error
+    first, _ = found.internal_ports
+    return SessionSettings(
+        vm=VmId(found.node_name),
+        zone=ZoneId(found.zone),
+        regions={ZoneId(z): RegionId(r) for z, r in found.zones.items()},
+        callers=Address(found.bind_addresses.frontend),
+        readiness=Address(found.bind_addresses.ready),
+        peer=Address(f"{found.ip}:{first}"),
+        metrics=Address(f"{found.ip}:{first + 1}"),
+        store=Address(found.platform.address),
+        promotion=Address(found.cloud.address),
+        grace_s=found.bounds.grace_s,
+    )
--- /dev/null
+++ b/src/ebonyladder/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Sessions of callers on connections, run over shared endpoint connections."""
--- /dev/null
+++ b/src/ebonyladder/sessions/failover.py
@@ -0,0 +1,426 @@
+"""Change of a service's primary without losing an acknowledged commit.
+
+A commit is acknowledged once one replica has received it. Before a promotion no
+more commits can be acknowledged at the old primary, either because it has stepped
+down or because all its replicas are paused; the replica that has received most is
+then known to hold all of them.
+"""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable
+from enum import Enum
+
+import msgspec
+from absl import logging
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.kernel.error import (
+    EbonyladderError,
+    EndpointError,
+    ErrorCode,
+    StoreError,
+)
+from ebonyladder.kernel.step import Step
+from ebonyladder.sessions.catalog import OPEN_ORGANISATION
+from ebonyladder.sessions.link import (
+    EndpointDriver,
+    EndpointLink,
+    EndpointStatus,
+    PromotionCaller,
+)
+from ebonyladder.sessions.placement import EVIDENCE_LIMIT_S
+from ebonyladder.sessions.roster import (
+    EndpointEntry,
+    GroupPhase,
+    GroupState,
+    Roster,
+)
+from ebonyladder.types import (
+    EndpointId,
+    EndpointState,
+    Position,
+    Role,
+    ServiceId,
+    Term,
+)
+
+# Time for one call on an endpoint, in seconds: a round trip between regions, a new
+# connection, and the wait for a slot.
+CALL_LIMIT_S = 0.6
+# Time for a replica to receive what a primary that stepped down has, in seconds.
+CATCH_UP_LIMIT_S = 0.4
+# Time until a promoted endpoint must lead, in seconds; the platform takes up to one.
+PROMOTE_LIMIT_S = 4.0
+POLL_S = 0.05
+# Pause between two changes of the same primary, in seconds, so that an endpoint that
+# is only slow to start isn't replaced again.
+SETTLE_S = 4.0
+# VMs that don't answer stop using the old primary when their evidence ends; the rest
+# covers clock rates and statements on their way.
+BARRIER_S = EVIDENCE_LIMIT_S + 0.5
+
+
+class Cause(Enum):
+    """Why a primary is replaced."""
+
+    SILENT = "the primary doesn't answer"
+    STALLED = "commits get no answer at the primary"
+    LEAVING = "the primary is leaving"
+    GONE = "the primary is no longer listed"
+    CUT_OFF = "most VMs can't reach the primary"
+    DEMOTED = "the primary has stepped down"
+    UNFINISHED = "an earlier change was not finished"
+
+
+class FailoverAbortedError(EbonyladderError):
+    """A change of primary can't be made safely now."""
+
+
+class Fleet(ABC):
+    """What a change of primary needs of the other VMs and the store."""
+
+    @abstractmethod
+    async def write_group(self, group: GroupState) -> None:
+        """Store a group state with a higher epoch; STORE_CONFLICT if it isn't."""
+
+    @abstractmethod
+    async def wait_adopted(self, group: GroupState, limit_s: float) -> None:
+        """Return once all VMs act on the group state, or after ``limit_s``."""
+
+    @abstractmethod
+    def fencing_token(self) -> int | None:
+        """Return the token of this VM's duty, None if it isn't certain of it."""
+
+
+class Probe(msgspec.Struct, frozen=True, kw_only=True):
+    """Endpoint with the link and status of a call that it answered."""
+
+    entry: EndpointEntry
+    link: EndpointLink
+    status: EndpointStatus
+
+
+class Failover:
+    """Changes the primary of one service at a time.
+
+    Parameters
+    ----------
+    roster : Roster
+        Endpoints and groups.
+    driver : EndpointDriver
+        Opens links to endpoints.
+    promoter : PromotionCaller
+        The platform's call.
+    fleet : Fleet
+        The other VMs and the store.
+    clock : Clock
+        Clock of the limits.
+    """
+
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        driver: EndpointDriver,
+        promoter: PromotionCaller,
+        fleet: Fleet,
+        clock: Clock,
+    ) -> None:
+        self.roster = roster
+        self.driver = driver
+        self.promoter = promoter
+        self.fleet = fleet
+        self.clock = clock
+
+    async def change(self, service: ServiceId, cause: Cause) -> bool:
+        """Replace the primary; return whether there is a new one."""
+        probes: dict[EndpointId, Probe] = {}
+        try:
+            return await self._change(service, cause, probes)
+        except EbonyladderError as error:
+            logging.warning(
+                "[failover] Change of primary ended. service=%s cause=%s error=%s",
+                service,
+                cause.value,
+                error,
+            )
+            return False
+        finally:
+            for probe in probes.values():
+                probe.link.close()
+
+    async def _change(
+        self, service: ServiceId, cause: Cause, probes: dict[EndpointId, Probe]
+    ) -> bool:
+        members = self.roster.members(service)
+        probes.update(await self._probe(members))
+        old = self._former_primary(service, members)
+        if not self._is_needed(cause, probes.get(old), probes):
+            logging.info(
+                "[failover] Primary is kept. service=%s cause=%s", service, cause.value
+            )
+            return False
+        if not any(self._is_candidate(p) for p in probes.values()):
+            raise self._aborted(service, "no endpoint can take over")
+        moving = await self._begin(service, cause, old or members[0].id)
+        already = self._new_leader(moving, probes)
+        if already is not None:
+            await self._settle(moving, already.entry.id, already.status.term)
+            return True
+        try:
+            chosen = await self._prepare(service, old, members, probes)
+            await self._call_platform(service, chosen.entry.id)
+        except FailoverAbortedError:
+            # Nothing was promoted, so the former primary stays the agreed one.
+            await self._resume(probes, old)
+            await self._settle(moving, moving.primary, moving.term)
+            raise
+        # From here on a failure leaves the group moving: the promotion may still
+        # take effect, so the former primary must not be used again.
+        term = await self._wait_leading(service, chosen)
+        await self._settle(moving, chosen.entry.id, term)
+        await self._resume(probes, chosen.entry.id)
+        return True
+
+    async def _begin(
+        self, service: ServiceId, cause: Cause, old: EndpointId
+    ) -> GroupState:
+        known = self.roster.groups.get(service)
+        moving = GroupState(
+            service=service,
+            epoch=(known.epoch if known else 0) + 1,
+            phase=GroupPhase.MOVING,
+            primary=old,
+            term=known.term if known else Term(0),
+        )
+        await self.fleet.write_group(moving)
+        logging.info(
+            "[failover] Change of primary begins. service=%s cause=%s epoch=%d old=%s",
+            service,
+            cause.value,
+            moving.epoch,
+            old,
+        )
+        await self.fleet.wait_adopted(moving, BARRIER_S)
+        return moving
+
+    def _new_leader(
+        self, moving: GroupState, probes: dict[EndpointId, Probe]
+    ) -> Probe | None:
+        """Return an endpoint that an unfinished change has promoted already."""
+        leading = [
+            p
+            for p in probes.values()
+            if p.status.role is Role.PRIMARY
+            and p.entry.id != moving.primary
+            and p.status.term > moving.term
+        ]
+        return max(leading, key=lambda p: p.status.term, default=None)
+
+    def _former_primary(
+        self, service: ServiceId, members: list[EndpointEntry]
+    ) -> EndpointId | None:
+        group = self.roster.groups.get(service)
+        if group is not None:
+            return group.primary
+        return next((m.id for m in members if m.role is Role.PRIMARY), None)
+
+    async def _probe(self, members: list[EndpointEntry]) -> dict[EndpointId, Probe]:
+        found = await asyncio.gather(*(self._probe_one(m) for m in members))
+        return {probe.entry.id: probe for probe in found if probe is not None}
+
+    async def _probe_one(self, entry: EndpointEntry) -> Probe | None:
+        try:
+            async with asyncio.timeout(CALL_LIMIT_S):
+                link = await self.driver.open(entry, OPEN_ORGANISATION)
+                status = await link.status()
+        except (EndpointError, TimeoutError) as error:
+            logging.info(
+                "[failover] Endpoint gives no status. endpoint=%s error=%r",
+                entry.id,
+                error,
+            )
+            return None
+        return Probe(entry=entry, link=link, status=status)
+
+    def _is_needed(
+        self,
+        cause: Cause,
+        leading: Probe | None,
+        probes: dict[EndpointId, Probe],
+    ) -> bool:
+        """Tell a primary that has to be replaced from one that is only slow."""
+        if leading is None or leading.status.role is not Role.PRIMARY:
+            return True
+        if cause is Cause.STALLED:
+            others = [p for p in probes.values() if p is not leading]
+            return all(p.status.received < leading.status.received for p in others)
+        return cause not in (Cause.SILENT, Cause.DEMOTED)
+
+    def _is_candidate(self, probe: Probe | None) -> bool:
+        return (
+            probe is not None
+            and probe.entry.state is EndpointState.ACTIVE
+            and probe.entry.zone not in self.roster.closed_zones
+        )
+
+    async def _prepare(
+        self,
+        service: ServiceId,
+        old: EndpointId | None,
+        members: list[EndpointEntry],
+        probes: dict[EndpointId, Probe],
+    ) -> Probe:
+        """Stop the old order; return an endpoint with every acknowledged commit."""
+        term = Term(max(p.status.term for p in probes.values()) + 1)
+        leading = probes.get(old) if old else None
+        if leading is not None and leading.status.role is Role.PRIMARY:
+            stopped = await self._step_down(leading, term)
+            if stopped is not None:
+                return await self._choose_stopped(leading, stopped, members, probes)
+        replicas = [m for m in members if m.id != old or m.id in probes]
+        missing = [r.id for r in replicas if r.id not in probes]
+        if missing:
+            # A commit may have been acknowledged by the missing replica alone.
+            raise self._aborted(service, f"no status of {', '.join(missing)}")
+        received = {}
+        for replica in replicas:
+            status = await self._call(service, probes[replica.id].link.pause(term))
+            received[replica.id] = status.received
+        return self._choose_newest(service, received, probes)
+
+    async def _choose_stopped(
+        self,
+        leading: Probe,
+        stopped: EndpointStatus,
+        members: list[EndpointEntry],
+        probes: dict[EndpointId, Probe],
+    ) -> Probe:
+        """Return the successor of a primary that has stepped down."""
+        service = leading.entry.service
+        limit_s = self.clock.now_s() + CATCH_UP_LIMIT_S
+        while True:
+            received = {}
+            for probe in probes.values():
+                if probe is not leading and probe.link.is_open:
+                    status = await self._call(service, probe.link.status())
+                    received[probe.entry.id] = status.received
+            best = self._choose_newest(service, received, probes) if received else None
+            if best and received[best.entry.id] >= stopped.received:
+                return best
+            if self.clock.now_s() >= limit_s:
+                break
+            await asyncio.sleep(POLL_S)
+        if best and len(received) == len(members) - 1:
+            # What no replica has received was never acknowledged.
+            return best
+        if self._is_candidate(leading):
+            return leading
+        raise self._aborted(service, "no replica has the log of the old primary")
+
+    def _choose_newest(
+        self,
+        service: ServiceId,
+        received: dict[EndpointId, Position],
+        probes: dict[EndpointId, Probe],
+    ) -> Probe:
+        newest = max(received.values())
+        best = [
+            probes[endpoint]
+            for endpoint, position in received.items()
+            if position == newest and self._is_candidate(probes[endpoint])
+        ]
+        if not best:
+            raise self._aborted(service, "the newest log isn't at a candidate")
+        return max(best, key=lambda p: (p.entry.zone == self.roster.zone, p.entry.id))
+
+    async def _call(
+        self, service: ServiceId, call: Awaitable[EndpointStatus]
+    ) -> EndpointStatus:
+        try:
+            async with asyncio.timeout(CALL_LIMIT_S):
+                return await call
+        except (EndpointError, TimeoutError) as error:
+            raise self._aborted(service, f"no answer: {error!r}") from error
+
+    async def _step_down(self, leading: Probe, term: Term) -> EndpointStatus | None:
+        try:
+            async with asyncio.timeout(CALL_LIMIT_S):
+                return await leading.link.step_down(term)
+        except (EndpointError, TimeoutError) as error:
+            logging.info(
+                "[failover] Primary did not step down. endpoint=%s error=%r",
+                leading.entry.id,
+                error,
+            )
+            return None
+
+    async def _call_platform(self, service: ServiceId, chosen: EndpointId) -> None:
+        token = self.fleet.fencing_token()
+        if token is None:
+            raise self._aborted(service, "this VM isn't certain of its duty")
+        if not await self.promoter.promote(
+            service=service, endpoint=chosen, holder=self.roster.vm, token=token
+        ):
+            raise self._aborted(service, f"{chosen} isn't running")
+
+    async def _wait_leading(self, service: ServiceId, probe: Probe) -> Term:
+        limit_s = self.clock.now_s() + PROMOTE_LIMIT_S
+        while self.clock.now_s() < limit_s:
+            status = await self._call(service, probe.link.status())
+            if status.role is Role.PRIMARY:
+                return status.term
+            await asyncio.sleep(POLL_S)
+        raise self._aborted(service, f"{probe.entry.id} does not lead")
+
+    async def _settle(
+        self, moving: GroupState, primary: EndpointId, term: Term
+    ) -> None:
+        stable = msgspec.structs.replace(
+            moving,
+            epoch=moving.epoch + 1,
+            phase=GroupPhase.STABLE,
+            primary=primary,
+            term=term,
+        )
+        while True:
+            try:
+                await self.fleet.write_group(stable)
+            except StoreError as error:
+                logging.warning("[failover] Group isn't stored yet. error=%s", error)
+                await asyncio.sleep(POLL_S * 4)
+                if self.fleet.fencing_token() is None:
+                    raise
+            else:
+                logging.info(
+                    "[failover] Group is settled. service=%s primary=%s term=%d",
+                    stable.service,
+                    primary,
+                    term,
+                )
+                return
+
+    async def _resume(
+        self, probes: dict[EndpointId, Probe], primary: EndpointId | None
+    ) -> None:
+        for probe in probes.values():
+            if probe.entry.id == primary or not probe.link.is_open:
+                continue
+            try:
+                async with asyncio.timeout(CALL_LIMIT_S):
+                    await probe.link.resume()
+            except (EndpointError, TimeoutError) as error:
+                logging.warning(
+                    "[failover] Replica did not resume. endpoint=%s error=%r",
+                    probe.entry.id,
+                    error,
+                )
+
+    def _aborted(self, service: ServiceId, message: str) -> FailoverAbortedError:
+        return FailoverAbortedError(
+            code=ErrorCode.NO_PRIMARY,
+            step=Step.PROMOTE,
+            peer=service,
+            message=message,
+        )
--- /dev/null
+++ b/src/ebonyladder/sessions/leadership.py
@@ -0,0 +1,171 @@
+"""Duty of one VM at a time: to change primaries and to divide rates.
+
+The record of the duty lies in the store and changes only by a conditional write.
+Between writes the leader is certain of its duty while every other VM of the fleet
+has reported to it lately, since a VM that has just reported doesn't take over.
+This needs no store calls on a calm day, and an outage of the store ends no duty.
+"""
+
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.sessions.objects import Revision
+from ebonyladder.types import Address, Incarnation, VmId
+
+# A VM takes over when it has heard nothing of the leader, neither directly nor in
+# the store, for this long, in seconds.
+TAKEOVER_S = 4.0
+# The leader counts on its duty for this long after a report or a write, in seconds;
+# the difference covers clock rates and the time to act.
+DUTY_S = 3.4
+# Store renewals while some VM doesn't report, in seconds.
+RENEWAL_S = 1.2
+LEADER_NAME = "leader"
+
+
+class LeaderRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Record of the duty in the store.
+
+    Attributes
+    ----------
+    token : int
+        Fencing token; grows with each change of the holder.
+    renewals : int
+        Grows with each renewal of the same holder.
+    is_released : bool
+        Whether the holder has given the duty up.
+    """
+
+    holder: VmId
+    incarnation: Incarnation
+    address: Address
+    token: int
+    renewals: int = 0
+    is_released: bool = False
+
+
+class Standing(Enum):
+    """This VM's relation to the duty."""
+
+    FOLLOWER = "follower"
+    LEADER = "leader"
+    UNCERTAIN = "uncertain"
+
+
+class Leadership:
+    """What this VM knows of the duty, and what it may do.
+
+    Parameters
+    ----------
+    vm : VmId
+        This VM.
+    incarnation : Incarnation
+        Start number of this process.
+    clock : Clock
+        Clock that counts time while the VM is suspended.
+    """
+
+    def __init__(self, *, vm: VmId, incarnation: Incarnation, clock: Clock) -> None:
+        self.vm = vm
+        self.incarnation = incarnation
+        self.clock = clock
+        self.record: LeaderRecord | None = None
+        self.revision = Revision(0)
+        self.seen_s = clock.now_s()
+        self.exchanged_s = float("-inf")
+        self.stored_s = float("-inf")
+        self.heard_s: dict[VmId, float] = {}
+
+    def observe(self, record: LeaderRecord | None, revision: Revision) -> None:
+        """Take over what the store holds."""
+        if revision == self.revision and record is not None:
+            return
+        known = self.record
+        if known is not None and record is not None and record.token < known.token:
+            return
+        self.record = record
+        self.revision = revision
+        self.seen_s = self.clock.now_s()
+
+    def note_written(
+        self, record: LeaderRecord, revision: Revision, sent_s: float
+    ) -> None:
+        """Note that this VM's own record was written by a call sent at ``sent_s``."""
+        self.observe(record, revision)
+        self.stored_s = sent_s
+
+    def note_exchange(self) -> None:
+        """Note an answer of the leader that was certain of its duty."""
+        self.exchanged_s = self.clock.now_s()
+
+    def note_heard(self, vm: VmId, at_s: float) -> None:
+        """Note that a VM has received this leader's orders made at ``at_s``.
+
+        The VM counts its pause before a takeover from a later time than that, so
+        orders that were lost on the way never extend the duty.
+        """
+        self.heard_s[vm] = max(at_s, self.heard_s.get(vm, at_s))
+
+    @property
+    def is_holder(self) -> bool:
+        """Whether the record names this process."""
+        record = self.record
+        return (
+            record is not None
+            and record.holder == self.vm
+            and record.incarnation == self.incarnation
+            and not record.is_released
+        )
+
+    def standing(self, vms: Iterable[VmId]) -> Standing:
+        """Return whether this VM may act as the leader now."""
+        if not self.is_holder:
+            return Standing.FOLLOWER
+        now_s = self.clock.now_s()
+        if now_s - self.stored_s < DUTY_S:
+            return Standing.LEADER
+        others = [vm for vm in vms if vm != self.vm]
+        never_s = float("-inf")
+        if all(now_s - self.heard_s.get(vm, never_s) < DUTY_S for vm in others):
+            return Standing.LEADER
+        return Standing.UNCERTAIN
+
+    def needs_renewal(self, vms: Iterable[VmId]) -> bool:
+        """Tell whether the holder has to write its record again."""
+        now_s = self.clock.now_s()
+        if not self.is_holder or now_s - self.stored_s < RENEWAL_S:
+            return False
+        never_s = float("-inf")
+        return any(
+            now_s - self.heard_s.get(vm, never_s) >= RENEWAL_S
+            for vm in vms
+            if vm != self.vm
+        )
+
+    def may_take_over(self) -> bool:
+        """Tell whether this VM may write itself into the record."""
+        record = self.record
+        if record is None or record.is_released:
+            return True
+        if record.holder == self.vm and record.incarnation != self.incarnation:
+            return True
+        now_s = self.clock.now_s()
+        return (
+            now_s - self.exchanged_s >= TAKEOVER_S and now_s - self.seen_s >= TAKEOVER_S
+        )
+
+    def next_record(self, address: Address) -> LeaderRecord:
+        """Return the record with which this VM takes or renews the duty."""
+        if self.is_holder:
+            return msgspec.structs.replace(
+                self.record, renewals=self.record.renewals + 1
+            )
+        return LeaderRecord(
+            holder=self.vm,
+            incarnation=self.incarnation,
+            address=address,
+            token=(self.record.token if self.record else 0) + 1,
+        )
--- /dev/null
+++ b/src/ebonyladder/sessions/objects.py
@@ -0,0 +1,86 @@
+"""Interface to the store's objects, by kind and name."""
+
+from abc import ABC, abstractmethod
+from typing import Any, NewType
+
+import msgspec
+
+Kind = NewType("Kind", str)
+Revision = NewType("Revision", int)
+
+# Kinds of the daemon's own objects.
+GROUPS = Kind("ebonyladder-groups")
+VMS = Kind("ebonyladder-vms")
+LEADERS = Kind("ebonyladder-leaders")
+
+
+class StoreObject(msgspec.Struct, frozen=True, kw_only=True):
+    """Object of the store.
+
+    Attributes
+    ----------
+    revision : Revision
+        Revision of the object's last change.
+    content : Any
+        What the object's writer put there.
+    """
+
+    name: str
+    revision: Revision
+    content: Any
+
+
+class Listing(msgspec.Struct, frozen=True, kw_only=True):
+    """All objects of a kind at one revision of the store."""
+
+    objects: tuple[StoreObject, ...]
+    as_of: Revision
+
+
+class Change(msgspec.Struct, frozen=True, kw_only=True):
+    """Change of one object."""
+
+    object: StoreObject
+    is_removed: bool
+
+
+class Changes(msgspec.Struct, frozen=True, kw_only=True):
+    """Changes of a kind up to one revision of the store."""
+
+    changes: tuple[Change, ...]
+    as_of: Revision
+
+
+class ObjectStore(ABC):
+    """Objects of the platform's store; every call is counted and priced.
+
+    All methods raise ``StoreError``: STORE_UNAVAILABLE where no answer came (a
+    write may have taken effect), STORE_CONFLICT where a condition doesn't hold,
+    and NOT_FOUND where the history that a watch asks for is gone.
+    """
+
+    @abstractmethod
+    async def get(self, kind: Kind, name: str) -> StoreObject | None:
+        """Return one object, None if there is none."""
+
+    @abstractmethod
+    async def list(self, kind: Kind) -> Listing:
+        """Return all objects of a kind."""
+
+    @abstractmethod
+    async def watch(self, kind: Kind, after: Revision, wait_s: float) -> Changes:
+        """Wait up to ``wait_s`` seconds for changes after a revision."""
+
+    @abstractmethod
+    async def create(self, kind: Kind, name: str, content: Any) -> StoreObject:
+        """Create an object; STORE_CONFLICT if there is one."""
+
+    @abstractmethod
+    async def replace(
+        self, kind: Kind, name: str, content: Any, revision: Revision
+    ) -> StoreObject:
+        """Replace an object that is still at ``revision``."""
+
+    @abstractmethod
+    async def delete(self, kind: Kind, name: str, revision: Revision) -> None:
+        """Delete an object that is still at ``revision``."""
--- /dev/null
+++ b/src/ebonyladder/sessions/placement.py
@@ -0,0 +1,154 @@
+"""Choice of the endpoint for a statement."""
+
+from enum import Enum
+
+import msgspec
+
+from ebonyladder.sessions.catalog import Consistency, Organisation, Route
+from ebonyladder.sessions.freshness import Freshness
+from ebonyladder.sessions.pool import Pools
+from ebonyladder.sessions.roster import EndpointEntry, Roster
+from ebonyladder.types import EndpointId, EndpointState, Position, RequestKind
+
+# Evidence that no change of primary has begun is used for this long, in seconds.
+# Whoever changes a primary waits longer than this for VMs that don't answer.
+EVIDENCE_LIMIT_S = 3.0
+# Load of a near endpoint, in waiting statements for each slot, at which a farther
+# one is preferred; it stands for one round trip between regions.
+LOAD_OF_A_REGION = 1.0
+LOAD_OF_A_ZONE = 0.1
+
+
+class Target(msgspec.Struct, frozen=True, kw_only=True):
+    """Endpoint for a statement, and the log position that it must hold."""
+
+    entry: EndpointEntry
+    is_primary: bool
+    after: Position | None = None
+
+
+class NoTarget(Enum):
+    """Why no endpoint can take a statement now."""
+
+    NO_PRIMARY = "the service has no primary that may be used"
+    NO_EVIDENCE = "this VM can't confirm that the primary still leads"
+    PRIMARY_SUSPECT = "the primary doesn't answer"
+    NO_ENDPOINT = "no endpoint of the service may be used"
+
+
+class Placement:
+    """Chooses the nearest endpoint that may serve a statement.
+
+    It answers the load of reads, which replicas in the VM's own region take as
+    long as their logs are recent enough, and the loss of single endpoints.
+
+    Parameters
+    ----------
+    roster : Roster
+        Endpoints and groups.
+    freshness : Freshness
+        Positions that reads must see.
+    pools : Pools
+        Health and load of the endpoints.
+    """
+
+    def __init__(self, *, roster: Roster, freshness: Freshness, pools: Pools) -> None:
+        self.roster = roster
+        self.freshness = freshness
+        self.pools = pools
+
+    def choose(
+        self,
+        *,
+        route: Route,
+        organisation: Organisation | None,
+        access: RequestKind,
+        own: Position | None,
+        tried: frozenset[EndpointId] = frozenset(),
+    ) -> Target | NoTarget:
+        """Return the endpoint for a statement or transaction.
+
+        Parameters
+        ----------
+        own : Position or None
+            Last commit of the session on the service.
+        tried : frozenset of EndpointId
+            Endpoints that have failed to answer; replicas among them are not
+            chosen again.
+        """
+        needs_primary = (
+            access is RequestKind.WRITE or route.consistency is Consistency.PRIMARY
+        )
+        if not needs_primary:
+            replica = self._replica(route, organisation, own, tried)
+            if replica is not None:
+                return replica
+        return self._primary(route, organisation, access)
+
+    def has_evidence(self) -> bool:
+        """Tell whether the group states are certain enough for primary reads."""
+        age_s = self.roster.clock.now_s() - self.roster.evidence_s
+        return age_s < EVIDENCE_LIMIT_S
+
+    def _primary(
+        self, route: Route, organisation: Organisation | None, access: RequestKind
+    ) -> Target | NoTarget:
+        entry = self.roster.primary(route.service)
+        if entry is None or not self._is_allowed(entry, route, organisation):
+            return NoTarget.NO_PRIMARY
+        catalog = self.roster.catalog
+        service = catalog.services.get(route.service) if catalog else None
+        # A primary that was replaced gets no replica's acknowledgement, so writes
+        # need no evidence where there are synchronous replicas.
+        is_fenced = service is not None and service.sync_replicas > 0
+        if not self.has_evidence() and (access is RequestKind.READ or not is_fenced):
+            return NoTarget.NO_EVIDENCE
+        if self.pools.get(entry.id).health.is_suspect:
+            return NoTarget.PRIMARY_SUSPECT
+        return Target(entry=entry, is_primary=True)
+
+    def _replica(
+        self,
+        route: Route,
+        organisation: Organisation | None,
+        own: Position | None,
+        tried: frozenset[EndpointId],
+    ) -> Target | None:
+        after = self.freshness.required(
+            route.service, max_age_s=route.max_age_s, own=own
+        )
+        if after is None:
+            return None
+        primary = self.roster.primary(route.service)
+        usable = [
+            entry
+            for entry in self.roster.members(route.service)
+            if entry.id not in tried
+            and entry.state is EndpointState.ACTIVE
+            and self._is_allowed(entry, route, organisation)
+            and not self.pools.get(entry.id).health.is_suspect
+            and not self.pools.get(entry.id).health.is_behind
+        ]
+        if not usable:
+            return None
+        entry = min(usable, key=self._cost)
+        return Target(
+            entry=entry,
+            is_primary=primary is not None and entry.id == primary.id,
+            after=after,
+        )
+
+    def _cost(self, entry: EndpointEntry) -> float:
+        cost = self.pools.get(entry.id).load
+        if self.roster.region(entry.zone) != self.roster.region(self.roster.zone):
+            return cost + LOAD_OF_A_REGION
+        return cost + (0.0 if entry.zone == self.roster.zone else LOAD_OF_A_ZONE)
+
+    def _is_allowed(
+        self, entry: EndpointEntry, route: Route, organisation: Organisation | None
+    ) -> bool:
+        region = self.roster.region(entry.zone)
+        homes = [route.regions, organisation.regions if organisation else frozenset()]
+        if any(home and region not in home for home in homes):
+            return False
+        return entry.zone not in self.roster.closed_zones
--- /dev/null
+++ b/src/ebonyladder/sessions/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-ins of the session daemon; each registers itself on import."""
--- /dev/null
+++ b/src/ebonyladder/sessions/plugins/metrics.py
@@ -0,0 +1,6 @@
+"""Metrics of the session daemon, the same plug-in as in the HTTP daemon."""
+
+from ebonyladder.plugins.metrics import MetricsPlugin
+from ebonyladder.sessions.registry import register
+
+register(MetricsPlugin)
--- /dev/null
+++ b/src/ebonyladder/sessions/plugins/quota.py
@@ -0,0 +1,30 @@
+"""Plug-in that admits operations by the rate of their organisation."""
+
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.sessions.quota import GrantedQuota, Quota
+from ebonyladder.sessions.registry import register
+from ebonyladder.sessions.roster import Roster
+
+
+@register
+class QuotaPlugin(Plugin, GrantedQuota):
+    """Quota of this VM; the leader's orders bring its grants."""
+
+    name = "quota"
+    provides = (Quota, GrantedQuota)
+    requires = (Roster,)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        Plugin.__init__(self, kernel=kernel)
+        GrantedQuota.__init__(self, clock=kernel.clock)
+
+    async def start(self) -> None:
+        """Follow the number of VMs."""
+        roster = self.kernel.get(Roster)
+
+        def follow() -> None:
+            self.vm_count = max(len(roster.vms), 1)
+
+        roster.listeners.append(follow)
+        follow()
--- /dev/null
+++ b/src/ebonyladder/sessions/plugins/roster.py
@@ -0,0 +1,25 @@
+"""Plug-in that holds the roster of this VM."""
+
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.sessions.registry import register
+from ebonyladder.sessions.roster import Roster
+
+
+@register
+class RosterPlugin(Plugin, Roster):
+    """Roster of this VM; the watches and the leader's orders write to it."""
+
+    name = "roster"
+    provides = (Roster,)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        Plugin.__init__(self, kernel=kernel)
+        settings = kernel.settings
+        Roster.__init__(
+            self,
+            vm=settings.vm,
+            zone=settings.zone,
+            regions=settings.regions,
+            clock=kernel.clock,
+        )
--- /dev/null
+++ b/src/ebonyladder/sessions/session.py
@@ -0,0 +1,344 @@
+"""Session of one caller: values, prepared statements and one transaction."""
+
+from typing import NewType
+
+import msgspec
+from absl import logging
+
+from ebonyladder.kernel.error import RequestError
+from ebonyladder.sessions.catalog import (
+    OPEN_ORGANISATION,
+    CallerKey,
+    DatabaseName,
+    Organisation,
+    Route,
+)
+from ebonyladder.sessions.command import (
+    Answer,
+    AnswerCode,
+    Command,
+    CommandKind,
+    Prepared,
+    TransactionState,
+    refusal,
+)
+from ebonyladder.sessions.executor import Executor, Holding, Work
+from ebonyladder.sessions.quota import Quota
+from ebonyladder.sessions.roster import Roster
+from ebonyladder.types import OrganisationId, Position, RequestKind, ServiceId
+
+SessionId = NewType("SessionId", str)
+
+
+class Transaction(msgspec.Struct, kw_only=True):
+    """Transaction of a session, open at an endpoint from its first statement.
+
+    Attributes
+    ----------
+    failure : Answer or None
+        Answer that the next command gets because the transaction was ended.
+    """
+
+    begin: Command
+    route: Route
+    organisation: Organisation | None
+    holding: Holding | None = None
+    failure: Answer | None = None
+    has_written: bool = False
+
+    @property
+    def access(self) -> RequestKind:
+        """Whether the transaction may write."""
+        return self.begin.access or RequestKind.WRITE
+
+
+class Access(msgspec.Struct, frozen=True, kw_only=True):
+    """Route and organisation that a session may use now."""
+
+    route: Route
+    organisation: Organisation | None
+
+
+def authorize(
+    roster: Roster, database: DatabaseName, key: CallerKey
+) -> Access | Answer:
+    """Return what a key may use of a database, or the refusal."""
+    catalog = roster.catalog
+    if catalog is None:
+        return refusal(AnswerCode.OVERLOADED, "no configuration yet")
+    route = catalog.routes.get(database)
+    if route is None:
+        return refusal(AnswerCode.NO_DATABASE, database)
+    organisation = catalog.organisation_of(key)
+    if organisation is None and not route.is_open:
+        return refusal(AnswerCode.KEY_REFUSED, "the key is unknown or withdrawn")
+    return Access(route=route, organisation=organisation)
+
+
+class Session:
+    """State of one caller's connection.
+
+    Parameters
+    ----------
+    id : SessionId
+        Name of the session in logs.
+    database : DatabaseName
+        Database that the caller connected to.
+    key : CallerKey
+        The caller's key.
+    roster : Roster
+        Configuration in force.
+    executor : Executor
+        Runs statements.
+    quota : Quota
+        Admits operations.
+    """
+
+    def __init__(
+        self,
+        *,
+        id: SessionId,
+        database: DatabaseName,
+        key: CallerKey,
+        roster: Roster,
+        executor: Executor,
+        quota: Quota,
+    ) -> None:
+        self.id = id
+        self.database = database
+        self.key = key
+        self.roster = roster
+        self.executor = executor
+        self.quota = quota
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, Prepared] = {}
+        self.positions: dict[ServiceId, Position] = {}
+        self.transaction: Transaction | None = None
+        self.must_close = False
+
+    @property
+    def organisation_name(self) -> OrganisationId:
+        """Organisation that the key names now."""
+        catalog = self.roster.catalog
+        found = catalog.organisation_of(self.key) if catalog else None
+        return found.name if found else OPEN_ORGANISATION
+
+    @property
+    def state(self) -> TransactionState:
+        """State that the caller is told."""
+        if self.transaction is None:
+            return TransactionState.IDLE
+        if self.transaction.failure is not None:
+            return TransactionState.FAILED
+        return TransactionState.OPEN
+
+    async def handle(self, command: Command) -> Answer:
+        """Run one command and return its answer."""
+        access = authorize(self.roster, self.database, self.key)
+        if isinstance(access, Answer):
+            await self.close()
+            self.must_close = True
+            return access
+        answer = await self._handle(command, access)
+        if answer.code is not None:
+            logging.info(
+                "[session] Command failed. request=%s session=%s kind=%s database=%s "
+                "organisation=%s config=%s code=%s detail=%s",
+                command.id,
+                self.id,
+                command.kind.value,
+                self.database,
+                access.organisation.name if access.organisation else "-",
+                self.roster.version,
+                answer.code.value,
+                answer.detail,
+            )
+        return answer
+
+    async def close(self) -> None:
+        """End the session; an open transaction is rolled back."""
+        transaction, self.transaction = self.transaction, None
+        if transaction is not None and transaction.holding is not None:
+            holding, transaction.holding = transaction.holding, None
+            await self.executor.end_held(holding)
+
+    async def abort_transaction(self, detail: str) -> None:
+        """Roll back the open transaction; its next command is told."""
+        transaction = self.transaction
+        if transaction is None or transaction.failure is not None:
+            return
+        transaction.failure = refusal(AnswerCode.ABORTED, detail)
+        await self._drop_holding(transaction)
+
+    async def _handle(self, command: Command, access: Access) -> Answer:
+        if self.transaction is not None:
+            return await self._handle_in_transaction(command, self.transaction)
+        match command.kind:
+            case CommandKind.BEGIN:
+                return await self._begin(command, access)
+            case CommandKind.SET | CommandKind.PREPARE | CommandKind.DEALLOCATE:
+                return self._change_session(command)
+            case CommandKind.COMMIT | CommandKind.ROLLBACK:
+                return refusal(AnswerCode.MALFORMED, "no transaction is open")
+        return await self._run_alone(command, access)
+
+    async def _begin(self, command: Command, access: Access) -> Answer:
+        refused = await self._admit(access)
+        if refused is not None:
+            return refused
+        # The endpoint is chosen at the first statement, so that the pause before
+        # it holds no connection.
+        self.transaction = Transaction(
+            begin=command, route=access.route, organisation=access.organisation
+        )
+        return Answer(state=TransactionState.OPEN)
+
+    def _change_session(self, command: Command) -> Answer:
+        match command.kind:
+            case CommandKind.SET:
+                self.values = {**self.values, command.name: command.argument}
+            case CommandKind.PREPARE:
+                self.prepared[command.name] = Prepared(
+                    access=command.access or RequestKind.READ, shape=command.argument
+                )
+            case CommandKind.DEALLOCATE:
+                if self.prepared.pop(command.name, None) is None:
+                    return refusal(
+                        AnswerCode.NOT_PREPARED, command.name, state=self.state
+                    )
+        return Answer(state=self.state)
+
+    async def _run_alone(self, command: Command, access: Access) -> Answer:
+        work = self._work(command, access.route, access.organisation)
+        if work is None:
+            return refusal(AnswerCode.NOT_PREPARED, command.name)
+        refused = await self._admit(access)
+        if refused is not None:
+            return refused
+        answer = await self.executor.run_alone(work)
+        if answer.code is None and work.access is RequestKind.WRITE:
+            self._note_commit(access.route.service, answer.position)
+        return answer.with_state(TransactionState.IDLE)
+
+    async def _admit(self, access: Access) -> Answer | None:
+        if access.organisation is None:
+            return None
+        try:
+            await self.quota.admit(
+                access.organisation, longest_s=access.route.objective_s / 4
+            )
+        except RequestError as error:
+            return refusal(
+                AnswerCode.OVERLOADED, "rate", retry_after_s=error.retry_after_s
+            )
+        return None
+
+    def _work(
+        self, command: Command, route: Route, organisation: Organisation | None
+    ) -> Work | None:
+        """Return the work of a command, None for an unknown prepared statement."""
+        prepared = None
+        access = RequestKind.READ
+        if command.kind is CommandKind.EXECUTE:
+            prepared = self.prepared.get(command.name)
+            if prepared is None:
+                return None
+            access = prepared.access
+        elif command.kind is CommandKind.WRITE:
+            access = RequestKind.WRITE
+        return Work(
+            command=command,
+            route=route,
+            organisation=organisation,
+            access=access,
+            values=self.values,
+            own=self.positions.get(route.service),
+            deadline_s=self.executor.deadline_s(route),
+            prepared=prepared,
+        )
+
+    async def _handle_in_transaction(
+        self, command: Command, transaction: Transaction
+    ) -> Answer:
+        is_end = command.kind in (CommandKind.COMMIT, CommandKind.ROLLBACK)
+        if transaction.failure is not None:
+            return await self._handle_failed(command, transaction)
+        if command.kind is CommandKind.BEGIN:
+            return refusal(
+                AnswerCode.MALFORMED, "a transaction is open", state=self.state
+            )
+        if command.kind is CommandKind.ROLLBACK:
+            await self.close()
+            return Answer()
+        if command.kind in (
+            CommandKind.SET,
+            CommandKind.PREPARE,
+            CommandKind.DEALLOCATE,
+        ):
+            return self._change_session(command)
+        work = self._work(command, transaction.route, transaction.organisation)
+        if work is None:
+            return refusal(AnswerCode.NOT_PREPARED, command.name, state=self.state)
+        answer = await self._run_in_transaction(work, transaction)
+        if is_end:
+            return await self._committed(answer, transaction)
+        if answer.code is None:
+            transaction.has_written |= work.access is RequestKind.WRITE
+        elif answer.state is TransactionState.FAILED or transaction.holding is None:
+            transaction.failure = refusal(
+                AnswerCode.MALFORMED,
+                "the transaction has failed",
+                state=TransactionState.FAILED,
+            )
+            await self._drop_holding(transaction)
+        return answer.with_state(self.state)
+
+    async def _run_in_transaction(self, work: Work, transaction: Transaction) -> Answer:
+        if transaction.holding is None:
+            opening = msgspec.structs.replace(work, access=transaction.access)
+            opened = await self.executor.open_transaction(opening, transaction.begin)
+            if isinstance(opened, Answer):
+                return opened
+            transaction.holding = opened
+        transaction.holding.link.align(self.values)
+        return await self.executor.run_held(work, transaction.holding)
+
+    async def _committed(self, answer: Answer, transaction: Transaction) -> Answer:
+        service = transaction.route.service
+        if answer.code is None and transaction.has_written:
+            self._note_commit(service, answer.position)
+        elif answer.code is AnswerCode.IN_DOUBT and not transaction.has_written:
+            # A transaction without writes leaves nothing behind.
+            answer = refusal(AnswerCode.ABORTED, answer.detail)
+        if transaction.holding is not None and answer.state is TransactionState.IDLE:
+            holding, transaction.holding = transaction.holding, None
+            holding.pool.release(holding.link)
+        await self.close()
+        return answer.with_state(TransactionState.IDLE)
+
+    async def _handle_failed(
+        self, command: Command, transaction: Transaction
+    ) -> Answer:
+        failure = transaction.failure
+        if command.kind is CommandKind.ROLLBACK:
+            await self.close()
+            return Answer()
+        if command.kind is CommandKind.COMMIT:
+            await self.close()
+            return refusal(AnswerCode.ABORTED, failure.detail)
+        if failure.code is AnswerCode.ABORTED:
+            transaction.failure = refusal(
+                AnswerCode.MALFORMED, "the transaction has failed"
+            )
+        return failure.with_state(TransactionState.FAILED)
+
+    async def _drop_holding(self, transaction: Transaction) -> None:
+        if transaction.holding is not None:
+            holding, transaction.holding = transaction.holding, None
+            await self.executor.end_held(holding)
+
+    def _note_commit(self, service: ServiceId, position: Position | None) -> None:
+        if position is None:
+            return
+        known = self.positions.get(service)
+        self.positions[service] = position if known is None else max(known, position)
--- /dev/null
+++ b/src/ebonyladder/sessions/watcher.py
@@ -0,0 +1,87 @@
+"""Watch of one kind of the store's objects."""
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+
+from absl import logging
+
+from ebonyladder.kernel.error import ErrorCode, StoreError
+from ebonyladder.sessions.objects import Kind, ObjectStore, StoreObject
+
+# Each waiting call is priced, so a watch waits long; keep-alive probes show sooner
+# than that that its connection is dead.
+WATCH_WAIT_S = 25.0
+# Pause after a failed call, in seconds; drawn between the two, so that VMs don't
+# return to the store at the same moment.
+RETRY_LEAST_S = 0.2
+RETRY_MOST_S = 0.6
+
+
+class KindWatcher(ABC):
+    """Keeps the objects of one kind up to date.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Store to watch.
+    kind : Kind
+        Kind of the objects.
+    """
+
+    def __init__(self, *, store: ObjectStore, kind: Kind) -> None:
+        self.store = store
+        self.kind = kind
+        self.objects: dict[str, StoreObject] = {}
+        self.is_listed = asyncio.Event()
+        self.is_connected = True
+
+    @abstractmethod
+    def apply(self, objects: Mapping[str, StoreObject]) -> None:
+        """Take over the objects after a listing or change."""
+
+    async def run(self) -> None:
+        """List and watch until cancelled."""
+        while True:
+            try:
+                listing = await self.store.list(self.kind)
+                self.objects = {found.name: found for found in listing.objects}
+                self._note_connected()
+                self.apply(self.objects)
+                self.is_listed.set()
+                await self._follow(listing.as_of)
+            except StoreError as error:
+                self._note_failure(error)
+                await asyncio.sleep(random.uniform(RETRY_LEAST_S, RETRY_MOST_S))
+
+    async def _follow(self, as_of: int) -> None:
+        while True:
+            try:
+                found = await self.store.watch(self.kind, as_of, WATCH_WAIT_S)
+            except StoreError as error:
+                self._note_failure(error)
+                if error.code is ErrorCode.NOT_FOUND:
+                    # The history is gone; only a listing shows the present state.
+                    return
+                await asyncio.sleep(random.uniform(RETRY_LEAST_S, RETRY_MOST_S))
+                continue
+            self._note_connected()
+            as_of = found.as_of
+            for change in found.changes:
+                if change.is_removed:
+                    self.objects.pop(change.object.name, None)
+                else:
+                    self.objects[change.object.name] = change.object
+            if found.changes:
+                self.apply(self.objects)
+
+    def _note_failure(self, error: StoreError) -> None:
+        if self.is_connected:
+            logging.warning("[watch] Watch is lost. kind=%s error=%s", self.kind, error)
+        self.is_connected = False
+
+    def _note_connected(self) -> None:
+        if not self.is_connected:
+            logging.info("[watch] Watch is back. kind=%s", self.kind)
+        self.is_connected = True
