--- /dev/null
+++ b/standins/statement_database.py
@@ -0,0 +1,304 @@
+"""Stand-in for the users' databases: statements, a replicated log, promotion."""
+
+import asyncio
+import itertools
+from dataclasses import dataclass, field
+from typing import Any
+
+POLL_S = 0.005
+
+
+@dataclass
+class Entry:
+    """One commit in the log."""
+
+    term: int
+    number: int
+    writes: dict[str, str]
+
+
+@dataclass
+class Run:
+    """One statement that a database ran, for the checks of histories."""
+
+    endpoint: str
+    organisation: str
+    id: str
+    text: str
+    values: dict[str, str]
+
+
+@dataclass
+class Connection:
+    """State of one connection."""
+
+    organisation: str
+    values: dict[str, str] = field(default_factory=dict)
+    names: dict[str, tuple[str, str]] = field(default_factory=dict)
+    state: str = "I"
+    read_only: bool = False
+    writes: dict[str, str] = field(default_factory=dict)
+
+
+class Database:
+    """One database of a service.
+
+    Parameters
+    ----------
+    service : DatabaseService
+        Service that it belongs to.
+    name : str
+        Its id.
+    """
+
+    def __init__(self, *, service: "DatabaseService", name: str) -> None:
+        self.service = service
+        self.name = name
+        self.is_primary = False
+        self.term = 1
+        self.log: list[Entry] = []
+        self.is_paused = False
+        self.is_deaf = False
+        self.is_down = False
+        self.lost_answers = 0
+        self.work_s = 0.0
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        self.is_down = False
+
+    async def stop(self) -> None:
+        """Crash: connections break, the log stays."""
+        self.is_down = True
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Term and number of the last entry."""
+        return (self.log[-1].term, self.log[-1].number) if self.log else (1, 0)
+
+    @property
+    def data(self) -> dict[str, str]:
+        """Items as the log leaves them."""
+        found: dict[str, str] = {}
+        for entry in self.log:
+            found.update(entry.writes)
+        return found
+
+    async def _serve(self, reader, writer) -> None:
+        self.writers.add(writer)
+        try:
+            await self._serve_connection(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _serve_connection(self, reader, writer) -> None:
+        words = (await reader.readline()).decode().split()
+        service, organisation = words[1], words[2]
+        if service != self.service.name or words[3:] not in ([], [self.name]):
+            writer.write(b"ERROR MISROUTED -\r\n")
+            return
+        connection = Connection(organisation=organisation)
+        self._ready(writer, connection)
+        while line := (await reader.readline()).decode().rstrip("\r\n"):
+            _, id, text = line.split(" ", 2)
+            answer = await self._run(connection, id, text)
+            if self.lost_answers and id != "-":
+                self.lost_answers -= 1
+                continue
+            writer.write("".join(f"{part}\r\n" for part in answer).encode())
+            self._ready(writer, connection)
+            await writer.drain()
+
+    def _ready(self, writer, connection: Connection) -> None:
+        term, number = self.position
+        writer.write(f"READY {connection.state} {term}.{number}\r\n".encode())
+
+    async def _run(self, connection: Connection, id: str, text: str) -> list[str]:
+        word, _, rest = text.partition(" ")
+        if word == "AFTER":
+            wanted, _, text = rest.partition(" ")
+            term, number = map(int, wanted.split("."))
+            if not self._has(term, number):
+                return ["ERROR LAGGING -"]
+            word, _, rest = text.partition(" ")
+        control = {"STATUS": self._status, "PAUSE": self._pause}
+        control |= {"RESUME": self._resume, "STEPDOWN": self._step_down}
+        if word in control:
+            return control[word](rest)
+        if word == "RESET":
+            connection.values, connection.names = {}, {}
+            return ["COMPLETE -"]
+        if word == "SET":
+            name, _, value = rest.partition(" ")
+            connection.values[name] = value
+            return ["COMPLETE -"]
+        if word == "PREPARE":
+            name, mode, shape = rest.split(" ", 2)
+            connection.names[name] = (mode, shape)
+            return ["COMPLETE -"]
+        return await self._run_statement(connection, id, word, rest, text)
+
+    async def _run_statement(
+        self, connection: Connection, id: str, word: str, rest: str, text: str
+    ) -> list[str]:
+        await asyncio.sleep(self.work_s)
+        is_plain = connection.state != "I" and not connection.read_only
+        mode = word
+        if word == "EXECUTE":
+            name, _, rest = rest.partition(" ")
+            if name not in connection.names:
+                return ["ERROR NOSTMT -"]
+            mode = connection.names[name][0]
+        if word == "BEGIN":
+            if rest != "READ" and not self.is_primary:
+                return ["ERROR READONLY -"]
+            connection.state, connection.read_only = "T", rest == "READ"
+            return ["COMPLETE -"]
+        if word == "ROLLBACK":
+            connection.state, connection.writes = "I", {}
+            return ["COMPLETE -"]
+        is_write = mode in ("WRITE", "COMMIT") and (
+            mode == "WRITE" or connection.writes
+        )
+        if (is_write or is_plain) and not self.is_primary:
+            connection.state = "E" if connection.state == "T" else "I"
+            return ["ERROR READONLY -"]
+        self.service.runs.append(
+            Run(self.name, connection.organisation, id, text, dict(connection.values))
+        )
+        signature = f"COMPLETE s{next(self.service.signatures)}"
+        if mode == "READ":
+            item = rest.split(" ", 1)[0]
+            seen = {**self.data, **connection.writes}
+            return [f"ROW {seen.get(item, '')}", signature]
+        if mode == "WRITE":
+            item, _, value = rest.partition(" ")
+            connection.writes[item] = value
+            if connection.state == "T":
+                return [signature]
+        writes, connection.writes = connection.writes, {}
+        connection.state = "I"
+        if writes:
+            await self._commit(writes)
+        return [signature]
+
+    async def _commit(self, writes: dict[str, str]) -> None:
+        entry = Entry(self.term, self.position[1] + 1, writes)
+        self.log.append(entry)
+        while True:
+            # A primary that has lost its lead acknowledges nothing more.
+            if self.is_primary and self.service.replicate(self):
+                return
+            await asyncio.sleep(POLL_S)
+
+    def _has(self, term: int, number: int) -> bool:
+        return (term, number) <= self.position
+
+    def _status(self, rest: str) -> list[str]:
+        role = "primary" if self.is_primary else "replica"
+        term, number = self.position
+        connections = len(self.writers)
+        row = f"ROW {role} {self.term} {term}.{number} {self.term} 0 0 {connections}"
+        return [row, "COMPLETE -"]
+
+    def _pause(self, rest: str) -> list[str]:
+        self.is_paused = True
+        return self._status("")
+
+    def _resume(self, rest: str) -> list[str]:
+        self.is_paused = False
+        return self._status("")
+
+    def _step_down(self, rest: str) -> list[str]:
+        if self.is_primary and self.term < int(rest):
+            self.is_primary = False
+        return self._status("")
+
+
+class DatabaseService:
+    """Service with one primary and its replicas.
+
+    Parameters
+    ----------
+    name : str
+        Name of the service.
+    zones : dict of str to str
+        Zone of each database, by id; the first one is the primary.
+    """
+
+    def __init__(self, *, name: str, zones: dict[str, str]) -> None:
+        self.name = name
+        self.zones = zones
+        self.databases = {n: Database(service=self, name=n) for n in zones}
+        self.signatures = itertools.count(1)
+        self.runs: list[Run] = []
+        self.promotions: list[tuple[str, int]] = []
+        next(iter(self.databases.values())).is_primary = True
+
+    async def start(self) -> None:
+        """Start all databases."""
+        for database in self.databases.values():
+            await database.start()
+
+    async def stop(self) -> None:
+        """Stop all databases."""
+        for database in self.databases.values():
+            if not database.is_down:
+                await database.stop()
+
+    def replicate(self, primary: Database) -> bool:
+        """Copy the log to the replicas that receive; True if one did."""
+        has_copy = False
+        for database in self.databases.values():
+            is_receiving = not (
+                database.is_paused or database.is_deaf or database.is_down
+            )
+            if database is primary or database.is_primary or not is_receiving:
+                continue
+            if database.term <= primary.term:
+                database.log = list(primary.log)
+                has_copy = True
+        return has_copy
+
+    def promote(self, name: str, token: int) -> bool:
+        """Let a database lead the next term; False if it isn't running."""
+        database = self.databases[name]
+        if database.is_down:
+            return False
+        self.promotions.append((name, token))
+        term = max(d.term for d in self.databases.values()) + 1
+        for other in self.databases.values():
+            other.is_primary = False
+            other.is_paused = False
+            if not other.is_down:
+                other.term = term
+                other.log = list(database.log)
+        database.is_primary = True
+        return True
+
+    def entry(self, name: str, *, state: str = "ready") -> dict[str, Any]:
+        """Return the entry that a database writes into the store."""
+        database = self.databases[name]
+        return {
+            "service": self.name,
+            "address": f"127.0.0.1:{database.port}",
+            "zone": self.zones[name],
+            "version": "v1",
+            "capacity": 5,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "db_role": "primary" if database.is_primary else "replica",
+            "sequence": 1,
+            "born": 1,
+        }
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,140 @@
+"""Session daemons in one process over the stand-ins of the users' platform."""
+
+import asyncio
+import itertools
+import socket
+import time
+from contextlib import asynccontextmanager
+
+from ebonyladder.kernel.kernel import Kernel
+from ebonyladder.kernel.registry import discover
+from ebonyladder.sessions.daemon import PLUGIN_PACKAGE
+from ebonyladder.sessions.registry import REGISTRY
+from ebonyladder.sessions.roster import Roster
+from ebonyladder.sessions.settings import SessionSettings
+from ebonyladder.types import Address, VmId, ZoneId
+from standins.platform import KEY, ZONES, Platform
+
+ADAPTER = "ebonyladder.platform"
+# Bound on waits for a condition, in seconds; generous, since CI may be busy.
+PATIENCE_S = 30.0
+
+
+def free_address() -> Address:
+    """Return a loopback address with a free port."""
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return Address(f"127.0.0.1:{found.getsockname()[1]}")
+
+
+async def until(condition, what: str) -> None:
+    """Wait until a condition holds."""
+    limit_s = time.monotonic() + PATIENCE_S
+    while not condition():
+        if time.monotonic() > limit_s:
+            raise AssertionError(f"in vain: {what}")
+        await asyncio.sleep(0.02)
+
+
+class Client:
+    """Client session that speaks the statement protocol."""
+
+    numbers = itertools.count(1)
+
+    def __init__(self, reader, writer) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, address: str, database: str, key: str = KEY) -> "Client":
+        """Open a session; ``greeting`` holds the daemon's first line."""
+        host, port = address.split(":")
+        client = cls(*await asyncio.open_connection(host, int(port)))
+        client.writer.write(f"STARTUP {database} {key}\r\n".encode())
+        client.greeting = await client.line()
+        return client
+
+    async def line(self) -> str:
+        """Return the next line, empty at the end."""
+        async with asyncio.timeout(PATIENCE_S):
+            return (await self.reader.readline()).decode().rstrip()
+
+    async def query(self, text: str) -> list[str]:
+        """Send one query and return the lines of its answer."""
+        id = f"q{next(self.numbers)}"
+        self.writer.write(f"QUERY {id} {text}\r\n".encode())
+        lines = []
+        while line := await self.line():
+            lines.append(line)
+            if line.startswith("READY"):
+                break
+        return lines
+
+    def close(self) -> None:
+        """Leave without a word."""
+        self.writer.close()
+
+
+class Fleet:
+    """Daemons, one for each zone."""
+
+    def __init__(self, platform: Platform) -> None:
+        self.platform = platform
+        self.kernels: list[Kernel] = []
+
+    async def add(self, zone: str) -> Kernel:
+        """Start a daemon."""
+        discover(PLUGIN_PACKAGE)
+        discover(ADAPTER)
+        kernel = Kernel(
+            settings=SessionSettings(
+                vm=VmId(f"vm-{len(self.kernels) + 1}"),
+                zone=ZoneId(zone),
+                regions=ZONES,
+                callers=free_address(),
+                readiness=free_address(),
+                peer=free_address(),
+                metrics=free_address(),
+                store=Address(self.platform.store_address),
+                promotion=Address(self.platform.promotion_address),
+            ),
+            registry=REGISTRY,
+        )
+        self.kernels.append(kernel)
+        await kernel.start()
+        return kernel
+
+    def address(self, index: int) -> str:
+        """Return the address for clients of one daemon."""
+        return self.kernels[index].settings.callers
+
+    def roster(self, index: int) -> Roster:
+        """Return what one daemon knows."""
+        return self.kernels[index].get(Roster)
+
+
+@asynccontextmanager
+async def running_fleet():
+    """Run the platform's stand-ins and three daemons."""
+    platform = Platform()
+    await platform.start()
+    fleet = Fleet(platform)
+    try:
+        for zone in ZONES:
+            await fleet.add(zone)
+        for index in range(len(ZONES)):
+            roster = fleet.roster(index)
+            await until(
+                lambda roster=roster: (
+                    roster.version
+                    and len(roster.endpoints) == 3
+                    and len(roster.vms) == 3
+                    and roster.evidence_s > 0
+                ),
+                "the fleet settles",
+            )
+        yield fleet
+    finally:
+        for kernel in fleet.kernels:
+            await kernel.stop()
+        await platform.stop()
--- a/tests/session_fakes.py
+++ b/tests/session_fakes.py
@@ -134,6 +134,7 @@
         self.is_down = False
         self.lost_answers = 0
         self.paused_term: Term | None = None
+        self.pauses: list[Term] = []
 
     def with_received(self, received: Position) -> "FakeEndpoint":
         """Give the endpoint another log."""
@@ -189,6 +190,7 @@
         """Note the pause."""
         await self._reach()
         self.far.paused_term = term
+        self.far.pauses.append(term)
         return self.far.status
 
     async def resume(self) -> EndpointStatus:
