--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,110 @@
+"""Lines of the statement protocol."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonyladder.platform.wire import (
+    AnswerReader,
+    Malformed,
+    Startup,
+    Terminate,
+    WireError,
+    decode_message,
+    decode_position,
+    encode_answer,
+    encode_position,
+)
+from ebonyladder.sessions.command import (
+    Answer,
+    AnswerCode,
+    Command,
+    CommandKind,
+    TransactionState,
+)
+from ebonyladder.types import RequestKind
+from tests.session_fakes import position
+
+FIELDS = st.text(
+    st.characters(blacklist_categories=("Cc", "Cs", "Zs", "Zl", "Zp")), min_size=1
+)
+
+
+class TestClientMessages:
+    def test_known_messages(self):
+        startup = decode_message(b"STARTUP lepu270 key\r\n")
+        assert startup == Startup(database="lepu270", caller="key")
+        assert decode_message(b"TERMINATE\r\n") == Terminate()
+        command = decode_message(b"QUERY 5c PREPARE s1 WRITE q2c\r\n")
+        assert isinstance(command, Command)
+        assert command.kind is CommandKind.PREPARE
+        assert (command.name, command.argument) == ("s1", "q2c")
+        assert command.access is RequestKind.WRITE
+        assert command.text == "PREPARE s1 WRITE q2c"
+
+    def test_last_field_keeps_its_blanks(self):
+        # Guards against a changed text of a statement.
+        command = decode_message(b"QUERY 1 WRITE a b  c \r\n")
+        assert command.text == "WRITE a b  c "
+
+    @pytest.mark.parametrize(
+        "text", ["DROP a", "BEGIN WRITE", "READ", "PREPARE s READ"]
+    )
+    def test_query_that_is_no_command_keeps_its_id(self, text):
+        found = decode_message(f"QUERY 7 {text}\r\n".encode())
+        assert isinstance(found, Malformed)
+        assert found.id == "7"
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_are_a_message_or_an_error(self, data):
+        # Guards against a task that ends with an unexpected exception.
+        try:
+            decode_message(data)
+        except WireError:
+            pass
+
+
+class TestAnswers:
+    @given(
+        rows=st.lists(FIELDS, max_size=4),
+        code=st.none() | st.sampled_from(AnswerCode),
+        detail=FIELDS,
+        state=st.sampled_from(TransactionState),
+        number=st.none() | st.integers(0, 10**9),
+    )
+    def test_what_is_encoded_is_read_back(self, rows, code, detail, state, number):
+        # Guards against answers that a caller would take for another one's.
+        answer = Answer(
+            rows=tuple(rows),
+            signature="-" if code else "7.1f",
+            code=code,
+            detail=detail if code else "",
+            state=state,
+            position=None if number is None else position(3, number),
+        )
+        reader = AnswerReader()
+        lines = encode_answer(answer).splitlines(keepends=True)
+        found = [reader.take(line) for line in lines]
+        assert found[:-1] == [None] * (len(lines) - 1)
+        assert found[-1] == answer
+
+    def test_ready_without_result_is_refused(self):
+        # Guards against an answer cut off before its end that counts as whole.
+        with pytest.raises(WireError):
+            AnswerReader().take(b"READY I 3.1\r\n")
+
+    def test_line_without_end_is_refused(self):
+        with pytest.raises(WireError):
+            AnswerReader().take(b"COMPLETE 7.1")
+
+
+class TestPositions:
+    @given(st.integers(0, 10**6), st.integers(0, 10**9))
+    def test_round_trip(self, term, number):
+        found = position(term, number)
+        assert decode_position(encode_position(found)) == found
+
+    @pytest.mark.parametrize("text", ["", "3", "a.b", "3.x"])
+    def test_bad_positions(self, text):
+        with pytest.raises(WireError):
+            decode_position(text)
