--- a/src/ebonyladder/platform/configuration.py
+++ b/src/ebonyladder/platform/configuration.py
@@ -7,7 +7,6 @@
 import msgspec
 from absl import logging
 
-from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.sessions.catalog import (
     CallerKey,
@@ -23,6 +22,7 @@
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.roster import EndpointEntry, Roster
 from ebonyladder.sessions.watcher import KindWatcher
+from ebonyladder.sessions.watches import Watches
 from ebonyladder.types import (
     Address,
     ConfigurationVersion,
@@ -39,6 +39,8 @@
 SERVERS = Kind("servers")
 EVACUATIONS = Kind("evacuations")
 CONFIG_NAME = "main"
+# Pause between looks at entries that are missing, in seconds.
+EXPIRY_PERIOD_S = 0.25
 
 CONSISTENCIES = {
     "primary": Consistency.PRIMARY,
@@ -227,8 +229,7 @@
         zones = frozenset(ZoneId(name) for name in objects)
         if zones != self.roster.closed_zones:
             logging.info("[platform] Closed zones change. zones=%s", sorted(zones))
-            self.roster.closed_zones = zones
-            self.roster.notify()
+            self.roster.adopt_endpoints(self.roster.endpoints, zones)
 
 
 @register
@@ -236,27 +237,24 @@
     """Runs the watches of what others write into the store."""
 
     name = "platform-watches"
-    requires = (ObjectStore, Roster)
-
-    def __init__(self, *, kernel: Kernel) -> None:
-        super().__init__(kernel=kernel)
-        self.watchers: list[KindWatcher] = []
+    requires = (ObjectStore, Roster, Watches)
 
     async def start(self) -> None:
         """Start one task for each kind."""
         store = self.kernel.get(ObjectStore)
         roster = self.kernel.get(Roster)
         endpoints = EndpointList(roster=roster, clock=self.kernel.clock)
-        self.watchers = [
-            CatalogWatcher(store=store, roster=roster),
-            EndpointWatcher(store=store, endpoints=endpoints),
-            EvacuationWatcher(store=store, roster=roster),
-        ]
-        for watcher in self.watchers:
-            self.kernel.spawn(watcher.run(), name=f"watch-{watcher.kind}")
+        watches = self.kernel.get(Watches)
+        watches.add(CatalogWatcher(store=store, roster=roster))
+        watches.add(EndpointWatcher(store=store, endpoints=endpoints))
+        watches.add(EvacuationWatcher(store=store, roster=roster))
         self.kernel.spawn(self._expire(endpoints), name="endpoint-list")
 
     async def _expire(self, endpoints: EndpointList) -> None:
+        watches = self.kernel.get(Watches)
         while True:
-            await asyncio.sleep(0.25)
-            endpoints.expire()
+            await asyncio.sleep(EXPIRY_PERIOD_S)
+            if watches.is_watching:
+                endpoints.expire()
+            else:
+                endpoints.absent_s.clear()
--- a/src/ebonyladder/platform/endpoint.py
+++ b/src/ebonyladder/platform/endpoint.py
@@ -28,7 +28,7 @@
     CommandKind,
     Prepared,
 )
-from ebonyladder.sessions.link import EndpointDriver, EndpointLink, EndpointStatus
+from ebonyladder.sessions.link import EndpointControl, EndpointDriver, EndpointStatus
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.roster import EndpointEntry
 from ebonyladder.settings import split_address
@@ -38,7 +38,7 @@
 PREPARED_LIMIT = 200
 
 
-class WireLink(EndpointLink):
+class WireLink(EndpointControl):
     """Connection to one database.
 
     Parameters
@@ -77,7 +77,7 @@
         """Give the connection exactly these values before its next command."""
         self.wanted = values
 
-    async def begin(self, command: Command, *, after: Position | None) -> Answer:
+    async def begin(self, command: Command, *, after: Position | None = None) -> Answer:
         """Open a transaction."""
         text = self._after(after) + command.text
         return await self._exchange([*self._alignment(), (OWN_COMMAND, text)])
@@ -238,7 +238,7 @@
 
     async def open(
         self, entry: EndpointEntry, organisation: OrganisationId
-    ) -> EndpointLink:
+    ) -> EndpointControl:
         """Open a connection and start a session on it."""
         host, port = split_address(entry.address)
         writer = None
--- a/src/ebonyladder/platform/settings.py
+++ b/src/ebonyladder/platform/settings.py
@@ -32,6 +32,12 @@
     address: str
 
 
+class _Limits(msgspec.Struct, frozen=True, kw_only=True):
+    # Part of one core that the process gets, and how many times as fast it runs.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class _File(msgspec.Struct, frozen=True, kw_only=True):
     node_name: str
     ip: str
@@ -43,6 +49,7 @@
     # The calls that change roles of databases; not a cloud in the usual sense.
     cloud: _Remote
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 def load_settings(path: str) -> SessionSettings:
@@ -75,6 +82,7 @@
         store=Address(found.platform.address),
         promotion=Address(found.cloud.address),
         grace_s=found.bounds.grace_s,
+        cores=found.limits.cpu_share * found.limits.cores,
         tolerance=Tolerance(
             window_s=found.bounds.quota_window_s,
             share=found.bounds.quota_overage,
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -8,7 +8,8 @@
 from absl import logging
 
 from ebonyladder.kernel.clock import Clock
-from ebonyladder.kernel.error import EndpointError, Outcome
+from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.catalog import OPEN_ORGANISATION, Organisation, Route
 from ebonyladder.sessions.command import (
     OWN_COMMAND,
@@ -23,7 +24,7 @@
 from ebonyladder.sessions.freshness import Freshness, Sample
 from ebonyladder.sessions.link import EndpointLink
 from ebonyladder.sessions.placement import NoTarget, Placement, Target
-from ebonyladder.sessions.pool import EndpointPool, Pools
+from ebonyladder.sessions.pool import LinkPool, Pools
 from ebonyladder.sessions.roster import Roster
 from ebonyladder.types import EndpointId, OrganisationId, Position, RequestKind
 
@@ -86,7 +87,7 @@
 class Holding(msgspec.Struct, kw_only=True):
     """Link that a transaction holds from its first statement to its end."""
 
-    pool: EndpointPool
+    pool: LinkPool
     link: EndpointLink
     target: Target
 
@@ -166,7 +167,7 @@
                 pool.release(link)
                 raise
             if answer.code is None:
-                self._learn(target, answer)
+                self.learn(target, answer)
                 return Holding(pool=pool, link=link, target=target)
             pool.release(link)
             if not await self._after_refusal(work, tried, target, answer):
@@ -310,12 +311,10 @@
             raise
         finally:
             pool.release(link)
-        self._learn(target, answer, sent_s)
+        self.learn(target, answer, sent_s)
         return answer
 
-    async def _link(
-        self, work: Work, target: Target
-    ) -> tuple[EndpointPool, EndpointLink]:
+    async def _link(self, work: Work, target: Target) -> tuple[LinkPool, EndpointLink]:
         """Return a link with the session's values, for a target still valid."""
         pool = self.pools.get(target.entry.id)
         link = await pool.take(work.organisation_id, work.values, work.deadline_s)
@@ -330,12 +329,18 @@
         )
         if target.is_primary and target.after is None and again != target:
             pool.release(link)
-            raise pool._failed("the primary changed during the wait")
+            raise EndpointError(
+                code=ErrorCode.NO_PRIMARY,
+                step=Step.ROUTE,
+                peer=target.entry.id,
+                message="the primary changed during the wait",
+                outcome=Outcome.NOT_RUN,
+            )
         return pool, link
 
     @contextmanager
     def _sending(
-        self, pool: EndpointPool, work: Work, target: Target, *, is_commit: bool
+        self, pool: LinkPool, work: Work, target: Target, *, is_commit: bool
     ) -> Iterator[None]:
         """Keep load and health of the endpoint while a command is under way."""
         work.was_sent = True
@@ -403,12 +408,15 @@
         await asyncio.sleep(RETRY_PAUSE_S)
         return True
 
-    def _learn(
+    def learn(
         self, target: Target, answer: Answer, sent_s: float | None = None
     ) -> None:
         """Take a position of the primary as a sample of freshness."""
         if not target.is_primary or answer.position is None or sent_s is None:
             return
+        if not self.pools.get(target.entry.id).is_local:
+            # The endpoint's owner keeps the samples.
+            return
         group = self.roster.groups.get(target.entry.service)
         if group is not None and answer.position.term < group.term:
             return
--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -24,8 +24,8 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.catalog import OPEN_ORGANISATION
 from ebonyladder.sessions.link import (
+    EndpointControl,
     EndpointDriver,
-    EndpointLink,
     EndpointStatus,
     PromotionCaller,
 )
@@ -97,7 +97,7 @@
     """Endpoint with the link and status of a call that it answered."""
 
     entry: EndpointEntry
-    link: EndpointLink
+    link: EndpointControl
     status: EndpointStatus
 
 
--- /dev/null
+++ b/src/ebonyladder/sessions/follower.py
@@ -0,0 +1,199 @@
+"""The other VMs' side: reports to the leader and acts on its orders."""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import WebSocketException
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.sessions.leadership import LeaderRecord, Leadership
+from ebonyladder.sessions.messages import Orders, Report, decode, encode
+from ebonyladder.sessions.pool import Pools
+from ebonyladder.sessions.quota import LentQuota
+from ebonyladder.sessions.roster import Roster
+from ebonyladder.sessions.watches import Watches
+from ebonyladder.types import ConfigurationVersion, EndpointId, Incarnation
+
+# Path of the connections on which VMs report.
+REPORT_PATH = "/report"
+# Reports to the leader, in seconds; loans and evidence live several times longer.
+REPORT_PERIOD_S = 0.4
+# Fleets above this size report half as often; one leader answers all.
+LARGE_FLEET = 16
+# Turns are asked for at most this often, in seconds.
+ASK_PAUSE_S = 0.02
+# Time for the leader's answer, in seconds: several round trips between regions.
+ANSWER_LIMIT_S = 1.0
+MESSAGE_LIMIT = 4 * 1024 * 1024
+
+
+class Follower:
+    """Link of this VM to the leader.
+
+    Parameters
+    ----------
+    roster : Roster
+        Receives groups, endpoints and catalogs.
+    leadership : Leadership
+        Told of each exchange.
+    quota : LentQuota
+        Asks for turns.
+    watches : Watches
+        Resumed while the leader's orders don't bring what they would.
+    pools : Pools
+        Health of the endpoints.
+    incarnation : Incarnation
+        Start number of this process.
+    clock : Clock
+        Clock of reports.
+    unlisted : callable
+        Called when the leader doesn't have this VM in its list.
+    """
+
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        leadership: Leadership,
+        quota: LentQuota,
+        watches: Watches,
+        pools: Pools,
+        incarnation: Incarnation,
+        clock: Clock,
+        unlisted: Callable[[], None],
+    ) -> None:
+        self.roster = roster
+        self.leadership = leadership
+        self.quota = quota
+        self.watches = watches
+        self.pools = pools
+        self.incarnation = incarnation
+        self.clock = clock
+        self.unlisted = unlisted
+        self.group_changed = asyncio.Event()
+        self._reset()
+
+    def _reset(self) -> None:
+        self.heard_s: float | None = None
+        self.leader_version = ConfigurationVersion(0)
+        self.endpoints_version = -1
+
+    async def report_to(self, record: LeaderRecord) -> None:
+        """Report to a leader until the link fails or it isn't certain."""
+        self._reset()
+        try:
+            async with connect(
+                f"ws://{record.address}{REPORT_PATH}",
+                compression=None,
+                max_size=MESSAGE_LIMIT,
+                open_timeout=ANSWER_LIMIT_S,
+                close_timeout=0.2,
+                ping_interval=None,
+                proxy=None,
+            ) as connection:
+                logging.info("[follower] Reports go to a leader. vm=%s", record.holder)
+                async with asyncio.TaskGroup() as group:
+                    group.create_task(self._send_reports(connection))
+                    group.create_task(self._receive_orders(connection))
+        except* (WebSocketException, OSError, TimeoutError, ValueError) as errors:
+            logging.info(
+                "[follower] Link to the leader ended. vm=%s error=%r",
+                record.holder,
+                errors.exceptions[0],
+            )
+        finally:
+            self.watches.resume("no leader")
+
+    async def _send_reports(self, connection: ClientConnection) -> None:
+        while True:
+            self.group_changed.clear()
+            async with asyncio.timeout(ANSWER_LIMIT_S):
+                await connection.send(encode(self.report()))
+            await asyncio.sleep(ASK_PAUSE_S)
+            is_large = self.roster.vm_count > LARGE_FLEET
+            period_s = REPORT_PERIOD_S * (2 if is_large else 1)
+            changed = asyncio.ensure_future(self.group_changed.wait())
+            needed = asyncio.ensure_future(self.quota.needed.wait())
+            try:
+                await asyncio.wait(
+                    {changed, needed},
+                    timeout=period_s - ASK_PAUSE_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            finally:
+                changed.cancel()
+                needed.cancel()
+
+    async def _receive_orders(self, connection: ClientConnection) -> None:
+        while True:
+            async with asyncio.timeout(ANSWER_LIMIT_S + 2 * REPORT_PERIOD_S):
+                orders = decode(await connection.recv(), Orders)
+            if not self.accept(orders):
+                raise TimeoutError("the leader isn't certain of its duty")
+
+    def accept(self, orders: Orders) -> bool:
+        """Act on orders; False where their sender isn't certain of its duty."""
+        self.leader_version = orders.version
+        if orders.catalog is not None and self.roster.adopt_catalog(orders.catalog):
+            logging.info(
+                "[follower] Configuration is in force. version=%d",
+                orders.catalog.version,
+            )
+        if not orders.is_leader:
+            return False
+        changed = [g for g in orders.groups if self.roster.adopt_group(g)]
+        if changed or orders.version > self.roster.version:
+            self.group_changed.set()
+        if orders.state is not None:
+            state = orders.state
+            self.endpoints_version = state.version
+            self.roster.adopt_endpoints(
+                {e.id: e for e in state.endpoints}, frozenset(state.closed_zones)
+            )
+            self.roster.adopt_fleet(state.fleet, state.owners)
+        self.leadership.note_exchange()
+        self.heard_s = orders.at_s
+        if orders.asked_s is not None:
+            self.roster.note_evidence(orders.asked_s)
+            self.quota.accept(orders.loans, orders.asked_s)
+        if not orders.is_listed:
+            self.unlisted()
+        self._choose_watches(orders)
+        return True
+
+    def _choose_watches(self, orders: Orders) -> None:
+        """Watch the store only while the leader doesn't hear it."""
+        has_all = self.endpoints_version >= 0 and (
+            self.roster.version >= orders.version
+        )
+        if not orders.has_store:
+            self.watches.resume("the leader has lost the store")
+        elif has_all:
+            self.watches.pause()
+
+    def report(self) -> Report:
+        """Return a report of what this VM has and needs."""
+        silent, stalled = self.findings()
+        is_newer = 0 < self.leader_version < self.roster.version
+        return Report(
+            vm=self.roster.vm,
+            incarnation=self.incarnation,
+            sent_s=self.clock.now_s(),
+            version=self.roster.version,
+            heard_s=self.heard_s,
+            endpoints_version=self.endpoints_version,
+            wants=self.quota.wants(),
+            silent=tuple(silent),
+            stalled=tuple(stalled),
+            epochs={g.service: g.epoch for g in self.roster.groups.values()},
+            catalog=self.roster.catalog if is_newer else None,
+        )
+
+    def findings(self) -> tuple[list[EndpointId], list[EndpointId]]:
+        """Return the endpoints that don't answer, and those that commits stall at."""
+        pools = [(e, p) for e, p in self.pools.pools.items() if p.is_local]
+        silent = [e for e, pool in pools if pool.health.is_suspect]
+        stalled = [e for e, pool in pools if pool.health.is_commit_suspect]
+        return silent, stalled
--- /dev/null
+++ b/src/ebonyladder/sessions/leader.py
@@ -0,0 +1,234 @@
+"""The leader's side: answers reports, lends turns, and has primaries changed."""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+from websockets.asyncio.server import ServerConnection
+from websockets.exceptions import WebSocketException
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.sessions.leadership import Leadership, Standing
+from ebonyladder.sessions.messages import FleetState, Orders, Report, decode, encode
+from ebonyladder.sessions.ownership import assign_owners
+from ebonyladder.sessions.quota import Budget, Loan
+from ebonyladder.sessions.roster import GroupState, Roster, VmEntry
+from ebonyladder.sessions.supervisor import Supervisor
+from ebonyladder.sessions.watches import Watches
+from ebonyladder.types import OrganisationId, ServiceId, VmId
+
+# Time to send an order, in seconds.
+SEND_LIMIT_S = 1.0
+# A VM that has not reported for this long is taken from the list, in seconds. A
+# change of primary waits for the VMs of the list.
+VM_FORGET_S = 6.0
+
+
+class Leader:
+    """What this VM does for the others while it holds the duty.
+
+    Parameters
+    ----------
+    roster : Roster
+        Endpoints, groups and the catalog.
+    leadership : Leadership
+        Certainty of the duty.
+    supervisor : Supervisor
+        Receives the reports.
+    budget : Budget
+        Turns to lend.
+    watches : Watches
+        Tells whether this VM hears the store.
+    vms : callable
+        Returns the registered VMs.
+    clock : Clock
+        Clock of orders.
+    """
+
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        leadership: Leadership,
+        supervisor: Supervisor,
+        budget: Budget,
+        watches: Watches,
+        vms: Callable[[], dict[VmId, VmEntry]],
+        clock: Clock,
+    ) -> None:
+        self.roster = roster
+        self.leadership = leadership
+        self.supervisor = supervisor
+        self.budget = budget
+        self.watches = watches
+        self.vms = vms
+        self.clock = clock
+        self.connections: dict[VmId, ServerConnection] = {}
+        self.adopted: dict[tuple[VmId, ServiceId], int] = {}
+        self.epoch_reported = asyncio.Event()
+        self.state: FleetState | None = None
+
+    @property
+    def token(self) -> int | None:
+        """Token of the duty, None while this VM isn't certain of it."""
+        if self.leadership.standing(self.vms()) is not Standing.LEADER:
+            return None
+        return self.leadership.record.token
+
+    async def serve(self, connection: ServerConnection) -> None:
+        """Answer the reports of one VM."""
+        vm: VmId | None = None
+        try:
+            async for data in connection:
+                report = decode(data, Report)
+                vm = report.vm
+                self.connections[vm] = connection
+                await connection.send(encode(self.answer(report)))
+        except (WebSocketException, OSError, ValueError) as error:
+            logging.info("[leader] Link of a VM ended. vm=%s error=%r", vm, error)
+        finally:
+            if vm is not None and self.connections.get(vm) is connection:
+                del self.connections[vm]
+
+    def answer(self, report: Report) -> Orders:
+        """Take over a report and return the orders for its sender."""
+        if report.catalog is not None and self.roster.adopt_catalog(report.catalog):
+            logging.info(
+                "[leader] Configuration came from a VM. version=%d vm=%s",
+                report.catalog.version,
+                report.vm,
+            )
+        for service, epoch in report.epochs.items():
+            self.adopted[report.vm, service] = epoch
+        self.epoch_reported.set()
+        if report.heard_s is not None:
+            self.leadership.note_heard(report.vm, report.heard_s)
+        self.supervisor.note_report(report)
+        if self.token is None:
+            return self._orders(report)
+        is_behind = report.version < self.roster.version
+        state = self.state
+        if state is not None and state.version == report.endpoints_version:
+            state = None
+        return self._orders(
+            report,
+            groups=self._newer_groups(report),
+            loans=self.lend(report.wants),
+            state=state,
+            catalog=self.roster.catalog if is_behind else None,
+        )
+
+    def lend(self, wants: dict[OrganisationId, int]) -> dict[OrganisationId, Loan]:
+        """Lend turns of the organisations that are asked for."""
+        catalog = self.roster.catalog
+        if catalog is None:
+            return {}
+        reporting = len(self.supervisor.fresh()) + 1
+        share = min(1.0, reporting / self.roster.vm_count)
+        return {
+            name: self.budget.lend(
+                catalog.organisations[name], wanted, reporting_share=share
+            )
+            for name, wanted in wants.items()
+            if name in catalog.organisations
+        }
+
+    def refresh(self) -> None:
+        """Work out zones and owners anew, and the state that VMs are sent."""
+        vms = self.vms()
+        fleet: dict = {}
+        for entry in vms.values():
+            fleet[entry.zone] = fleet.get(entry.zone, 0) + 1
+        live = {
+            vm: entry
+            for vm, entry in vms.items()
+            if vm == self.roster.vm or vm in self.supervisor.fresh()
+        }
+        owners = assign_owners(roster=self.roster, vms=live, leader=self.roster.vm)
+        self.roster.adopt_fleet(dict(sorted(fleet.items())), owners)
+        content = {
+            "endpoints": tuple(self.roster.endpoints.values()),
+            "closed_zones": tuple(sorted(self.roster.closed_zones)),
+            "fleet": self.roster.fleet,
+            "owners": owners,
+        }
+        version = self.state.version if self.state else 0
+        if self.state != FleetState(version=version, **content):
+            self.state = FleetState(version=version + 1, **content)
+
+    async def push(self) -> None:
+        """Send the groups and the catalog to all VMs without being asked."""
+        orders = Orders(
+            is_leader=self.token is not None,
+            has_store=self.watches.has_store,
+            at_s=self.clock.now_s(),
+            version=self.roster.version,
+            groups=tuple(self.roster.groups.values()),
+        )
+        data = encode(orders)
+        await asyncio.gather(
+            *(self._send(vm, c, data) for vm, c in list(self.connections.items()))
+        )
+
+    async def wait_adopted(self, group: GroupState, limit_s: float) -> None:
+        """Return once all VMs act on a group state, or after ``limit_s``."""
+        deadline_s = self.clock.now_s() + limit_s
+        while True:
+            self.epoch_reported.clear()
+            missing = [
+                vm
+                for vm in self.vms()
+                if vm != self.roster.vm
+                and self.adopted.get((vm, group.service), 0) < group.epoch
+            ]
+            left_s = deadline_s - self.clock.now_s()
+            if not missing or left_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(left_s):
+                    await self.epoch_reported.wait()
+            except TimeoutError:
+                continue
+        logging.info(
+            "[leader] Group state is adopted. service=%s epoch=%d missing=%s",
+            group.service,
+            group.epoch,
+            ",".join(missing) or "-",
+        )
+
+    def forgotten(self) -> list[VmId]:
+        """Return the VMs that have not reported for too long."""
+        now_s = self.clock.now_s()
+        if now_s - self.leadership.taken_s < VM_FORGET_S:
+            return []
+        return [
+            vm
+            for vm in self.vms()
+            if vm != self.roster.vm
+            and now_s - self.supervisor.reported_s(vm) > VM_FORGET_S
+        ]
+
+    def _newer_groups(self, report: Report) -> tuple[GroupState, ...]:
+        return tuple(
+            group
+            for group in self.roster.groups.values()
+            if report.epochs.get(group.service, 0) < group.epoch
+        )
+
+    def _orders(self, report: Report, **fields) -> Orders:
+        return Orders(
+            is_leader=self.token is not None,
+            has_store=self.watches.has_store,
+            at_s=self.clock.now_s(),
+            version=self.roster.version,
+            asked_s=report.sent_s,
+            is_listed=report.vm in self.vms(),
+            **fields,
+        )
+
+    async def _send(self, vm: VmId, connection: ServerConnection, data: bytes) -> None:
+        try:
+            async with asyncio.timeout(SEND_LIMIT_S):
+                await connection.send(data)
+        except (WebSocketException, OSError, TimeoutError) as error:
+            logging.info("[leader] Order isn't sent. vm=%s error=%r", vm, error)
--- a/src/ebonyladder/sessions/leadership.py
+++ b/src/ebonyladder/sessions/leadership.py
@@ -77,6 +77,7 @@
         self.seen_s = clock.now_s()
         self.exchanged_s = float("-inf")
         self.stored_s = float("-inf")
+        self.taken_s = clock.now_s()
         self.heard_s: dict[VmId, float] = {}
 
     def observe(self, record: LeaderRecord | None, revision: Revision) -> None:
@@ -94,6 +95,8 @@
         self, record: LeaderRecord, revision: Revision, sent_s: float
     ) -> None:
         """Note that this VM's own record was written by a call sent at ``sent_s``."""
+        if not self.is_holder:
+            self.taken_s = sent_s
         self.observe(record, revision)
         self.stored_s = sent_s
 
--- a/src/ebonyladder/sessions/link.py
+++ b/src/ebonyladder/sessions/link.py
@@ -33,6 +33,25 @@
     received: Position
 
 
+class ReadBound(msgspec.Struct, frozen=True, kw_only=True):
+    """What a read must see, to be resolved by the VM that owns the endpoint.
+
+    Attributes
+    ----------
+    max_age_s : float
+        Greatest age of what the read sees, in seconds.
+    own : Position or None
+        Last commit of the session.
+    """
+
+    max_age_s: float
+    own: Position | None = None
+
+
+# Log position that a statement needs; None where the endpoint is the primary.
+After = Position | ReadBound | None
+
+
 class EndpointLink(ABC):
     """Connection to one endpoint on behalf of one organisation.
 
@@ -61,7 +80,7 @@
         """Give the connection exactly these values before its next command."""
 
     @abstractmethod
-    async def begin(self, command: Command, *, after: Position | None) -> Answer:
+    async def begin(self, command: Command, *, after: After = None) -> Answer:
         """Open a transaction, on a log that holds ``after`` at least."""
 
     @abstractmethod
@@ -69,11 +88,19 @@
         self,
         command: Command,
         *,
-        after: Position | None = None,
+        after: After = None,
         prepared: Prepared | None = None,
     ) -> Answer:
         """Run a command; ``prepared`` is the statement that EXECUTE names."""
 
+    @abstractmethod
+    def close(self) -> None:
+        """Close the connection; the endpoint rolls back what is open."""
+
+
+class EndpointControl(EndpointLink):
+    """Link that can also ask an endpoint about itself and change its role."""
+
     @abstractmethod
     async def status(self) -> EndpointStatus:
         """Return the endpoint's status."""
@@ -90,10 +117,6 @@
     async def step_down(self, term: Term) -> EndpointStatus:
         """Make a primary of a lower term a replica."""
 
-    @abstractmethod
-    def close(self) -> None:
-        """Close the connection; the endpoint rolls back what is open."""
-
 
 class EndpointDriver(ABC):
     """Opens links to endpoints."""
@@ -101,7 +124,7 @@
     @abstractmethod
     async def open(
         self, entry: EndpointEntry, organisation: OrganisationId
-    ) -> EndpointLink:
+    ) -> EndpointControl:
         """Open a link.
 
         Raises
--- /dev/null
+++ b/src/ebonyladder/sessions/ownership.py
@@ -0,0 +1,81 @@
+"""Which VM holds the connections to an endpoint in a large fleet."""
+
+from collections import Counter
+from collections.abc import Mapping
+
+import xxhash
+
+from ebonyladder.sessions.catalog import Service
+from ebonyladder.sessions.pool import LEAST_LINKS, POOLED_SHARE
+from ebonyladder.sessions.roster import EndpointEntry, Owner, Roster, VmEntry
+from ebonyladder.types import EndpointId, VmId
+
+# With fewer links to a primary than this, a VM can't serve several organisations.
+LEAST_OWN_LINKS = LEAST_LINKS + 1
+
+
+def needs_owners(service: Service, vm_count: int) -> bool:
+    """Tell whether the VMs are too many for links of their own.
+
+    An endpoint accepts a bounded number of connections, and each serves one
+    organisation; beyond some VMs their shares no longer hold one for each.
+    """
+    return service.max_connections * POOLED_SHARE / max(vm_count, 1) < LEAST_OWN_LINKS
+
+
+def assign_owners(
+    *,
+    roster: Roster,
+    vms: Mapping[VmId, VmEntry],
+    leader: VmId,
+) -> dict[EndpointId, Owner]:
+    """Return the owner of each endpoint whose service needs one.
+
+    Parameters
+    ----------
+    roster : Roster
+        Endpoints, and the present owners, which stay while they live.
+    vms : mapping of VmId to VmEntry
+        VMs that report to the leader, and the leader.
+    leader : VmId
+        Owns an endpoint only where no other VM can.
+    """
+    catalog = roster.catalog
+    if catalog is None or not vms:
+        return {}
+    owners: dict[EndpointId, Owner] = {}
+    loads: Counter[VmId] = Counter()
+    for entry in sorted(roster.endpoints.values(), key=lambda e: e.id):
+        service = catalog.services.get(entry.service)
+        if service is None or not needs_owners(service, roster.vm_count):
+            continue
+        known = roster.owners.get(entry.id)
+        if known is not None and known.vm in vms:
+            owner = vms[known.vm]
+        else:
+            owner = _best(entry, roster, vms, loads, leader)
+        owners[entry.id] = Owner(vm=owner.vm, address=owner.address)
+        loads[owner.vm] += 1
+    return owners
+
+
+def _best(
+    entry: EndpointEntry,
+    roster: Roster,
+    vms: Mapping[VmId, VmEntry],
+    loads: Counter[VmId],
+    leader: VmId,
+) -> VmEntry:
+    """Return the nearest VM with the most processor for each endpoint it owns."""
+    region = roster.region(entry.zone)
+
+    def rank(vm: VmEntry) -> tuple:
+        return (
+            vm.zone != entry.zone,
+            roster.region(vm.zone) != region,
+            vm.vm == leader,
+            (loads[vm.vm] + 1) / vm.cores,
+            xxhash.xxh3_64_intdigest(f"{entry.id}/{vm.vm}".encode()),
+        )
+
+    return min(vms.values(), key=rank)
--- a/src/ebonyladder/sessions/placement.py
+++ b/src/ebonyladder/sessions/placement.py
@@ -6,6 +6,7 @@
 
 from ebonyladder.sessions.catalog import Consistency, Organisation, Route
 from ebonyladder.sessions.freshness import Freshness
+from ebonyladder.sessions.link import After, ReadBound
 from ebonyladder.sessions.pool import Pools
 from ebonyladder.sessions.roster import EndpointEntry, Roster
 from ebonyladder.types import EndpointId, EndpointState, Position, RequestKind
@@ -24,7 +25,7 @@
 
     entry: EndpointEntry
     is_primary: bool
-    after: Position | None = None
+    after: After = None
 
 
 class NoTarget(Enum):
@@ -122,8 +123,6 @@
         after = self.freshness.required(
             route.service, max_age_s=route.max_age_s, own=own
         )
-        if after is None:
-            return None
         primary = self.roster.primary(route.service)
         usable = [
             entry
@@ -133,10 +132,14 @@
             and self._is_allowed(entry, route, organisation)
             and not self.pools.get(entry.id).health.is_suspect
             and not self.pools.get(entry.id).health.is_behind
+            # An owner elsewhere finds the position that its endpoint needs.
+            and (after is not None or not self.pools.get(entry.id).is_local)
         ]
         if not usable:
             return None
         entry = min(usable, key=self._cost)
+        if not self.pools.get(entry.id).is_local:
+            after = ReadBound(max_age_s=route.max_age_s, own=own)
         return Target(
             entry=entry,
             is_primary=primary is not None and entry.id == primary.id,
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -1,4 +1,4 @@
-"""Plug-in that joins this VM to the fleet: its leader, groups and grants."""
+"""Plug-in that joins this VM to the fleet, as its leader or a follower."""
 
 import asyncio
 import random
@@ -7,53 +7,41 @@
 
 import msgspec
 from absl import logging
-from websockets.asyncio.client import connect
 from websockets.asyncio.server import Server, ServerConnection, serve
-from websockets.exceptions import WebSocketException
 
 from ebonyladder.kernel.error import ErrorCode, StoreError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
-from ebonyladder.sessions.failover import Failover, Fleet
-from ebonyladder.sessions.leadership import (
-    LEADER_NAME,
-    LeaderRecord,
-    Leadership,
-    Standing,
-)
+from ebonyladder.sessions.failover import Cause, Failover, Fleet
+from ebonyladder.sessions.follower import MESSAGE_LIMIT, Follower
+from ebonyladder.sessions.leader import Leader
+from ebonyladder.sessions.leadership import LEADER_NAME, LeaderRecord, Leadership
 from ebonyladder.sessions.link import EndpointDriver, PromotionCaller
-from ebonyladder.sessions.messages import Orders, Report, decode, encode
 from ebonyladder.sessions.objects import GROUPS, LEADERS, VMS, ObjectStore, StoreObject
+from ebonyladder.sessions.owner_link import FORWARD_PATH
+from ebonyladder.sessions.owner_service import OwnerService
 from ebonyladder.sessions.plugins.sessions import SessionHost
-from ebonyladder.sessions.quota import GrantedQuota, divide
+from ebonyladder.sessions.quota import Budget, LentQuota
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.roster import GroupState, Roster, VmEntry
 from ebonyladder.sessions.supervisor import Supervisor
 from ebonyladder.sessions.watcher import KindWatcher
+from ebonyladder.sessions.watches import Watches
 from ebonyladder.settings import split_address
-from ebonyladder.types import (
-    ConfigurationVersion,
-    EndpointId,
-    Incarnation,
-    OrganisationId,
-    ServiceId,
-    VmId,
-)
-
-# Reports to the leader, in seconds; grants and evidence live several times longer.
-REPORT_PERIOD_S = 0.4
-# Time for the leader's answer, in seconds: several round trips between regions.
-ANSWER_LIMIT_S = 1.0
+from ebonyladder.types import Incarnation, ServiceId, VmId
+
 # Evidence older than this is renewed from the store, in seconds.
 EVIDENCE_RENEWAL_S = 0.9
 # Period of the leader's own checks, in seconds.
 LEAD_PERIOD_S = 0.1
-# A VM that has not reported for this long is taken from the list, in seconds.
-VM_FORGET_S = 15.0
 # Pause between looks at the leader's record, in seconds.
 RECORD_PERIOD_S = 0.5
-# Largest message between VMs, in bytes: a catalog of the largest stored size.
-MESSAGE_LIMIT = 4 * 1024 * 1024
+# A VM with less processor than this leaves the first try for the duty to others for
+# this long, in seconds: the leader answers the whole fleet.
+SMALL_CORES = 1.0
+SMALL_DELAY_S = 1.0
+# Positions of primaries are fetched this often by the owners of replicas, in seconds.
+SAMPLE_PERIOD_S = 0.3
 
 
 class GroupWatcher(KindWatcher):
@@ -76,82 +64,110 @@
 
 
 class VmWatcher(KindWatcher):
-    """Brings the list of VMs from the store into the roster."""
+    """Keeps the list of registered VMs."""
 
     def __init__(self, *, store: ObjectStore, roster: Roster) -> None:
         super().__init__(store=store, kind=VMS)
         self.roster = roster
+        self.entries: dict[VmId, VmEntry] = {}
 
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
         """Replace the list of VMs."""
         entries = [msgspec.convert(o.content, VmEntry) for o in objects.values()]
-        self.roster.vms = {entry.vm: entry for entry in entries}
-        self.roster.notify()
+        self.entries = {entry.vm: entry for entry in entries}
+        fleet: dict = {}
+        for entry in entries:
+            fleet[entry.zone] = fleet.get(entry.zone, 0) + 1
+        self.roster.adopt_fleet(dict(sorted(fleet.items())), self.roster.owners)
 
 
 @register
 class FleetPlugin(Plugin, Fleet):
-    """Reports to the leader, or leads."""
+    """Finds the leader and reports to it, or leads."""
 
     name = "fleet"
     provides = (Fleet,)
-    requires = (Roster, ObjectStore, SessionHost, GrantedQuota, PromotionCaller)
+    requires = (Roster, ObjectStore, SessionHost, LentQuota, PromotionCaller, Watches)
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
         self.incarnation = Incarnation(time.time_ns())
-        self.leadership = Leadership(
-            vm=kernel.settings.vm, incarnation=self.incarnation, clock=kernel.clock
-        )
-        self.connections: dict[VmId, ServerConnection] = {}
-        self.adopted: dict[tuple[VmId, ServiceId], int] = {}
-        self.epoch_reported = asyncio.Event()
-        self.group_changed = asyncio.Event()
-        self.group_revisions: dict[ServiceId, int] = {}
+        self.started_s = kernel.clock.now_s()
         self.changing: set[ServiceId] = set()
+        self.must_register = asyncio.Event()
         self.server: Server | None = None
-        # Of the present link to the leader.
-        self.heard_s: float | None = None
-        self.leader_version = ConfigurationVersion(0)
 
     async def start(self) -> None:
         """Register this VM, listen to others, and find the leader."""
         self.roster = self.kernel.get(Roster)
         self.store = self.kernel.get(ObjectStore)
-        self.host = self.kernel.get(SessionHost)
-        self.quota = self.kernel.get(GrantedQuota)
-        self.supervisor = Supervisor(roster=self.roster, clock=self.kernel.clock)
+        self.quota = self.kernel.get(LentQuota)
+        self.watches = self.kernel.get(Watches)
+        host = self.kernel.get(SessionHost)
+        clock = self.kernel.clock
+        self.groups = GroupWatcher(store=self.store, roster=self.roster)
+        self.vms = VmWatcher(store=self.store, roster=self.roster)
+        self.leadership = Leadership(
+            vm=self.roster.vm, incarnation=self.incarnation, clock=clock
+        )
+        self.supervisor = Supervisor(roster=self.roster, clock=clock)
+        self.leader = Leader(
+            roster=self.roster,
+            leadership=self.leadership,
+            supervisor=self.supervisor,
+            budget=Budget(clock=clock, tolerance=self.kernel.settings.tolerance),
+            watches=self.watches,
+            vms=lambda: self.vms.entries,
+            clock=clock,
+        )
+        self.follower = Follower(
+            roster=self.roster,
+            leadership=self.leadership,
+            quota=self.quota,
+            watches=self.watches,
+            pools=host.pools,
+            incarnation=self.incarnation,
+            clock=clock,
+            unlisted=self.must_register.set,
+        )
         self.failover = Failover(
             roster=self.roster,
             driver=self.kernel.get(EndpointDriver),
             promoter=self.kernel.get(PromotionCaller),
             fleet=self,
-            clock=self.kernel.clock,
+            clock=clock,
         )
+        self.owner_service = OwnerService(executor=host.executor, clock=clock)
         address, port = split_address(self.kernel.settings.peer)
         self.server = await serve(
-            self._serve_vm, address, port, compression=None, max_size=MESSAGE_LIMIT
+            self._serve,
+            address,
+            port,
+            compression=None,
+            max_size=MESSAGE_LIMIT,
+            ping_interval=None,
         )
-        self.groups = GroupWatcher(store=self.store, roster=self.roster)
-        self.vms = VmWatcher(store=self.store, roster=self.roster)
-        self.kernel.spawn(self.groups.run(), name="watch-groups")
-        self.kernel.spawn(self.vms.run(), name="watch-vms")
-        self.kernel.spawn(self._stay_registered(), name="registration")
-        self.kernel.spawn(self._follow(), name="leader-link")
-        self.kernel.spawn(self._lead(), name="leader-duty")
-        self.kernel.spawn(self._renew_evidence(), name="evidence")
+        self.watches.add(self.groups)
+        self.watches.add(self.vms)
+        self.must_register.set()
+        for name, task in (
+            ("registration", self._stay_registered()),
+            ("leader-link", self._follow()),
+            ("leader-duty", self._lead()),
+            ("evidence", self._renew_evidence()),
+            ("samples", self.owner_service.sample_primaries(SAMPLE_PERIOD_S)),
+        ):
+            self.kernel.spawn(task, name=name)
 
     async def announce_drain(self) -> None:
         """Give the duty up, so that another VM takes it over at once."""
         if not self.leadership.is_holder:
             return
         released = msgspec.structs.replace(self.leadership.record, is_released=True)
+        content = msgspec.to_builtins(released)
         try:
             found = await self.store.replace(
-                LEADERS,
-                LEADER_NAME,
-                msgspec.to_builtins(released),
-                self.leadership.revision,
+                LEADERS, LEADER_NAME, content, self.leadership.revision
             )
         except StoreError as error:
             logging.warning("[fleet] Duty isn't released. error=%s", error)
@@ -164,13 +180,9 @@
         if self.server is not None:
             self.server.close()
 
-    # Duties that a change of primary needs.
-
     def fencing_token(self) -> int | None:
         """Return the token of this VM's duty, None if it isn't certain of it."""
-        if self.leadership.standing(self.roster.vms) is not Standing.LEADER:
-            return None
-        return self.leadership.record.token
+        return self.leader.token
 
     async def write_group(self, group: GroupState) -> None:
         """Store a group state with a higher epoch."""
@@ -193,136 +205,53 @@
                 raise
         self.groups.objects[group.service] = found
         self.roster.adopt_group(group)
-        await self._push_groups()
+        await self.leader.push()
 
     async def wait_adopted(self, group: GroupState, limit_s: float) -> None:
         """Return once all VMs act on the group state, or after ``limit_s``."""
-        deadline_s = self.kernel.clock.now_s() + limit_s
-        while True:
-            self.epoch_reported.clear()
-            missing = [
-                vm
-                for vm in self.roster.vms
-                if vm != self.roster.vm
-                and self.adopted.get((vm, group.service), 0) < group.epoch
-            ]
-            left_s = deadline_s - self.kernel.clock.now_s()
-            if not missing or left_s <= 0:
-                break
-            try:
-                async with asyncio.timeout(min(left_s, REPORT_PERIOD_S)):
-                    await self.epoch_reported.wait()
-            except TimeoutError:
-                continue
-        logging.info(
-            "[fleet] Group state is adopted. service=%s epoch=%d missing=%s",
-            group.service,
-            group.epoch,
-            ",".join(missing) or "-",
-        )
-
-    # The leader's side.
-
-    async def _serve_vm(self, connection: ServerConnection) -> None:
-        """Answer the reports of one VM."""
-        vm: VmId | None = None
-        try:
-            async for data in connection:
-                report = decode(data, Report)
-                vm = report.vm
-                self.connections[vm] = connection
-                await connection.send(encode(self._answer(report)))
-        except (WebSocketException, OSError, ValueError) as error:
-            logging.info("[fleet] Link of a VM ended. vm=%s error=%r", vm, error)
-        finally:
-            if vm is not None and self.connections.get(vm) is connection:
-                del self.connections[vm]
-
-    def _answer(self, report: Report) -> Orders:
-        if report.catalog is not None:
-            self._adopt_catalog(report.catalog, report.vm)
-        catalog = None
-        if report.version < self.roster.version:
-            catalog = self.roster.catalog
-        for service, epoch in report.epochs.items():
-            self.adopted[report.vm, service] = epoch
-        self.epoch_reported.set()
-        if report.heard_s is not None:
-            self.leadership.note_heard(report.vm, report.heard_s)
-        self.supervisor.note_report(report)
-        is_leader = self.fencing_token() is not None
-        return Orders(
-            is_leader=is_leader,
-            at_s=self.kernel.clock.now_s(),
-            version=self.roster.version,
-            asked_s=report.sent_s,
-            groups=tuple(self.roster.groups.values()),
-            grants=self._grants(report.vm) if is_leader else {},
-            catalog=catalog,
-        )
-
-    def _adopt_catalog(self, catalog, vm: VmId) -> None:
-        if self.roster.adopt_catalog(catalog):
-            logging.info(
-                "[fleet] Configuration came from a VM. version=%d vm=%s",
-                catalog.version,
-                vm,
-            )
+        await self.leader.wait_adopted(group, limit_s)
 
-    def _grants(self, vm: VmId) -> dict[OrganisationId, float]:
-        """Return the part of each organisation's rate that a VM may use."""
-        if self.roster.catalog is None:
-            return {}
-        demands = {v: r.demands for v, r in self.supervisor.fresh().items()}
-        demands[self.roster.vm] = self.quota.demands()
-        demands.setdefault(vm, {})
-        asked = {name for found in demands.values() for name in found}
-        grants = {}
-        for name in asked:
-            organisation = self.roster.catalog.organisations.get(name)
-            if organisation is not None:
-                parts = divide(
-                    rate_per_s=organisation.rate_per_s,
-                    demands={v: found.get(name, 0.0) for v, found in demands.items()},
-                    vm_count=len(self.roster.vms),
-                )
-                grants[name] = parts[vm]
-        return grants
-
-    async def _push_groups(self) -> None:
-        orders = encode(
-            Orders(
-                is_leader=self.fencing_token() is not None,
-                at_s=self.kernel.clock.now_s(),
-                version=self.roster.version,
-                groups=tuple(self.roster.groups.values()),
-            )
-        )
-        for vm, connection in list(self.connections.items()):
-            try:
-                async with asyncio.timeout(ANSWER_LIMIT_S):
-                    await connection.send(orders)
-            except (WebSocketException, OSError, TimeoutError) as error:
-                logging.info("[fleet] Order isn't sent. vm=%s error=%r", vm, error)
+    async def _serve(self, connection: ServerConnection) -> None:
+        """Serve a connection of another VM, by its path."""
+        if connection.request.path == FORWARD_PATH:
+            await self.owner_service.serve(connection)
+        else:
+            await self.leader.serve(connection)
 
     async def _lead(self) -> None:
         """Do the leader's duties while this VM holds them."""
+        version = self.roster.version
         while True:
-            await asyncio.sleep(LEAD_PERIOD_S)
+            await self._pause()
             if not self.leadership.is_holder:
                 continue
-            if self.leadership.needs_renewal(self.roster.vms):
+            self.watches.resume("this VM leads")
+            if self.leadership.needs_renewal(self.vms.entries):
                 await self._write_record()
-            if self.fencing_token() is None:
+            if self.leader.token is None:
                 continue
             now_s = self.kernel.clock.now_s()
             self.roster.note_evidence(now_s)
-            self.quota.accept(self._grants(self.roster.vm), now_s)
+            self.quota.accept(self.leader.lend(self.quota.wants()), now_s)
+            self.leader.refresh()
+            if self.roster.version != version:
+                version = self.roster.version
+                await self.leader.push()
             self._start_changes()
-            await self._forget_vms(now_s)
+            await self._forget_vms()
+
+    async def _pause(self) -> None:
+        try:
+            async with asyncio.timeout(LEAD_PERIOD_S):
+                await self.quota.needed.wait()
+        except TimeoutError:
+            return
+        # A follower's own link asks for the turns.
+        is_leader = self.leadership.is_holder
+        await asyncio.sleep(0 if is_leader else LEAD_PERIOD_S)
 
     def _start_changes(self) -> None:
-        silent, stalled = self._findings()
+        silent, stalled = self.follower.findings()
         services = {e.service for e in self.roster.endpoints.values()}
         for service in services - self.changing:
             cause = self.supervisor.cause(
@@ -334,7 +263,7 @@
                     self._change(service, cause), name=f"failover-{service}"
                 )
 
-    async def _change(self, service: ServiceId, cause) -> None:
+    async def _change(self, service: ServiceId, cause: Cause) -> None:
         is_changed = False
         try:
             is_changed = await self.failover.change(service, cause)
@@ -342,28 +271,24 @@
             self.supervisor.note_change(service, is_changed=is_changed)
             self.changing.discard(service)
 
-    async def _forget_vms(self, now_s: float) -> None:
-        oldest_s = max(self.leadership.seen_s, now_s - VM_FORGET_S)
-        if now_s - self.leadership.seen_s < VM_FORGET_S:
-            return
-        for vm in list(self.roster.vms):
-            heard_s = self.leadership.heard_s.get(vm, float("-inf"))
+    async def _forget_vms(self) -> None:
+        for vm in self.leader.forgotten():
             found = self.vms.objects.get(vm)
-            if vm == self.roster.vm or heard_s >= oldest_s or found is None:
+            if found is None:
                 continue
             try:
                 await self.store.delete(VMS, vm, found.revision)
             except StoreError as error:
                 logging.info("[fleet] VM isn't removed. vm=%s error=%s", vm, error)
-            else:
-                logging.info("[fleet] VM is removed from the list. vm=%s", vm)
-                self.vms.objects.pop(vm, None)
-                self.vms.apply(self.vms.objects)
-
-    # The side of the other VMs.
+                return
+            logging.info("[fleet] VM is removed from the list. vm=%s", vm)
+            self.vms.objects.pop(vm, None)
+            self.vms.apply(self.vms.objects)
 
     async def _follow(self) -> None:
         """Find the leader and report to it, or take the duty over."""
+        if self.kernel.settings.cores < SMALL_CORES:
+            await asyncio.sleep(SMALL_DELAY_S)
         while True:
             try:
                 await self._look_at_record()
@@ -375,15 +300,12 @@
                     error,
                 )
             record = self.leadership.record
-            if record is not None and not self._is_own(record):
-                await self._report_to(record)
+            if record is not None and record.holder != self.roster.vm:
+                await self.follower.report_to(record)
             await asyncio.sleep(RECORD_PERIOD_S * random.uniform(0.6, 1.0))
 
-    def _is_own(self, record: LeaderRecord) -> bool:
-        return record.holder == self.roster.vm
-
     async def _look_at_record(self) -> None:
-        if self.leadership.is_holder and self.fencing_token() is not None:
+        if self.leader.token is not None:
             return
         found = await self.store.get(LEADERS, LEADER_NAME)
         if found is None:
@@ -416,6 +338,11 @@
         self.leadership.note_written(record, found.revision, sent_s)
 
     async def _reread_record(self) -> None:
+        """Learn who holds the duty after a conflict.
+
+        A write whose answer was lost may be this process's own; that does not make
+        it certain of the duty, since the time of that write isn't known.
+        """
         try:
             found = await self.store.get(LEADERS, LEADER_NAME)
         except StoreError as error:
@@ -423,93 +350,7 @@
             return
         if found is not None:
             record = msgspec.convert(found.content, LeaderRecord)
-            sent_s = self.leadership.stored_s
-            # A write whose answer was lost may be this process's own.
             self.leadership.observe(record, found.revision)
-            self.leadership.stored_s = sent_s
-
-    async def _report_to(self, record: LeaderRecord) -> None:
-        """Report to the leader until the link fails or it isn't certain."""
-        try:
-            async with connect(
-                f"ws://{record.address}",
-                compression=None,
-                max_size=MESSAGE_LIMIT,
-                open_timeout=ANSWER_LIMIT_S,
-                close_timeout=0.2,
-                ping_interval=None,
-                proxy=None,
-            ) as connection:
-                logging.info("[fleet] Reports go to the leader. vm=%s", record.holder)
-                self.heard_s = None
-                self.leader_version = ConfigurationVersion(0)
-                async with asyncio.TaskGroup() as group:
-                    group.create_task(self._send_reports(connection))
-                    group.create_task(self._receive_orders(connection))
-        except* (WebSocketException, OSError, TimeoutError, ValueError) as errors:
-            logging.info(
-                "[fleet] Link to the leader ended. vm=%s error=%r",
-                record.holder,
-                errors.exceptions[0],
-            )
-
-    async def _send_reports(self, connection) -> None:
-        while True:
-            self.group_changed.clear()
-            async with asyncio.timeout(ANSWER_LIMIT_S):
-                await connection.send(encode(self._report()))
-            try:
-                async with asyncio.timeout(REPORT_PERIOD_S):
-                    await self.group_changed.wait()
-            except TimeoutError:
-                continue
-
-    async def _receive_orders(self, connection) -> None:
-        while True:
-            async with asyncio.timeout(ANSWER_LIMIT_S + REPORT_PERIOD_S):
-                orders = decode(await connection.recv(), Orders)
-            if not self._accept(orders):
-                raise TimeoutError("the leader isn't certain of its duty")
-
-    def _accept(self, orders: Orders) -> bool:
-        self.leader_version = orders.version
-        if orders.catalog is not None:
-            self._adopt_catalog(orders.catalog, VmId("leader"))
-        if not orders.is_leader:
-            return False
-        changed = [g for g in orders.groups if self.roster.adopt_group(g)]
-        if changed:
-            self.group_changed.set()
-        self.leadership.note_exchange()
-        self.heard_s = orders.at_s
-        if orders.asked_s is not None:
-            self.roster.note_evidence(orders.asked_s)
-            self.quota.accept(orders.grants, orders.asked_s)
-        return True
-
-    def _report(self) -> Report:
-        silent, stalled = self._findings()
-        is_newer = 0 < self.leader_version < self.roster.version
-        return Report(
-            vm=self.roster.vm,
-            incarnation=self.incarnation,
-            sent_s=self.kernel.clock.now_s(),
-            version=self.roster.version,
-            heard_s=self.heard_s,
-            demands=self.quota.demands(),
-            silent=tuple(silent),
-            stalled=tuple(stalled),
-            epochs={g.service: g.epoch for g in self.roster.groups.values()},
-            catalog=self.roster.catalog if is_newer else None,
-        )
-
-    def _findings(self) -> tuple[list[EndpointId], list[EndpointId]]:
-        pools = self.host.pools.pools.items()
-        silent = [e for e, pool in pools if pool.health.is_suspect]
-        stalled = [e for e, pool in pools if pool.health.is_commit_suspect]
-        return silent, stalled
-
-    # Both sides.
 
     async def _renew_evidence(self) -> None:
         """Ask the store for the group states while no leader answers."""
@@ -540,16 +381,24 @@
             address=self.kernel.settings.peer,
             zone=self.roster.zone,
             incarnation=self.incarnation,
+            cores=self.kernel.settings.cores,
         )
         content = msgspec.to_builtins(entry)
         while True:
-            await self.vms.is_listed.wait()
-            known = self.vms.objects.get(entry.vm)
+            await self.must_register.wait()
             try:
-                if known is None:
-                    await self.store.create(VMS, entry.vm, content)
-                elif known.content != content:
-                    await self.store.replace(VMS, entry.vm, content, known.revision)
+                await self._register(entry.vm, content)
+                self.must_register.clear()
             except StoreError as error:
                 logging.info("[fleet] VM isn't registered yet. error=%s", error)
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(RECORD_PERIOD_S * random.uniform(1.0, 2.0))
+
+    async def _register(self, vm: VmId, content: dict) -> None:
+        try:
+            await self.store.create(VMS, vm, content)
+        except StoreError as error:
+            if error.code is not ErrorCode.STORE_CONFLICT:
+                raise
+            found = await self.store.get(VMS, vm)
+            if found is not None and found.content != content:
+                await self.store.replace(VMS, vm, content, found.revision)
--- a/src/ebonyladder/sessions/plugins/quota.py
+++ b/src/ebonyladder/sessions/plugins/quota.py
@@ -2,22 +2,22 @@
 
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
-from ebonyladder.sessions.quota import GrantedQuota, Quota
+from ebonyladder.sessions.quota import LentQuota, Quota
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.roster import Roster
 
 
 @register
-class QuotaPlugin(Plugin, GrantedQuota):
-    """Quota of this VM; the leader's orders bring its grants."""
+class QuotaPlugin(Plugin, LentQuota):
+    """Quota of this VM; the leader lends it turns."""
 
     name = "quota"
-    provides = (Quota, GrantedQuota)
+    provides = (Quota, LentQuota)
     requires = (Roster,)
 
     def __init__(self, *, kernel: Kernel) -> None:
         Plugin.__init__(self, kernel=kernel)
-        GrantedQuota.__init__(
+        LentQuota.__init__(
             self, clock=kernel.clock, tolerance=kernel.settings.tolerance
         )
 
@@ -26,7 +26,7 @@
         roster = self.kernel.get(Roster)
 
         def follow() -> None:
-            self.vm_count = max(len(roster.vms), 1)
+            self.vm_count = roster.vm_count
 
         roster.listeners.append(follow)
         follow()
--- a/src/ebonyladder/sessions/plugins/sessions.py
+++ b/src/ebonyladder/sessions/plugins/sessions.py
@@ -6,19 +6,19 @@
 
 from absl import logging
 
-from ebonyladder.kernel.error import EndpointError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
-from ebonyladder.sessions.catalog import OPEN_ORGANISATION, CallerKey, DatabaseName
+from ebonyladder.sessions.catalog import CallerKey, DatabaseName
 from ebonyladder.sessions.command import Answer
 from ebonyladder.sessions.executor import Executor
 from ebonyladder.sessions.freshness import Freshness
 from ebonyladder.sessions.link import EndpointDriver
+from ebonyladder.sessions.owner_link import Channels, OwnerPool
 from ebonyladder.sessions.placement import Placement
-from ebonyladder.sessions.pool import OPEN_TIMEOUT_S, Pools
+from ebonyladder.sessions.pool import LinkPool, Pools
 from ebonyladder.sessions.quota import Quota
 from ebonyladder.sessions.registry import register
-from ebonyladder.sessions.roster import Roster
+from ebonyladder.sessions.roster import EndpointEntry, Owner, Roster
 from ebonyladder.sessions.session import Session, SessionId, authorize
 
 # Pause between looks at suspected endpoints and idle links, in seconds.
@@ -32,9 +32,12 @@
     ----------
     pools : Pools
         Links to endpoints, with their health.
+    executor : Executor
+        Runs statements.
     """
 
     pools: Pools
+    executor: Executor
 
     @abstractmethod
     def open(self, database: DatabaseName, key: CallerKey) -> Session | Answer:
@@ -60,7 +63,13 @@
         self.quota = self.kernel.get(Quota)
         self.driver = self.kernel.get(EndpointDriver)
         freshness = Freshness(clock=clock)
-        self.pools = Pools(roster=self.roster, driver=self.driver, clock=clock)
+        self.channels = Channels()
+        self.pools = Pools(
+            roster=self.roster,
+            driver=self.driver,
+            clock=clock,
+            open_owned=self._open_owned,
+        )
         self.executor = Executor(
             roster=self.roster,
             placement=Placement(
@@ -72,6 +81,10 @@
         )
         self.kernel.spawn(self._care(), name="endpoint-care")
 
+    async def stop(self) -> None:
+        """Close the channels to owners."""
+        self.channels.close()
+
     def open(self, database: DatabaseName, key: CallerKey) -> Session | Answer:
         """Return a new session, or the refusal."""
         access = authorize(self.roster, database, key)
@@ -96,17 +109,17 @@
             await asyncio.gather(*(self._ask(p) for p in suspects))
             await asyncio.sleep(CARE_PERIOD_S)
 
-    async def _ask(self, pool) -> None:
-        entry = pool.entry
-        try:
-            async with asyncio.timeout(OPEN_TIMEOUT_S):
-                link = await self.driver.open(entry, OPEN_ORGANISATION)
-                try:
-                    await link.status()
-                finally:
-                    link.close()
-        except (EndpointError, TimeoutError):
+    async def _ask(self, pool: LinkPool) -> None:
+        if not await pool.probe():
             pool.health.unreachable()
             return
-        logging.info("[sessions] Endpoint answers again. endpoint=%s", entry.id)
+        logging.info("[sessions] Endpoint answers again. endpoint=%s", pool.entry.id)
         pool.health.reachable()
+
+    def _open_owned(self, entry: EndpointEntry, owner: Owner) -> LinkPool:
+        return OwnerPool(
+            entry=entry,
+            owner=owner,
+            channel=self.channels.get(owner),
+            clock=self.kernel.clock,
+        )
--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -1,17 +1,19 @@
 """Pools of endpoint links, one for each endpoint, shared by organisations."""
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Callable
 
 from absl import logging
 
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
-from ebonyladder.sessions.catalog import Service
+from ebonyladder.sessions.catalog import OPEN_ORGANISATION, Service
 from ebonyladder.sessions.health import EndpointHealth
 from ebonyladder.sessions.link import EndpointDriver, EndpointLink
-from ebonyladder.sessions.roster import EndpointEntry, Roster
+from ebonyladder.sessions.roster import EndpointEntry, Owner, Roster
 from ebonyladder.types import EndpointId, OrganisationId, Role
 
 # Part of an endpoint's connections that pools may use; the rest is for status
@@ -40,18 +42,73 @@
     VM takes the connections that another one needs.
     """
     usable = service.max_connections * POOLED_SHARE
-    total = max(len(roster.vms), 1)
-    if entry.role is Role.PRIMARY:
-        return max(LEAST_LINKS, int(usable / total))
+    if entry.id in roster.owners:
+        return max(LEAST_LINKS, int(usable))
+    total = roster.vm_count
     region = roster.region(entry.zone)
-    near = sum(1 for v in roster.vms.values() if roster.region(v.zone) == region)
-    if near == 0 or near == total:
+    near = sum(
+        count for zone, count in roster.fleet.items() if roster.region(zone) == region
+    )
+    if entry.role is Role.PRIMARY or near in (0, total):
         return max(LEAST_LINKS, int(usable / total))
     if roster.region(roster.zone) == region:
         return max(LEAST_LINKS, int(usable * REPLICA_HOME_SHARE / near))
     return max(LEAST_LINKS, int(usable * (1 - REPLICA_HOME_SHARE) / (total - near)))
 
 
+class LinkPool(ABC):
+    """Links to one endpoint.
+
+    Attributes
+    ----------
+    entry : EndpointEntry
+        The endpoint as it is listed.
+    health : EndpointHealth
+        What its statements have met.
+    running : int
+        Statements of this VM that are under way there.
+    is_local : bool
+        Whether this VM holds the connections itself.
+    """
+
+    entry: EndpointEntry
+    health: EndpointHealth
+    running: int
+    is_local: bool = False
+
+    @property
+    @abstractmethod
+    def load(self) -> float:
+        """Statements at the endpoint or waiting for it, for each slot."""
+
+    @abstractmethod
+    async def take(
+        self, organisation: OrganisationId, values: dict[str, str], deadline_s: float
+    ) -> EndpointLink:
+        """Return a link of the organisation, waiting for one if need be.
+
+        Raises
+        ------
+        EndpointError
+            Not run, where none was to be had by ``deadline_s``.
+        """
+
+    @abstractmethod
+    def release(self, link: EndpointLink) -> None:
+        """Give a link back."""
+
+    @abstractmethod
+    async def probe(self) -> bool:
+        """Tell whether the endpoint can be reached."""
+
+    def trim(self) -> None:  # noqa: B027
+        """Close what is no longer needed."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close the links that are idle, and the others when they are released."""
+
+
 class PoolWaiter:
     """Statement that waits for a link or for the place of one."""
 
@@ -63,7 +120,7 @@
         )
 
 
-class EndpointPool:
+class EndpointPool(LinkPool):
     """Links of this VM to one endpoint.
 
     Parameters
@@ -91,6 +148,7 @@
         self.used = 0
         self.running = 0
         self.is_closed = False
+        self.is_local = True
 
     @property
     def load(self) -> float:
@@ -141,6 +199,19 @@
             return
         self.idle.append((link, self.clock.now_s()))
 
+    async def probe(self) -> bool:
+        """Ask the endpoint for its status on a connection of its own."""
+        try:
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                link = await self.driver.open(self.entry, OPEN_ORGANISATION)
+                try:
+                    await link.status()
+                finally:
+                    link.close()
+        except (EndpointError, TimeoutError):
+            return False
+        return True
+
     def trim(self) -> None:
         """Close links that have been idle for long or are above the limit."""
         oldest_s = self.clock.now_s() - IDLE_LIMIT_S
@@ -248,13 +319,25 @@
         Driver that opens links.
     clock : Clock
         Clock of the pools.
+    open_owned : callable, optional
+        Returns the pool of an endpoint that another VM owns.
     """
 
-    def __init__(self, *, roster: Roster, driver: EndpointDriver, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        driver: EndpointDriver,
+        clock: Clock,
+        open_owned: Callable[[EndpointEntry, Owner], LinkPool] | None = None,
+    ) -> None:
         self.roster = roster
         self.driver = driver
         self.clock = clock
-        self.pools: dict[EndpointId, EndpointPool] = {}
+        self.open_owned = open_owned
+        self.pools: dict[EndpointId, LinkPool] = {}
+        # Process and owner that each pool was made for.
+        self.keys: dict[EndpointId, tuple] = {}
         roster.listeners.append(self.update)
 
     def update(self) -> None:
@@ -266,25 +349,31 @@
             self.pools.pop(endpoint).close()
 
     def _update_entry(self, entry: EndpointEntry) -> None:
+        owner = self.roster.owners.get(entry.id)
+        if owner is not None and owner.vm == self.roster.vm:
+            owner = None
+        # The same id after a restart is another process with an empty state.
+        key = (entry.address, entry.born_ms, owner)
         pool = self.pools.get(entry.id)
-        if pool is not None and (pool.entry.address, pool.entry.born_ms) != (
-            entry.address,
-            entry.born_ms,
-        ):
-            # The same id after a restart is another process with an empty state.
-            pool.close()
-            pool = None
-        if pool is None:
-            pool = EndpointPool(
-                entry=entry, driver=self.driver, clock=self.clock, limit=LEAST_LINKS
-            )
+        if pool is None or self.keys[entry.id] != key:
+            if pool is not None:
+                pool.close()
+            pool = self._open(entry, owner)
             self.pools[entry.id] = pool
+            self.keys[entry.id] = key
         pool.entry = entry
         catalog = self.roster.catalog
         service = catalog.services.get(entry.service) if catalog else None
-        if service is not None:
+        if service is not None and isinstance(pool, EndpointPool):
             pool.limit = link_limit(self.roster, service, entry)
 
-    def get(self, endpoint: EndpointId) -> EndpointPool:
+    def _open(self, entry: EndpointEntry, owner: Owner | None) -> LinkPool:
+        if owner is not None and self.open_owned is not None:
+            return self.open_owned(entry, owner)
+        return EndpointPool(
+            entry=entry, driver=self.driver, clock=self.clock, limit=LEAST_LINKS
+        )
+
+    def get(self, endpoint: EndpointId) -> LinkPool:
         """Return the pool of a listed endpoint."""
         return self.pools[endpoint]
--- a/src/ebonyladder/sessions/quota.py
+++ b/src/ebonyladder/sessions/quota.py
@@ -1,8 +1,10 @@
-"""Fleet-wide rate of organisations, shared among VMs by grants."""
+"""Fleet-wide rate of organisations: one budget at the leader, turns lent to VMs."""
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import Mapping
+from math import floor
 
 import msgspec
 from absl import logging
@@ -12,20 +14,21 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.limits import BucketSize, TokenBucket
 from ebonyladder.sessions.catalog import Organisation
-from ebonyladder.types import OrganisationId, VmId
-
-# A grant holds for this long after it was asked for, in seconds.
-GRANT_LIFE_S = 1.5
-# Parts of the tolerance of a limit. The first lets an uneven flow through single VMs
-# pass; the second is there after a restart, when a VM can't know what it admitted a
-# moment ago. The rest is for grants that overlap while they change.
-BURST_PART = 0.3
-RESTART_PART = 0.4
+from ebonyladder.types import OrganisationId
+
+# Turns that were lent are void this long after they were asked for, in seconds.
+LOAN_LIFE_S = 1.2
+# A VM asks for the turns of this time ahead, in seconds. What VMs hold unspent can
+# be spent at once, so it has to stay below the tolerance of the limits.
+AHEAD_S = 0.5
+# A loan that isn't answered in this time is asked for again, in seconds.
+ANSWER_LIMIT_S = 0.7
 # Demand is averaged over about this time, in seconds.
 DEMAND_WINDOW_S = 1.0
-# A part of a limit that grants never give away, so that a VM which starts to ask
-# is served before the next grant.
-SPARE_SHARE = 0.1
+# Parts of the tolerance of a limit: for uneven flows, and for the budget of a leader
+# that can't know what was admitted before it. The rest is for loans that overlap.
+BURST_PART = 0.3
+RESTART_PART = 0.4
 
 
 class Quota(ABC):
@@ -38,7 +41,8 @@
         Raises
         ------
         RequestError
-            RATE_EXCEEDED with ``retry_after_s``, at once, where the turn is later.
+            RATE_EXCEEDED with ``retry_after_s``, as soon as it is known that the
+            turn comes later.
         """
 
     @abstractmethod
@@ -73,11 +77,76 @@
         return allowed * self.share + self.operations
 
 
-class Grant(msgspec.Struct, frozen=True, kw_only=True):
-    """Part of an organisation's rate that one VM may use."""
+class Loan(msgspec.Struct, frozen=True, kw_only=True):
+    """Turns that the leader lends to one VM.
+
+    Attributes
+    ----------
+    turns : int
+        Operations that the VM may admit.
+    wait_s : float
+        Time until the next turn is there, where fewer than asked for were lent.
+    """
+
+    turns: int
+    wait_s: float = 0.0
+
 
-    rate_per_s: float
-    until_s: float
+class Budget:
+    """Budgets of all organisations, kept by the leader.
+
+    It answers an organisation whose traffic comes through few VMs, which gets its
+    whole rate there, and one that sends many times its rate through all of them.
+
+    Parameters
+    ----------
+    clock : Clock
+        Clock of the buckets.
+    tolerance : Tolerance
+        How far a window may exceed a limit.
+    """
+
+    def __init__(self, *, clock: Clock, tolerance: Tolerance) -> None:
+        self.clock = clock
+        self.tolerance = tolerance
+        self.started_s = clock.now_s()
+        self.buckets: dict[OrganisationId, TokenBucket] = {}
+
+    def lend(
+        self, organisation: Organisation, wanted: float, *, reporting_share: float
+    ) -> Loan:
+        """Lend turns.
+
+        Parameters
+        ----------
+        wanted : float
+            Turns that the VM asks for.
+        reporting_share : float
+            Part of the VMs that ask this leader; the others use their equal part
+            of the rate without it.
+        """
+        bucket = self._bucket(organisation)
+        bucket.resize(self._size(organisation, reporting_share))
+        turns = floor(min(wanted, bucket.available()))
+        bucket.take(turns)
+        missing = 1.0 - bucket.available()
+        wait_s = max(missing, 0.0) / max(bucket.size.rate_per_s, 1e-3)
+        return Loan(turns=turns, wait_s=wait_s if turns < wanted else 0.0)
+
+    def _bucket(self, organisation: Organisation) -> TokenBucket:
+        bucket = self.buckets.get(organisation.name)
+        if bucket is None:
+            bucket = TokenBucket(size=self._size(organisation, 1.0), clock=self.clock)
+            restart = RESTART_PART * self.tolerance.of(organisation)
+            bucket.tokens = min(restart, organisation.burst)
+            bucket.filled_s = self.started_s
+            self.buckets[organisation.name] = bucket
+        return bucket
+
+    def _size(self, organisation: Organisation, share: float) -> BucketSize:
+        extra = BURST_PART * self.tolerance.of(organisation)
+        capacity = max(1.0, organisation.burst * share + extra)
+        return BucketSize(organisation.rate_per_s * share, capacity)
 
 
 class Demand:
@@ -101,29 +170,47 @@
         return self.rate_per_s
 
 
-class OrganisationMeter:
-    """Bucket, queue and demand of one organisation at this VM."""
+class Purse:
+    """Turns, waiting operations and demand of one organisation at one VM."""
 
-    def __init__(
-        self, *, clock: Clock, size: BucketSize, tokens: float, since_s: float
-    ) -> None:
-        self.bucket = TokenBucket(size=size, clock=clock)
-        self.bucket.tokens = tokens
-        self.bucket.filled_s = since_s
+    def __init__(self, *, clock: Clock) -> None:
+        self.clock = clock
+        self.turns = 0
+        self.until_s = clock.now_s()
         self.demand = Demand(clock=clock)
-        self.waiting = 0
+        self.waiting: deque[asyncio.Future[bool]] = deque()
+        self.asked = 0
+        self.asked_s = float("-inf")
+        self.wait_s = 0.0
+        # Used only while no leader lends; starts empty whenever it is taken up.
+        self.own_bucket: TokenBucket | None = None
+
+    def take(self) -> bool:
+        """Take a turn that was lent, if there is one."""
+        if self.turns < 1 or self.clock.now_s() >= self.until_s:
+            self.turns = 0
+            return False
+        self.turns -= 1
+        return True
+
+    def wanted(self) -> int:
+        """Return the turns to ask for, beyond those asked for already."""
+        now_s = self.clock.now_s()
+        held = self.turns if now_s < self.until_s else 0
+        pending = self.asked if now_s - self.asked_s < ANSWER_LIMIT_S else 0
+        ahead = floor(self.demand.current() * AHEAD_S)
+        return max(0, len(self.waiting) + ahead - held - pending)
 
 
-class GrantedQuota(Quota):
-    """Admits by this VM's grant, or by an equal part without a valid grant.
+class LentQuota(Quota):
+    """Admits by turns that the leader lends.
 
-    It answers one organisation's traffic arriving through few VMs, and an
-    organisation that sends many times its rate through all of them.
+    Without a leader each VM uses an equal part of the rate.
 
     Parameters
     ----------
     clock : Clock
-        Clock of buckets and grants.
+        Clock of loans.
     tolerance : Tolerance, optional
         How far a window may exceed a limit; none by default.
     """
@@ -131,94 +218,122 @@
     def __init__(self, *, clock: Clock, tolerance: Tolerance | None = None) -> None:
         self.clock = clock
         self.tolerance = tolerance or Tolerance()
-        self.started_s = clock.now_s()
         self.vm_count = 1
-        self.grants: dict[OrganisationId, Grant] = {}
-        self.meters: dict[OrganisationId, OrganisationMeter] = {}
+        self.lent_s = float("-inf")
+        self.purses: dict[OrganisationId, Purse] = {}
+        self.needed = asyncio.Event()
 
     async def admit(self, organisation: Organisation, *, longest_s: float) -> None:
         """Admit one operation."""
-        meter = self.meters.get(organisation.name)
-        if meter is None:
-            restart_tokens = RESTART_PART * self.tolerance.of(organisation)
-            meter = OrganisationMeter(
-                clock=self.clock,
-                size=self._size(organisation),
-                tokens=min(restart_tokens, organisation.burst) / self.vm_count,
-                since_s=self.started_s,
-            )
-            self.meters[organisation.name] = meter
-        meter.demand.note()
-        meter.bucket.resize(self._size(organisation))
-        wait_s = self._turn_s(meter)
-        if wait_s > longest_s:
-            raise self._refusal(organisation, wait_s)
-        if wait_s <= 0:
-            meter.bucket.take(1.0)
+        purse = self.purses.setdefault(organisation.name, Purse(clock=self.clock))
+        purse.demand.note()
+        if not purse.waiting and purse.take():
+            return
+        if not self._has_leader():
+            self._admit_alone(organisation, purse)
             return
-        meter.waiting += 1
+        turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        purse.waiting.append(turn)
+        self.needed.set()
         try:
-            deadline_s = self.clock.now_s() + longest_s
-            while meter.bucket.available() < 1.0:
-                meter.bucket.resize(self._size(organisation))
-                if self.clock.now_s() >= deadline_s:
-                    raise self._refusal(organisation, self._turn_s(meter))
-                await asyncio.sleep(max(wait_s / 2, 0.01))
-            meter.bucket.take(1.0)
+            async with asyncio.timeout(longest_s):
+                is_admitted = await turn
+        except TimeoutError:
+            is_admitted = False
         finally:
-            meter.waiting -= 1
+            if turn in purse.waiting:
+                purse.waiting.remove(turn)
+        if not is_admitted:
+            raise self._refusal(organisation, purse, purse.wait_s or longest_s)
 
     def refund(self, organisation: Organisation) -> None:
         """Give back the turn of an operation that reached no endpoint."""
-        meter = self.meters.get(organisation.name)
-        if meter is not None:
-            bucket = meter.bucket
-            bucket.tokens = min(bucket.size.capacity, bucket.available() + 1.0)
-
-    def demands(self) -> dict[OrganisationId, float]:
-        """Return the rates that are asked for here, in operations per second."""
-        rates = {name: m.demand.current() for name, m in self.meters.items()}
-        return {name: rate for name, rate in rates.items() if rate > 0}
-
-    def accept(self, grants: Mapping[OrganisationId, float], asked_s: float) -> None:
-        """Take over grants that were asked for at ``asked_s``."""
-        for name, rate in grants.items():
-            self.grants[name] = Grant(rate_per_s=rate, until_s=asked_s + GRANT_LIFE_S)
-
-    def share(self, organisation: Organisation) -> float:
-        """Return this VM's part of the organisation's rate, from 0 to 1."""
-        grant = self.grants.get(organisation.name)
-        if grant is None or grant.until_s < self.clock.now_s():
-            return 1 / max(self.vm_count, 1)
-        # A grant may be older than a lowered rate.
-        return min(1.0, grant.rate_per_s / max(organisation.rate_per_s, 1e-9))
-
-    def _size(self, organisation: Organisation) -> BucketSize:
-        share = self.share(organisation)
-        extra = BURST_PART * self.tolerance.of(organisation) / self.vm_count
-        capacity = max(1.0, organisation.burst * share + extra)
-        return BucketSize(organisation.rate_per_s * share, capacity)
-
-    def _turn_s(self, meter: OrganisationMeter) -> float:
-        missing = 1.0 + meter.waiting - meter.bucket.available()
-        if missing <= 0:
-            return 0.0
-        return missing / max(meter.bucket.size.rate_per_s, 1e-3)
-
-    def _refusal(self, organisation: Organisation, wait_s: float) -> RequestError:
-        grant = self.grants.get(organisation.name)
-        meter = self.meters[organisation.name]
+        purse = self.purses.get(organisation.name)
+        if purse is not None:
+            purse.turns += 1
+            purse.until_s = max(purse.until_s, self.clock.now_s() + AHEAD_S)
+
+    def wants(self) -> dict[OrganisationId, int]:
+        """Return the turns to ask for now, and note them as asked for."""
+        self.needed.clear()
+        found = {}
+        for name, purse in self.purses.items():
+            wanted = purse.wanted()
+            if wanted:
+                found[name] = wanted
+                purse.asked = wanted
+                purse.asked_s = self.clock.now_s()
+        return found
+
+    def accept(self, loans: Mapping[OrganisationId, Loan], asked_s: float) -> None:
+        """Take over turns that were asked for at ``asked_s``."""
+        self.lent_s = max(self.lent_s, asked_s)
+        for name, loan in loans.items():
+            purse = self.purses.get(name)
+            if purse is not None:
+                self._accept_loan(purse, loan, asked_s)
+
+    def _accept_loan(self, purse: Purse, loan: Loan, asked_s: float) -> None:
+        purse.asked = 0
+        purse.own_bucket = None
+        purse.wait_s = loan.wait_s
+        if self.clock.now_s() >= purse.until_s:
+            purse.turns = 0
+        purse.turns += loan.turns
+        purse.until_s = asked_s + LOAN_LIFE_S
+        while purse.waiting and purse.take():
+            turn = purse.waiting.popleft()
+            if turn.done():
+                purse.turns += 1
+            else:
+                turn.set_result(True)
+        if loan.wait_s > 0:
+            self._refuse_hopeless(purse, loan)
+
+    def _refuse_hopeless(self, purse: Purse, loan: Loan) -> None:
+        """Refuse at once what the next loans won't reach.
+
+        The leader has nothing left to lend, so the next loans are of about the
+        size of this one.
+        """
+        while len(purse.waiting) > max(1, loan.turns):
+            turn = purse.waiting.pop()
+            if not turn.done():
+                turn.set_result(False)
+
+    def _has_leader(self) -> bool:
+        return self.clock.now_s() - self.lent_s < LOAN_LIFE_S
+
+    def _admit_alone(self, organisation: Organisation, purse: Purse) -> None:
+        part = 1 / max(self.vm_count, 1)
+        size = BucketSize(
+            organisation.rate_per_s * part, max(1.0, organisation.burst * part)
+        )
+        if purse.own_bucket is None:
+            purse.own_bucket = TokenBucket(size=size, clock=self.clock)
+            restart = RESTART_PART * self.tolerance.of(organisation) * part
+            purse.own_bucket.tokens = min(restart, size.capacity)
+        purse.own_bucket.resize(size)
+        if purse.own_bucket.available() < 1.0:
+            missing = 1.0 - purse.own_bucket.available()
+            wait_s = missing / max(size.rate_per_s, 1e-3)
+            raise self._refusal(organisation, purse, wait_s)
+        purse.own_bucket.take(1.0)
+
+    def _refusal(
+        self, organisation: Organisation, purse: Purse, wait_s: float
+    ) -> RequestError:
         logging.info(
             "[quota] Operation is refused. organisation=%s rate_per_s=%.1f "
-            "share=%.3f vms=%d grant_left_s=%.2f demand_per_s=%.1f waiting=%d "
-            "turn_s=%.2f",
+            "burst=%.1f lent_s_ago=%.2f vms=%d demand_per_s=%.1f waiting=%d "
+            "wait_s=%.2f",
             organisation.name,
             organisation.rate_per_s,
-            self.share(organisation),
+            organisation.burst,
+            self.clock.now_s() - self.lent_s,
             self.vm_count,
-            grant.until_s - self.clock.now_s() if grant else 0.0,
-            meter.demand.current(),
-            meter.waiting,
+            purse.demand.current(),
+            len(purse.waiting),
             wait_s,
         )
         return RequestError(
@@ -228,37 +343,3 @@
             outcome=Outcome.NOT_RUN,
             retry_after_s=wait_s,
         )
-
-
-def divide(
-    *, rate_per_s: float, demands: Mapping[VmId, float], vm_count: int
-) -> dict[VmId, float]:
-    """Divide a rate among the VMs that report their demand.
-
-    VMs that don't report may use an equal part each, which is kept for them. The
-    parts add up to the rate at most.
-
-    Parameters
-    ----------
-    rate_per_s : float
-        Rate of the organisation, in operations per second.
-    demands : mapping of VmId to float
-        Operations per second that each reporting VM is asked for.
-    vm_count : int
-        Number of all VMs.
-    """
-    reporting = len(demands)
-    if not reporting:
-        return {}
-    equal = rate_per_s / max(vm_count, reporting)
-    usable = equal * reporting
-    floor = SPARE_SHARE * usable / reporting
-    left = usable - floor * reporting
-    parts = dict.fromkeys(demands, floor)
-    # Max-min fair: small demands are met in full before large ones share the rest.
-    open_vms = sorted(demands, key=lambda vm: demands[vm])
-    for index, vm in enumerate(open_vms):
-        part = min(max(demands[vm] - floor, 0.0), left / (reporting - index))
-        parts[vm] += part
-        left -= part
-    return {vm: part + left / reporting for vm, part in parts.items()}
--- a/src/ebonyladder/sessions/roster.py
+++ b/src/ebonyladder/sessions/roster.py
@@ -44,12 +44,28 @@
 
 
 class VmEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """VM of the fleet, as it registers itself in the store."""
+    """VM of the fleet, as it registers itself in the store.
+
+    Attributes
+    ----------
+    address : Address
+        Address for other VMs.
+    cores : float
+        Processor that the VM may use.
+    """
 
     vm: VmId
     address: Address
     zone: ZoneId
     incarnation: Incarnation
+    cores: float = 1.0
+
+
+class Owner(msgspec.Struct, frozen=True, kw_only=True):
+    """VM that holds the connections to an endpoint, for all VMs."""
+
+    vm: VmId
+    address: Address
 
 
 class GroupPhase(Enum):
@@ -109,7 +125,10 @@
         self.catalog: Catalog | None = None
         self.endpoints: dict[EndpointId, EndpointEntry] = {}
         self.closed_zones: frozenset[ZoneId] = frozenset()
-        self.vms: dict[VmId, VmEntry] = {}
+        # VMs of each zone; the entries themselves are known to the leader only.
+        self.fleet: dict[ZoneId, int] = {}
+        self.owners: dict[EndpointId, Owner] = {}
+        self.endpoints_version = 0
         self.groups: dict[ServiceId, GroupState] = {}
         # Time at which it was certain that no group had a newer epoch.
         self.evidence_s = float("-inf")
@@ -137,11 +156,35 @@
         self.notify()
         return True
 
-    def adopt_endpoints(self, entries: dict[EndpointId, EndpointEntry]) -> None:
-        """Replace the listed endpoints."""
+    def adopt_endpoints(
+        self,
+        entries: dict[EndpointId, EndpointEntry],
+        closed_zones: frozenset[ZoneId] | None = None,
+    ) -> None:
+        """Replace the listed endpoints, and the zones that take no work."""
+        closed = self.closed_zones if closed_zones is None else closed_zones
+        if (entries, closed) == (self.endpoints, self.closed_zones):
+            return
         self.endpoints = entries
+        self.closed_zones = closed
+        self.endpoints_version += 1
+        self.notify()
+
+    def adopt_fleet(
+        self, fleet: dict[ZoneId, int], owners: dict[EndpointId, Owner]
+    ) -> None:
+        """Replace the sizes of the zones and the owners of endpoints."""
+        if (fleet, owners) == (self.fleet, self.owners):
+            return
+        self.fleet = fleet
+        self.owners = owners
         self.notify()
 
+    @property
+    def vm_count(self) -> int:
+        """Number of VMs in the fleet, this one at least."""
+        return max(sum(self.fleet.values()), 1)
+
     def note_evidence(self, at_s: float) -> None:
         """Record that the group states were complete at ``at_s``."""
         self.evidence_s = max(self.evidence_s, at_s)
--- a/src/ebonyladder/sessions/settings.py
+++ b/src/ebonyladder/sessions/settings.py
@@ -31,6 +31,8 @@
         The platform's call that promotes an endpoint.
     grace_s : float
         Time from SIGTERM to the process's end, in seconds.
+    cores : float
+        Processor that this VM may use.
     tolerance : Tolerance
         How far the operations of a window may exceed an organisation's limit.
     """
@@ -45,4 +47,5 @@
     store: Address
     promotion: Address
     grace_s: float = 6.0
+    cores: float = 1.0
     tolerance: Tolerance = Tolerance()
--- a/src/ebonyladder/sessions/supervisor.py
+++ b/src/ebonyladder/sessions/supervisor.py
@@ -45,6 +45,11 @@
         """Take over a VM's report."""
         self.reports[report.vm] = (report, self.clock.now_s())
 
+    def reported_s(self, vm: VmId) -> float:
+        """Return the time of a VM's last report, long ago without one."""
+        found = self.reports.get(vm)
+        return found[1] if found else float("-inf")
+
     def note_change(self, service: ServiceId, *, is_changed: bool) -> None:
         """Note the end of a change of primary, or of a try."""
         pause_s = SETTLE_S if is_changed else RETRY_S
@@ -102,8 +107,11 @@
         self, endpoint: EndpointId, findings: Mapping[VmId, tuple[EndpointId, ...]]
     ) -> bool:
         """Tell whether more than half of the VMs report the endpoint."""
+        if self.roster.owners:
+            # Only the endpoint's owner asks it; the leader's own probe decides.
+            return False
         found = sum(1 for endpoints in findings.values() if endpoint in endpoints)
-        return 2 * found > len(self.roster.vms)
+        return 2 * found > self.roster.vm_count
 
     def _lasting(
         self, service: ServiceId, least_s: float, cause: Cause
--- a/src/ebonyladder/sessions/watcher.py
+++ b/src/ebonyladder/sessions/watcher.py
@@ -41,6 +41,10 @@
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
         """Take over the objects after a listing or change."""
 
+    def forget(self) -> None:
+        """Mark what is known as out of date, while another way brings it."""
+        self.is_listed.clear()
+
     async def run(self) -> None:
         """List and watch until cancelled."""
         while True:
--- /dev/null
+++ b/src/ebonyladder/sessions/watches.py
@@ -0,0 +1,64 @@
+"""Watches of the store, which a VM leaves to the leader while it can."""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+
+from ebonyladder.sessions.watcher import KindWatcher
+
+
+class Watches:
+    """Watches of the store by this VM.
+
+    Each call of the store is priced, and a change wakes every watch. While the
+    leader's orders bring the same contents, only the leader watches.
+
+    Parameters
+    ----------
+    spawn : callable
+        Runs a coroutine as a named task.
+    """
+
+    def __init__(self, *, spawn: Callable[..., asyncio.Task[None]]) -> None:
+        self.spawn = spawn
+        self.watchers: list[KindWatcher] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.is_watching = True
+
+    def add(self, watcher: KindWatcher) -> None:
+        """Add a watch, and start it."""
+        self.watchers.append(watcher)
+        if self.is_watching:
+            self._start(watcher)
+
+    @property
+    def has_store(self) -> bool:
+        """Whether all watches are working."""
+        return self.is_watching and all(
+            w.is_connected and w.is_listed.is_set() for w in self.watchers
+        )
+
+    def resume(self, reason: str) -> None:
+        """Watch the store."""
+        if self.is_watching:
+            return
+        logging.info("[watches] The store is watched. reason=%s", reason)
+        self.is_watching = True
+        for watcher in self.watchers:
+            self._start(watcher)
+
+    def pause(self) -> None:
+        """Leave the watching to the leader."""
+        if not self.is_watching:
+            return
+        logging.info("[watches] The leader watches the store for this VM.")
+        self.is_watching = False
+        for task in self.tasks:
+            task.cancel()
+        self.tasks.clear()
+        for watcher in self.watchers:
+            watcher.forget()
+
+    def _start(self, watcher: KindWatcher) -> None:
+        self.tasks.append(self.spawn(watcher.run(), name=f"watch-{watcher.kind}"))
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -20,11 +20,16 @@
 PATIENCE_S = 30.0
 
 
+# Connections start from 127.0.0.1, so their ports never take one of a listener that
+# is about to start.
+LISTEN_ADDRESS = "127.0.0.7"
+
+
 def free_address() -> Address:
     """Return a loopback address with a free port."""
     with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return Address(f"127.0.0.1:{found.getsockname()[1]}")
+        found.bind((LISTEN_ADDRESS, 0))
+        return Address(f"{LISTEN_ADDRESS}:{found.getsockname()[1]}")
 
 
 async def until(condition, what: str) -> None:
@@ -128,7 +133,7 @@
                 lambda roster=roster: (
                     roster.version
                     and len(roster.endpoints) == 3
-                    and len(roster.vms) == 3
+                    and roster.vm_count == 3
                     and roster.evidence_s > 0
                 ),
                 "the fleet settles",
--- a/tests/session_fakes.py
+++ b/tests/session_fakes.py
@@ -23,13 +23,12 @@
     TransactionState,
 )
 from ebonyladder.sessions.link import EndpointDriver, EndpointLink, EndpointStatus
-from ebonyladder.sessions.roster import EndpointEntry, Roster, VmEntry
+from ebonyladder.sessions.roster import EndpointEntry, Roster
 from ebonyladder.types import (
     Address,
     ConfigurationVersion,
     EndpointId,
     EndpointState,
-    Incarnation,
     LogPosition,
     OrganisationId,
     Position,
@@ -101,15 +100,7 @@
     """Return a roster with a primary in zone b and a replica in each zone."""
     found = Roster(vm=VmId("vm-1"), zone=ZoneId("a"), regions=ZONES, clock=clock)
     found.catalog = catalog()
-    found.vms = {
-        VmId(name): VmEntry(
-            vm=VmId(name),
-            address=Address("127.0.0.1:1"),
-            zone=ZoneId(zone),
-            incarnation=Incarnation(1),
-        )
-        for name, zone in (("vm-1", "a"), ("vm-2", "b"))
-    }
+    found.fleet = {ZoneId("a"): 1, ZoneId("b"): 1}
     found.endpoints = {
         e.id: e
         for e in (
--- a/tests/test_session_quota.py
+++ b/tests/test_session_quota.py
@@ -7,17 +7,19 @@
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.kernel.error import RequestError
 from ebonyladder.sessions.quota import (
-    GRANT_LIFE_S,
+    LOAN_LIFE_S,
     RESTART_PART,
-    GrantedQuota,
+    Budget,
+    LentQuota,
+    Loan,
     Tolerance,
-    divide,
 )
-from ebonyladder.types import VmId
 from tests.session_fakes import ORGANISATION
 
+TOLERANCE = Tolerance(window_s=5.0, share=0.1, operations=20.0)
 
-def admitted(quota: GrantedQuota, count: int) -> int:
+
+def admitted(quota: LentQuota, count: int) -> int:
     """Return how many of ``count`` operations are admitted at once."""
 
     async def admit() -> int:
@@ -33,91 +35,141 @@
     return asyncio.run(admit())
 
 
-class TestGrantedQuota:
-    def test_vm_up_for_long_serves_first_operations(self):
+def lend(budget: Budget, wanted: float, share: float = 1.0) -> Loan:
+    """Return a loan of the organisation's turns."""
+    return budget.lend(ORGANISATION, wanted, reporting_share=share)
+
+
+class TestBudget:
+    def test_budget_is_full_when_traffic_starts_late(self):
         # Guards against refusals at the start of traffic, when no operation has
         # been seen yet but the rate has been unused for seconds.
         clock = ManualClock()
-        quota = GrantedQuota(clock=clock)
+        budget = Budget(clock=clock, tolerance=Tolerance())
         clock.advance(12.0)
-        assert admitted(quota, 30) == ORGANISATION.burst
+        assert lend(budget, 100).turns == ORGANISATION.burst
 
-    def test_restarted_vm_starts_without_tokens(self):
+    def test_new_leader_lends_only_a_part_of_the_tolerance_at_once(self):
         # Guards against a second burst inside one window after all VMs restart.
-        quota = GrantedQuota(clock=ManualClock())
-        assert admitted(quota, 30) == 0
-
-    def test_restarted_vm_uses_only_a_part_of_the_tolerance(self):
-        # Guards against refusing callers after a restart of all VMs, and against
-        # a second burst beyond what a window tolerates.
-        tolerance = Tolerance(window_s=5.0, share=0.1, operations=20.0)
-        quota = GrantedQuota(clock=ManualClock(), tolerance=tolerance)
-        quota.vm_count = 2
-        least = RESTART_PART * tolerance.of(ORGANISATION) / 2
-        assert admitted(quota, 30) == int(least)
-
-    def test_all_vms_restarted_inside_a_window_keep_the_tolerance(self):
-        # Guards against a broken limit where VMs that had used all are restarted.
-        tolerance = Tolerance(window_s=5.0, share=0.1, operations=20.0)
-        total = 0
-        clock = ManualClock()
-        for started_s in (0.0, 60.0, 62.0):
-            clock.monotonic_s = 1_000.0 + started_s
-            fleet = [GrantedQuota(clock=clock, tolerance=tolerance) for _ in range(4)]
-            for quota in fleet:
-                quota.vm_count = 4
-            clock.monotonic_s = 1_000.0 + max(60.0, started_s + 1.0)
-            served = sum(admitted(quota, 50) for quota in fleet)
-            total += served if started_s != 60.0 else 0
-            clock.monotonic_s = 1_000.0 + started_s
-        allowed = ORGANISATION.rate_per_s * 5 + ORGANISATION.burst
-        assert total <= allowed + tolerance.of(ORGANISATION)
+        budget = Budget(clock=ManualClock(), tolerance=TOLERANCE)
+        least = RESTART_PART * TOLERANCE.of(ORGANISATION)
+        assert lend(budget, 100).turns == int(min(least, ORGANISATION.burst))
 
-    def test_without_grant_a_vm_has_an_equal_part(self):
-        # Guards against each VM using the whole rate while the leader is away.
+    def test_restart_inside_a_window_keeps_the_tolerance(self):
+        # Guards against a broken limit where the leader is replaced after it has
+        # lent all that it had.
         clock = ManualClock()
-        quota = GrantedQuota(clock=clock)
-        quota.vm_count = 4
+        budget = Budget(clock=clock, tolerance=TOLERANCE)
         clock.advance(60.0)
-        assert admitted(quota, 30) == ORGANISATION.burst / 4
+        total = lend(budget, 1000).turns
+        for _ in range(25):
+            clock.advance(0.1)
+            total += lend(budget, 1000).turns
+        budget = Budget(clock=clock, tolerance=TOLERANCE)
+        for _ in range(25):
+            clock.advance(0.1)
+            total += lend(budget, 1000).turns
+        allowed = ORGANISATION.rate_per_s * 5 + ORGANISATION.burst
+        assert total <= allowed + TOLERANCE.of(ORGANISATION)
 
-    def test_expired_grant_is_not_used(self):
-        # Guards against a VM that is cut off keeping a rate that the leader has
-        # given to others meanwhile.
+    def test_rate_is_kept_for_vms_that_do_not_ask(self):
+        # Guards against promising twice what a VM out of touch may still use.
         clock = ManualClock()
-        quota = GrantedQuota(clock=clock)
-        quota.vm_count = 4
-        quota.accept({ORGANISATION.name: 20.0}, clock.now_s())
-        assert quota.share(ORGANISATION) == 1.0
-        clock.advance(GRANT_LIFE_S + 0.01)
-        assert quota.share(ORGANISATION) == 0.25
-
-    def test_refusal_comes_at_once_with_a_time(self):
-        # Guards against operations held back that can't be served in time.
-        quota = GrantedQuota(clock=ManualClock())
-
-        async def admit():
-            await quota.admit(ORGANISATION, longest_s=0.01)
+        budget = Budget(clock=clock, tolerance=Tolerance())
+        lend(budget, 100, share=0.75)
+        clock.advance(1.0)
+        assert lend(budget, 100, share=0.75).turns == 15
 
-        with pytest.raises(RequestError) as caught:
-            asyncio.run(admit())
-        assert caught.value.retry_after_s == pytest.approx(1 / 20)
+    def test_loan_says_when_the_next_turn_is_there(self):
+        # Guards against operations that are held until their time is up.
+        clock = ManualClock()
+        budget = Budget(clock=clock, tolerance=Tolerance())
+        assert lend(budget, 1) == Loan(turns=0, wait_s=pytest.approx(1 / 20))
 
+    def test_sustained_demand_gets_the_rate_and_no_more(self):
+        # Guards against a broken quota when all VMs ask for many times the rate.
+        clock = ManualClock()
+        budget = Budget(clock=clock, tolerance=Tolerance())
+        lend(budget, 1000)
+        total = 0
+        for _ in range(100):
+            clock.advance(0.1)
+            total += lend(budget, 50).turns
+        assert 0.98 * 200 <= total <= 200
 
-class TestDivide:
-    def test_traffic_through_one_vm_gets_nearly_all(self):
-        # Guards against refusals where a large organisation uses few VMs.
-        demands = {VmId("vm-1"): 50.0, VmId("vm-2"): 0.0}
-        parts = divide(rate_per_s=40.0, demands=demands, vm_count=2)
-        assert parts[VmId("vm-1")] >= 0.9 * 40.0
 
-    def test_parts_never_exceed_the_rate(self):
-        # Guards against a broken quota when all VMs ask for many times the rate.
-        demands = {VmId(f"vm-{i}"): 100.0 * i for i in range(5)}
-        parts = divide(rate_per_s=40.0, demands=demands, vm_count=8)
-        assert sum(parts.values()) <= 40.0 * 5 / 8 + 1e-9
+class TestLentQuota:
+    def test_lent_turns_are_used_without_asking(self):
+        clock = ManualClock()
+        quota = LentQuota(clock=clock)
+        admitted(quota, 1)
+        quota.accept({ORGANISATION.name: Loan(turns=3)}, clock.now_s())
+        assert admitted(quota, 5) == 3
 
-    def test_unreported_vms_keep_an_equal_part(self):
-        # Guards against promising twice what a VM out of touch may still use.
-        parts = divide(rate_per_s=40.0, demands={VmId("vm-1"): 99.0}, vm_count=4)
-        assert parts[VmId("vm-1")] == pytest.approx(10.0)
+    def test_loan_ends(self):
+        # Guards against a VM that is cut off and keeps turns lent to others since.
+        clock = ManualClock()
+        quota = LentQuota(clock=clock)
+        quota.vm_count = 1000
+        admitted(quota, 1)
+        quota.accept({ORGANISATION.name: Loan(turns=3)}, clock.now_s())
+        clock.advance(LOAN_LIFE_S)
+        assert admitted(quota, 5) == 0
+
+    def test_without_leader_a_vm_has_an_equal_part(self):
+        # Guards against each VM using the whole rate while the leader is away.
+        clock = ManualClock()
+        quota = LentQuota(clock=clock)
+        quota.vm_count = 4
+        admitted(quota, 1)
+        clock.advance(1.0)
+        assert admitted(quota, 30) == ORGANISATION.rate_per_s / 4
+
+    def test_waiting_operations_go_on_when_their_turns_come(self):
+        async def play():
+            clock = ManualClock()
+            quota = LentQuota(clock=clock)
+            quota.accept({}, clock.now_s())
+            waiting = [
+                asyncio.create_task(quota.admit(ORGANISATION, longest_s=30.0))
+                for _ in range(3)
+            ]
+            await asyncio.wait_for(quota.needed.wait(), 30.0)
+            assert quota.wants()[ORGANISATION.name] >= 3
+            assert quota.wants() == {}, "the same turns are asked for twice"
+            quota.accept({ORGANISATION.name: Loan(turns=3)}, clock.now_s())
+            await asyncio.wait_for(asyncio.gather(*waiting), 30.0)
+
+        asyncio.run(play())
+
+    def test_what_the_next_loan_will_not_reach_is_refused_at_once(self):
+        # Guards against operations of an organisation far above its rate that are
+        # held until their time is up.
+        async def play():
+            clock = ManualClock()
+            quota = LentQuota(clock=clock)
+            quota.accept({}, clock.now_s())
+            waiting = [
+                asyncio.create_task(quota.admit(ORGANISATION, longest_s=30.0))
+                for _ in range(6)
+            ]
+            await asyncio.wait_for(quota.needed.wait(), 30.0)
+            quota.wants()
+            loan = Loan(turns=2, wait_s=0.1)
+            quota.accept({ORGANISATION.name: loan}, clock.now_s())
+            done, pending = await asyncio.wait(waiting, timeout=1.0)
+            for task in pending:
+                task.cancel()
+            return len([t for t in done if t.exception()]), len(pending)
+
+        assert asyncio.run(play()) == (2, 2)
+
+    def test_refund_gives_the_turn_to_the_next_operation(self):
+        # Guards against rates used up by operations that reached no endpoint.
+        clock = ManualClock()
+        quota = LentQuota(clock=clock)
+        admitted(quota, 1)
+        quota.accept({ORGANISATION.name: Loan(turns=1)}, clock.now_s())
+        assert admitted(quota, 1) == 1
+        quota.refund(ORGANISATION)
+        assert admitted(quota, 2) == 1
