Go on with an equal part of the rate as soon as the leader is lost

Cause: test_writes_go_on_after_the_owner_has_stopped failed: for 1.2 s after the leader's end operations waited for its loan, and then a bucket without tokens refused what 5 ms would have let pass. Ruled out: the owner's reassignment, which followed after the takeover. Change: waiting operations go on alone when the link to the leader ends, and wait for a token where it comes in time.

--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -105,6 +105,7 @@
             )
         finally:
             self.watches.resume("no leader")
+            self.quota.lose_leader()
 
     async def _send_reports(self, connection: ClientConnection) -> None:
         while True:
--- a/src/ebonyladder/sessions/quota.py
+++ b/src/ebonyladder/sessions/quota.py
@@ -4,6 +4,7 @@
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Mapping
+from enum import Enum
 from math import floor
 
 import msgspec
@@ -170,6 +171,14 @@
         return self.rate_per_s
 
 
+class Turn(Enum):
+    """How the wait for a turn ended."""
+
+    LENT = "lent"
+    REFUSED = "refused"
+    ALONE = "alone"
+
+
 class Purse:
     """Turns, waiting operations and demand of one organisation at one VM."""
 
@@ -178,12 +187,13 @@
         self.turns = 0
         self.until_s = clock.now_s()
         self.demand = Demand(clock=clock)
-        self.waiting: deque[asyncio.Future[bool]] = deque()
+        self.waiting: deque[asyncio.Future[Turn]] = deque()
         self.asked = 0
         self.asked_s = float("-inf")
         self.wait_s = 0.0
         # Used only while no leader lends; starts empty whenever it is taken up.
         self.own_bucket: TokenBucket | None = None
+        self.alone = 0
 
     def take(self) -> bool:
         """Take a turn that was lent, if there is one."""
@@ -229,22 +239,36 @@
         purse.demand.note()
         if not purse.waiting and purse.take():
             return
-        if not self._has_leader():
-            self._admit_alone(organisation, purse)
-            return
-        turn: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        deadline_s = self.clock.now_s() + longest_s
+        if self._has_leader():
+            answer = await self._wait_for_turn(purse, longest_s)
+            if answer is Turn.LENT:
+                return
+            if answer is Turn.REFUSED:
+                raise self._refusal(organisation, purse, purse.wait_s or longest_s)
+        await self._admit_alone(organisation, purse, deadline_s)
+
+    async def _wait_for_turn(self, purse: Purse, longest_s: float) -> Turn:
+        turn: asyncio.Future[Turn] = asyncio.get_running_loop().create_future()
         purse.waiting.append(turn)
         self.needed.set()
         try:
             async with asyncio.timeout(longest_s):
-                is_admitted = await turn
+                return await turn
         except TimeoutError:
-            is_admitted = False
+            return Turn.REFUSED
         finally:
             if turn in purse.waiting:
                 purse.waiting.remove(turn)
-        if not is_admitted:
-            raise self._refusal(organisation, purse, purse.wait_s or longest_s)
+
+    def lose_leader(self) -> None:
+        """Go on with this VM's equal part; operations that wait do so too."""
+        self.lent_s = float("-inf")
+        for purse in self.purses.values():
+            while purse.waiting:
+                turn = purse.waiting.popleft()
+                if not turn.done():
+                    turn.set_result(Turn.ALONE)
 
     def refund(self, organisation: Organisation) -> None:
         """Give back the turn of an operation that reached no endpoint."""
@@ -286,7 +310,7 @@
             if turn.done():
                 purse.turns += 1
             else:
-                turn.set_result(True)
+                turn.set_result(Turn.LENT)
         if loan.wait_s > 0:
             self._refuse_hopeless(purse, loan)
 
@@ -299,12 +323,14 @@
         while len(purse.waiting) > max(1, loan.turns):
             turn = purse.waiting.pop()
             if not turn.done():
-                turn.set_result(False)
+                turn.set_result(Turn.REFUSED)
 
     def _has_leader(self) -> bool:
         return self.clock.now_s() - self.lent_s < LOAN_LIFE_S
 
-    def _admit_alone(self, organisation: Organisation, purse: Purse) -> None:
+    async def _admit_alone(
+        self, organisation: Organisation, purse: Purse, deadline_s: float
+    ) -> None:
         part = 1 / max(self.vm_count, 1)
         size = BucketSize(
             organisation.rate_per_s * part, max(1.0, organisation.burst * part)
@@ -313,12 +339,19 @@
             purse.own_bucket = TokenBucket(size=size, clock=self.clock)
             restart = RESTART_PART * self.tolerance.of(organisation) * part
             purse.own_bucket.tokens = min(restart, size.capacity)
-        purse.own_bucket.resize(size)
-        if purse.own_bucket.available() < 1.0:
-            missing = 1.0 - purse.own_bucket.available()
-            wait_s = missing / max(size.rate_per_s, 1e-3)
-            raise self._refusal(organisation, purse, wait_s)
-        purse.own_bucket.take(1.0)
+        bucket = purse.own_bucket
+        bucket.resize(size)
+        purse.alone += 1
+        try:
+            while bucket.available() < 1.0:
+                missing = purse.alone - bucket.available()
+                wait_s = missing / max(size.rate_per_s, 1e-3)
+                if self.clock.now_s() + wait_s > deadline_s:
+                    raise self._refusal(organisation, purse, wait_s)
+                await asyncio.sleep(wait_s)
+            bucket.take(1.0)
+        finally:
+            purse.alone -= 1
 
     def _refusal(
         self, organisation: Organisation, purse: Purse, wait_s: float
--- /dev/null
+++ b/tests/test_ownership_of_links.py
@@ -0,0 +1,160 @@
+"""Owners of endpoints' connections in large fleets."""
+
+import asyncio
+
+import pytest
+
+from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.sessions.catalog import Service
+from ebonyladder.sessions.ownership import assign_owners, needs_owners
+from ebonyladder.sessions.roster import VmEntry
+from ebonyladder.types import Address, Incarnation, ServiceId, VmId, ZoneId
+from standins.platform import configuration
+from tests.platform_fleet import Client, running_fleet, until
+from tests.session_fakes import SERVICE, roster
+
+
+def service(max_connections: int) -> Service:
+    """Return a service with a bound on connections."""
+    return Service(
+        name=ServiceId(SERVICE), max_connections=max_connections, sync_replicas=1
+    )
+
+
+def vm(name: str, zone: str, cores: float = 1.0) -> VmEntry:
+    """Return a registered VM."""
+    return VmEntry(
+        vm=VmId(name),
+        address=Address(f"{name}:1"),
+        zone=ZoneId(zone),
+        incarnation=Incarnation(1),
+        cores=cores,
+    )
+
+
+class TestNeed:
+    def test_small_fleet_keeps_links_of_its_own(self):
+        # Guards against a hop that a fleet of eight doesn't need.
+        assert not needs_owners(service(32), vm_count=8)
+
+    def test_large_fleet_shares_links(self):
+        # Guards against 86 VMs that open links where an endpoint accepts 80.
+        assert needs_owners(service(80), vm_count=86)
+        assert needs_owners(service(198), vm_count=72)
+
+
+class TestAssignment:
+    def setup_method(self):
+        self.roster = roster(ManualClock())
+        self.roster.fleet = {ZoneId("a"): 40, ZoneId("b"): 40}
+
+    def owners(self, *entries: VmEntry, leader: str = "nobody") -> dict[str, str]:
+        """Return the owners' names by endpoint."""
+        found = assign_owners(
+            roster=self.roster,
+            vms={entry.vm: entry for entry in entries},
+            leader=VmId(leader),
+        )
+        return {endpoint: owner.vm for endpoint, owner in found.items()}
+
+    def test_owner_is_in_the_endpoint_s_zone(self):
+        found = self.owners(vm("a-1", "a"), vm("b-1", "b"))
+        assert found == {"near": "a-1", "primary": "b-1", "far": "b-1"}
+
+    def test_larger_vms_own_and_share_the_endpoints(self):
+        found = self.owners(
+            vm("a-1", "a"),
+            vm("b-1", "b", 0.5),
+            vm("b-2", "b", 2.0),
+            vm("b-3", "b", 2.0),
+        )
+        assert {found["primary"], found["far"]} == {"b-2", "b-3"}
+
+    def test_leader_owns_nothing_while_another_vm_can(self):
+        # Guards against a leader whose loss takes an endpoint with it.
+        found = self.owners(vm("b-1", "b"), vm("b-2", "b"), leader="b-1")
+        assert "b-1" not in found.values()
+
+    def test_living_owner_stays(self):
+        # Guards against connections opened anew whenever a VM joins.
+        first = assign_owners(
+            roster=self.roster,
+            vms={VmId("b-9"): vm("b-9", "b")},
+            leader=VmId("nobody"),
+        )
+        self.roster.owners = first
+        found = self.owners(vm("b-9", "b"), vm("b-1", "b", 4.0), vm("a-1", "a"))
+        assert found["primary"] == "b-9"
+
+
+@pytest.mark.xdist_group("processes")
+class TestForwarding:
+    """Three daemons whose endpoints accept too few connections for all of them."""
+
+    @staticmethod
+    async def share(fleet) -> None:
+        """Let the endpoints accept few connections."""
+        found = configuration(2)
+        found["services"][0]["max_connections"] = 6
+        fleet.platform.store.put("config", "main", found)
+        for index in range(3):
+            roster = fleet.roster(index)
+            await until(lambda r=roster: len(r.owners) == 3, "owners are named")
+
+    def test_statements_reach_endpoints_through_their_owners(self):
+        async def play():
+            async with running_fleet() as fleet:
+                await self.share(fleet)
+                clients = [
+                    await Client.connect(fleet.address(i), "book") for i in range(3)
+                ]
+                for number, client in enumerate(clients):
+                    assert (await client.query(f"WRITE a {number}"))[0][
+                        :8
+                    ] == "COMPLETE"
+                    assert (await client.query("READ a"))[0] == f"ROW {number}"
+                    await client.query("BEGIN")
+                    await client.query(f"WRITE b {number}")
+                    assert (await client.query("READ b"))[0] == f"ROW {number}"
+                    assert (await client.query("COMMIT"))[-1][:7] == "READY I"
+                return fleet.platform.service
+
+        service = asyncio.run(play())
+        assert service.databases["i-0"].data == {"a": "2", "b": "2"}
+
+    def test_transaction_of_a_vm_that_ends_is_rolled_back_at_the_owner(self):
+        # Guards against transactions that stay open at an owner.
+        async def play():
+            async with running_fleet() as fleet:
+                await self.share(fleet)
+                client = await Client.connect(fleet.address(2), "pay")
+                await client.query("BEGIN")
+                await client.query("WRITE a one")
+                client.close()
+                other = await Client.connect(fleet.address(1), "pay")
+                answer = await other.query("WRITE a two")
+                return answer, fleet.platform.service.databases["i-0"].data
+
+        answer, data = asyncio.run(play())
+        assert answer[0].startswith("COMPLETE")
+        assert data == {"a": "two"}
+
+    def test_writes_go_on_after_the_owner_has_stopped(self):
+        # Guards against an endpoint that stays out of reach with its owner.
+        async def play():
+            async with running_fleet() as fleet:
+                await self.share(fleet)
+                owner = fleet.roster(0).owners["i-0"].vm
+                index = next(
+                    i for i, k in enumerate(fleet.kernels) if k.settings.vm == owner
+                )
+                others = [i for i in range(3) if i != index]
+                await fleet.kernels[index].stop()
+                client = await Client.connect(fleet.address(others[0]), "pay")
+                for attempt in range(30):
+                    answer = await client.query(f"WRITE a {attempt}")
+                    if answer[0].startswith("COMPLETE"):
+                        return
+                raise AssertionError("no write after the owner's end")
+
+        asyncio.run(play())
--- a/tests/test_session_quota.py
+++ b/tests/test_session_quota.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.kernel.clock import ManualClock, SystemClock
 from ebonyladder.kernel.error import RequestError
 from ebonyladder.sessions.quota import (
     LOAN_LIFE_S,
@@ -125,6 +125,18 @@
         clock.advance(1.0)
         assert admitted(quota, 30) == ORGANISATION.rate_per_s / 4
 
+    def test_waiting_operations_go_on_alone_when_the_leader_is_lost(self):
+        # Guards against refusals for as long as a loan would have lived.
+        async def play():
+            quota = LentQuota(clock=SystemClock())
+            quota.accept({}, quota.clock.now_s())
+            waiting = asyncio.create_task(quota.admit(ORGANISATION, longest_s=30.0))
+            await asyncio.wait_for(quota.needed.wait(), 30.0)
+            quota.lose_leader()
+            await asyncio.wait_for(waiting, 30.0)
+
+        asyncio.run(play())
+
     def test_waiting_operations_go_on_when_their_turns_come(self):
         async def play():
             clock = ManualClock()
