Bound the wait of a watch by the time in which a change must be in force

Ruled out: the relay itself; followers had the leader's version at once. Change: waits of 1.5 s for configuration and evacuations, 3 s for endpoints; calls after the client was closed end as unavailable.

--- a/src/ebonyladder/platform/configuration.py
+++ b/src/ebonyladder/platform/configuration.py
@@ -21,7 +21,7 @@
 from ebonyladder.sessions.objects import Kind, ObjectStore, StoreObject
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.roster import EndpointEntry, Roster
-from ebonyladder.sessions.watcher import KindWatcher
+from ebonyladder.sessions.watcher import SHORT_WAIT_S, KindWatcher
 from ebonyladder.sessions.watches import Watches
 from ebonyladder.types import (
     Address,
@@ -183,7 +183,7 @@
     """Brings the operator's configuration into the roster."""
 
     def __init__(self, *, store: ObjectStore, roster: Roster) -> None:
-        super().__init__(store=store, kind=CONFIG)
+        super().__init__(store=store, kind=CONFIG, wait_s=SHORT_WAIT_S)
         self.roster = roster
 
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
@@ -208,7 +208,7 @@
     """Brings the databases' own entries into the roster."""
 
     def __init__(self, *, store: ObjectStore, endpoints: EndpointList) -> None:
-        super().__init__(store=store, kind=SERVERS)
+        super().__init__(store=store, kind=SERVERS, wait_s=2 * SHORT_WAIT_S)
         self.endpoints = endpoints
 
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
@@ -221,7 +221,7 @@
     """Brings the zones that take no work into the roster."""
 
     def __init__(self, *, store: ObjectStore, roster: Roster) -> None:
-        super().__init__(store=store, kind=EVACUATIONS)
+        super().__init__(store=store, kind=EVACUATIONS, wait_s=SHORT_WAIT_S)
         self.roster = roster
 
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
--- a/src/ebonyladder/platform/object_store.py
+++ b/src/ebonyladder/platform/object_store.py
@@ -162,6 +162,10 @@
         **options: Any,
     ) -> tuple[int, bytes]:
         """Return status and body of one call that the store took."""
+        if self.session is None or self.session.closed:
+            raise self._error(
+                ErrorCode.STORE_UNAVAILABLE, step, "the daemon stops", Outcome.NOT_RUN
+            )
         self.metrics.count("store_calls", step=step.value)
         try:
             async with self.session.request(
--- a/src/ebonyladder/sessions/watcher.py
+++ b/src/ebonyladder/sessions/watcher.py
@@ -10,9 +10,11 @@
 from ebonyladder.kernel.error import ErrorCode, StoreError
 from ebonyladder.sessions.objects import Kind, ObjectStore, StoreObject
 
-# Each waiting call is priced, so a watch waits long; keep-alive probes show sooner
-# than that that its connection is dead.
-WATCH_WAIT_S = 25.0
+# A watch whose history was dropped while it waited may hear nothing until its time is
+# up, so a wait is shorter than the time in which a change must be in force. Calls are
+# priced, so kinds without such a bound wait long.
+SHORT_WAIT_S = 1.5
+LONG_WAIT_S = 15.0
 # Pause after a failed call, in seconds; drawn between the two, so that VMs don't
 # return to the store at the same moment.
 RETRY_LEAST_S = 0.2
@@ -28,10 +30,15 @@
         Store to watch.
     kind : Kind
         Kind of the objects.
+    wait_s : float
+        Longest wait of one call, in seconds.
     """
 
-    def __init__(self, *, store: ObjectStore, kind: Kind) -> None:
+    def __init__(
+        self, *, store: ObjectStore, kind: Kind, wait_s: float = LONG_WAIT_S
+    ) -> None:
         self.store = store
+        self.wait_s = wait_s
         self.kind = kind
         self.objects: dict[str, StoreObject] = {}
         self.is_listed = asyncio.Event()
@@ -62,7 +69,7 @@
     async def _follow(self, as_of: int) -> None:
         while True:
             try:
-                found = await self.store.watch(self.kind, as_of, WATCH_WAIT_S)
+                found = await self.store.watch(self.kind, as_of, self.wait_s)
             except StoreError as error:
                 self._note_failure(error)
                 if error.code is ErrorCode.NOT_FOUND:
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -84,11 +84,23 @@
             self.revision += 1
             self._note(kind, found, removed=True)
 
-    def compact(self) -> None:
-        """Forget the history."""
+    def compact(self, *, is_silent: bool = False) -> None:
+        """Forget the history.
+
+        With ``is_silent``, watches that wait now hear nothing until their time is up.
+        """
         self.history.clear()
         self.oldest = self.revision + 1
-        self._wake()
+        if not is_silent:
+            self._wake()
+
+    def put_unheard(self, kind: str, name: str, spec: Any) -> None:
+        """Write an object that no waiting watch hears of, then forget the history."""
+        changed = self.changed
+        self.changed = asyncio.Event()
+        self.put(kind, name, spec)
+        self.changed = changed
+        self.compact(is_silent=True)
 
     def _note(self, kind: str, found: dict[str, Any], *, removed: bool) -> None:
         self.history.append((self.revision, kind, found, removed))
@@ -126,7 +138,9 @@
                     if events:
                         break
                     await changed.wait()
-        except TimeoutError:
+        except TimeoutError as error:
+            if after + 1 < self.oldest:
+                raise web.HTTPGone() from error
             events = []
         return web.json_response({"events": events, "as_of": self.revision})
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,10 +1,12 @@
 """Client sessions through real daemons to stand-ins of the users' platform."""
 
 import asyncio
+import time
 
 import pytest
 
 from ebonyladder.sessions.roster import GroupPhase
+from ebonyladder.sessions.watcher import SHORT_WAIT_S
 from standins.object_store import Outage
 from standins.platform import SERVICE, configuration
 from tests.platform_fleet import Client, running_fleet, until
@@ -106,6 +108,21 @@
 
         asyncio.run(play())
 
+    def test_version_that_no_watch_hears_of_is_in_force_in_time(self):
+        # Guards against a watch that hears nothing after the history was dropped:
+        # on sialc-stryd scale-1 a VM stayed at an old version for 7 s.
+        async def play():
+            async with running_fleet() as fleet:
+                await asyncio.sleep(1.0)
+                fleet.platform.store.put_unheard("config", "main", configuration(5))
+                started_s = time.monotonic()
+                for index in range(3):
+                    roster = fleet.roster(index)
+                    await until(lambda r=roster: r.version == 5, "version 5")
+                return time.monotonic() - started_s
+
+        assert asyncio.run(play()) < 2 * SHORT_WAIT_S
+
 
 class TestStoreOutage:
     @pytest.mark.parametrize("outage", [Outage.BUSY, Outage.MANY, Outage.SILENT])
