Let a new leader read the groups first, and a barrier wait for VMs that were removed

Ruled out: the old leader, whose duty ends 0.6 s before another may take it. Change: no orders before the groups were read under the present token; evidence from the store only for a listed VM; a barrier waits 2.3 s after a removal.

--- a/src/ebonyladder/sessions/leader.py
+++ b/src/ebonyladder/sessions/leader.py
@@ -19,6 +19,8 @@
 
 # Time to send an order, in seconds.
 SEND_LIMIT_S = 1.0
+# Longest pause between looks at what a barrier still waits for, in seconds.
+BARRIER_POLL_S = 0.2
 # A VM that has not reported for this long is taken from the list, in seconds. A
 # change of primary waits for the VMs of the list.
 VM_FORGET_S = 6.0
@@ -67,14 +69,40 @@
         self.adopted: dict[tuple[VmId, ServiceId], int] = {}
         self.epoch_reported = asyncio.Event()
         self.state: FleetState | None = None
+        # Token under which the groups were read from the store; 0 for none.
+        self.loaded_token = 0
+        self.removed_s: dict[VmId, float] = {}
 
     @property
     def token(self) -> int | None:
-        """Token of the duty, None while this VM isn't certain of it."""
+        """Token of the duty, None while this VM isn't certain of it.
+
+        A new leader first reads the groups: its predecessor may have changed one
+        that this VM was not told of.
+        """
+        if self.needs_groups:
+            return None
         if self.leadership.standing(self.vms()) is not Standing.LEADER:
             return None
         return self.leadership.record.token
 
+    @property
+    def needs_groups(self) -> bool:
+        """Whether the groups have to be read before this VM may lead."""
+        record = self.leadership.record
+        return record is None or self.loaded_token != record.token
+
+    def note_groups_read(self, token: int) -> None:
+        """Note that the groups were read from the store under a token."""
+        self.loaded_token = token
+
+    def note_removed(self, vm: VmId) -> None:
+        """Note that a VM was taken from the list.
+
+        It may still hold evidence from the store that is older than its removal.
+        """
+        self.removed_s[vm] = self.clock.now_s()
+
     async def serve(self, connection: ServerConnection) -> None:
         """Answer the reports of one VM."""
         vm: VmId | None = None
@@ -181,11 +209,12 @@
                 if vm != self.roster.vm
                 and self.adopted.get((vm, group.service), 0) < group.epoch
             ]
+            missing += self._removed_within(limit_s)
             left_s = deadline_s - self.clock.now_s()
             if not missing or left_s <= 0:
                 break
             try:
-                async with asyncio.timeout(left_s):
+                async with asyncio.timeout(min(left_s, BARRIER_POLL_S)):
                     await self.epoch_reported.wait()
             except TimeoutError:
                 continue
@@ -196,6 +225,11 @@
             ",".join(missing) or "-",
         )
 
+    def _removed_within(self, limit_s: float) -> list[VmId]:
+        oldest_s = self.clock.now_s() - limit_s
+        self.removed_s = {vm: s for vm, s in self.removed_s.items() if s > oldest_s}
+        return list(self.removed_s)
+
     def forgotten(self) -> list[VmId]:
         """Return the VMs that have not reported for too long."""
         now_s = self.clock.now_s()
--- a/src/ebonyladder/sessions/owner_service.py
+++ b/src/ebonyladder/sessions/owner_service.py
@@ -26,7 +26,8 @@
 from ebonyladder.sessions.pool import EndpointPool, LinkPool
 from ebonyladder.types import Position
 
-# Statements of one VM that run here at once; more than its sessions need.
+# Least time that a forwarded statement gets, in seconds, so that one which arrives at
+# its deadline ends with an error of its own.
 LEAST_LEFT_S = 0.005
 
 
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -226,6 +226,8 @@
             if not self.leadership.is_holder:
                 continue
             self.watches.resume("this VM leads")
+            if self.leader.needs_groups:
+                await self._read_groups()
             if self.leadership.needs_renewal(self.vms.entries):
                 await self._write_record()
             if self.leader.token is None:
@@ -240,6 +242,26 @@
             self._start_changes()
             await self._forget_vms()
 
+    async def _read_groups(self) -> None:
+        """Read the groups from the store after the duty was taken."""
+        token = self.leadership.record.token
+        if await self._list_groups():
+            self.leader.note_groups_read(token)
+            logging.info("[fleet] Groups are read for the duty. token=%d", token)
+
+    async def _list_groups(self) -> bool:
+        """Adopt the groups in the store; False where it doesn't answer."""
+        try:
+            listing = await self.store.list(GROUPS)
+        except StoreError as error:
+            logging.log_every_n_seconds(
+                logging.WARNING, "[fleet] Groups aren't read. error=%s", 5, error
+            )
+            return False
+        for found in listing.objects:
+            self.groups.note(found)
+        return True
+
     async def _pause(self) -> None:
         try:
             async with asyncio.timeout(LEAD_PERIOD_S):
@@ -281,6 +303,7 @@
             except StoreError as error:
                 logging.info("[fleet] VM isn't removed. vm=%s error=%s", vm, error)
                 return
+            self.leader.note_removed(vm)
             logging.info("[fleet] VM is removed from the list. vm=%s", vm)
             self.vms.objects.pop(vm, None)
             self.vms.apply(self.vms.objects)
@@ -359,20 +382,26 @@
             sent_s = self.kernel.clock.now_s()
             if sent_s - self.roster.evidence_s < EVIDENCE_RENEWAL_S:
                 continue
-            try:
-                listing = await self.store.list(GROUPS)
-            except StoreError as error:
-                logging.log_every_n_seconds(
-                    logging.WARNING,
-                    "[fleet] No evidence of the groups. error=%s",
-                    5,
-                    error,
-                )
-                continue
-            for found in listing.objects:
-                self.roster.adopt_group(msgspec.convert(found.content, GroupState))
-            self.roster.note_evidence(sent_s)
-            await asyncio.sleep(EVIDENCE_RENEWAL_S / 2)
+            if await self._is_registered() and await self._list_groups():
+                self.roster.note_evidence(sent_s)
+            await asyncio.sleep(EVIDENCE_RENEWAL_S / 4)
+
+    async def _is_registered(self) -> bool:
+        """Tell whether a change of primary would wait for this VM.
+
+        Evidence from the store counts only for a VM of the list, since nobody
+        waits for one that was taken from it.
+        """
+        try:
+            found = await self.store.get(VMS, self.roster.vm)
+        except StoreError as error:
+            logging.log_every_n_seconds(
+                logging.WARNING, "[fleet] VM's entry isn't read. error=%s", 5, error
+            )
+            return False
+        if found is None:
+            self.must_register.set()
+        return found is not None
 
     async def _stay_registered(self) -> None:
         """Keep this VM's entry in the store."""
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -9,6 +9,7 @@
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.registry import discover
 from ebonyladder.sessions.daemon import PLUGIN_PACKAGE
+from ebonyladder.sessions.failover import Fleet as FleetDuties
 from ebonyladder.sessions.registry import REGISTRY
 from ebonyladder.sessions.roster import Roster
 from ebonyladder.sessions.settings import SessionSettings
@@ -109,6 +110,15 @@
         await kernel.start()
         return kernel
 
+    def has_leader(self) -> bool:
+        """Tell whether one daemon leads and all others hear it."""
+        plugins = [kernel.get(FleetDuties) for kernel in self.kernels]
+        leaders = [p for p in plugins if p.fencing_token() is not None]
+        others = [p for p in plugins if p not in leaders]
+        return len(leaders) == 1 and all(
+            p.leadership.exchanged_s > p.started_s for p in others
+        )
+
     def address(self, index: int) -> str:
         """Return the address for clients of one daemon."""
         return self.kernels[index].settings.callers
@@ -138,6 +148,7 @@
                 ),
                 "the fleet settles",
             )
+        await until(fleet.has_leader, "the VMs hear a leader")
         yield fleet
     finally:
         for kernel in fleet.kernels:
