--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -31,6 +31,7 @@
         self.delay_s = 0.1
         self.writers: set[asyncio.StreamWriter] = set()
         self.address = ""
+        self.changed = asyncio.Event()
 
     async def start(self) -> str:
         """Listen on a free port and return the address."""
@@ -41,6 +42,8 @@
     def set_mode(self, mode: Mode) -> None:
         """Change the mode; RESET aborts the present connections."""
         self.mode = mode
+        self.changed.set()
+        self.changed = asyncio.Event()
         if mode is Mode.RESET:
             for writer in list(self.writers):
                 writer.transport.abort()
@@ -50,6 +53,9 @@
         self.server.close()
         self.set_mode(Mode.RESET)
 
+    def _holds(self, *, is_answer: bool) -> bool:
+        return self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer)
+
     async def _serve(self, reader, writer) -> None:
         self.writers.add(writer)
         far = None
@@ -74,8 +80,8 @@
         while data := await reader.read(CHUNK):
             if self.mode is Mode.DELAY:
                 await asyncio.sleep(self.delay_s)
-            while self.mode is Mode.SILENT or (self.mode is Mode.ONE_WAY and is_answer):
-                await asyncio.sleep(POLL_S)
+            while self._holds(is_answer=is_answer):
+                await self.changed.wait()
             writer.write(data)
             await writer.drain()
         raise ConnectionResetError("closed")
