--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 BIN := $(VENV)/bin
 KEEP ?= 0
 JOBS ?= 6
+SEEDS ?= 50
 
-.PHONY: setup format test demo bench
+.PHONY: setup format test demo demo-platform soak
 
 setup: $(VENV)/.ready
 
@@ -25,3 +26,9 @@
 
 demo: setup
 	$(BIN)/python -m scripts.demo --keep=$(KEEP)
+
+demo-platform: setup
+	$(BIN)/python -m scripts.demo_platform
+
+soak: setup
+	$(BIN)/python -m soak --seeds=$(SEEDS)
