Give each forwarded statement of a transaction its own time

Cause, found by reading: a link through an owner kept the deadline of the statement that it was taken for, so that a statement more than the route's timeout later had 5 ms at the owner. Ruled out: links of a VM's own, which have no deadline. Change: the deadline goes with the session's values before each command. Measured: test_transaction_with_pauses_outlasts_one_statement_s_time failed before (ABORTED, no answer in time) and passes.

--- a/src/ebonyladder/platform/endpoint.py
+++ b/src/ebonyladder/platform/endpoint.py
@@ -73,7 +73,7 @@
         """Whether another command can be sent."""
         return not (self.is_closed or self.reader.at_eof() or self.writer.is_closing())
 
-    def align(self, values: dict[str, str]) -> None:
+    def align(self, values: dict[str, str], deadline_s: float) -> None:
         """Give the connection exactly these values before its next command."""
         self.wanted = values
 
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -214,6 +214,7 @@
         link = holding.link
         try:
             if link.is_open:
+                link.align(link.values, self.clock.now_s() + ROLLBACK_LIMIT_S)
                 async with asyncio.timeout(ROLLBACK_LIMIT_S):
                     answer = await link.run(ROLLBACK)
                 if answer.state is not TransactionState.IDLE:
@@ -318,7 +319,7 @@
         """Return a link with the session's values, for a target still valid."""
         pool = self.pools.get(target.entry.id)
         link = await pool.take(work.organisation_id, work.values, work.deadline_s)
-        link.align(work.values)
+        link.align(work.values, work.deadline_s)
         # The wait for the link may have outlasted what the choice was based on.
         again = self.placement.choose(
             route=work.route,
--- a/src/ebonyladder/sessions/link.py
+++ b/src/ebonyladder/sessions/link.py
@@ -76,8 +76,12 @@
     is_open: bool
 
     @abstractmethod
-    def align(self, values: dict[str, str]) -> None:
-        """Give the connection exactly these values before its next command."""
+    def align(self, values: dict[str, str], deadline_s: float) -> None:
+        """Give the connection exactly these values before its next command.
+
+        ``deadline_s`` is the time on the daemon's clock until which that command's
+        answer is waited for.
+        """
 
     @abstractmethod
     async def begin(self, command: Command, *, after: After = None) -> Answer:
--- a/src/ebonyladder/sessions/owner_link.py
+++ b/src/ebonyladder/sessions/owner_link.py
@@ -178,9 +178,10 @@
         self.handle = 0
         self.is_open = True
 
-    def align(self, values: dict[str, str]) -> None:
-        """Send these values with the next command."""
+    def align(self, values: dict[str, str], deadline_s: float) -> None:
+        """Send these values, and the time that is left, with the next command."""
         self.values = values
+        self.deadline_s = deadline_s
 
     async def begin(self, command: Command, *, after: After = None) -> Answer:
         """Open a transaction at the owner."""
--- a/src/ebonyladder/sessions/owner_service.py
+++ b/src/ebonyladder/sessions/owner_service.py
@@ -122,7 +122,7 @@
         try:
             # The primary may have changed while the statement waited for the link.
             self._require_primary(forward, pool)
-            link.align(forward.values)
+            link.align(forward.values, deadline_s)
             sent_s = self.clock.now_s()
             answer = await self._send(forward, pool, link, after)
             self.executor.learn(target, answer, sent_s)
@@ -140,7 +140,8 @@
         holding = held.get(forward.handle)
         if holding is None:
             raise self._error(forward, "the transaction has ended")
-        holding.link.align(forward.values)
+        deadline_s = self.clock.now_s() + forward.left_s
+        holding.link.align(forward.values, deadline_s)
         try:
             answer = await self._send(forward, holding.pool, holding.link, None)
         except BaseException:
--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -310,7 +310,7 @@
                     self.quota.refund(transaction.organisation)
                 return opened
             transaction.holding = opened
-        transaction.holding.link.align(self.values)
+        transaction.holding.link.align(self.values, work.deadline_s)
         return await self.executor.run_held(work, transaction.holding)
 
     async def _committed(self, answer: Answer, transaction: Transaction) -> Answer:
--- a/tests/session_fakes.py
+++ b/tests/session_fakes.py
@@ -146,7 +146,7 @@
         self.is_open = True
         self.state = TransactionState.IDLE
 
-    def align(self, values: dict[str, str]) -> None:
+    def align(self, values: dict[str, str], deadline_s: float) -> None:
         """Take over the values."""
         self.values = dict(values)
 
--- a/tests/test_ownership_of_links.py
+++ b/tests/test_ownership_of_links.py
@@ -122,6 +122,25 @@
         service = asyncio.run(play())
         assert service.databases["i-0"].data == {"a": "2", "b": "2"}
 
+    def test_transaction_with_pauses_outlasts_one_statement_s_time(self):
+        # Guards against a transaction whose later statements inherit the deadline
+        # of its first one.
+        async def play():
+            async with running_fleet() as fleet:
+                await self.share(fleet)
+                for database in fleet.platform.service.databases.values():
+                    database.work_s = 0.05
+                client = await Client.connect(fleet.address(2), "pay")
+                await client.query("BEGIN")
+                for number in range(4):
+                    answer = await client.query(f"WRITE a {number}")
+                    assert answer[0].startswith("COMPLETE"), answer
+                    await asyncio.sleep(0.5)
+                answer = await client.query("COMMIT")
+                assert answer[0].startswith("COMPLETE"), answer
+
+        asyncio.run(play())
+
     def test_transaction_of_a_vm_that_ends_is_rolled_back_at_the_owner(self):
         # Guards against transactions that stay open at an owner.
         async def play():
