Listen on an address that connections don't take ports from

Ports of processes were drawn from the range that the kernel also takes for connections from 127.0.0.1, so a connection of another worker could take one before the process listened. Shown by a run that connects from the chosen port: the daemon ends with 'address already in use' and the same words.

Change: processes of deployments and servers of tests listen on 127.0.0.7, as the session daemons of the tests did already; one function serves all.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,7 @@
 from websockets.sync.client import connect
 
 from ebonyladder.document import ConfigurationDocument
+from standins.address import free_addresses
 
 READY_LIMIT_S = 30.0
 POLL_S = 0.05
@@ -64,17 +64,6 @@
 )
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for found in sockets:
-        found.bind(("127.0.0.1", 0))
-    ports = [found.getsockname()[1] for found in sockets]
-    for found in sockets:
-        found.close()
-    return ports
-
-
 def wait_until(condition, what: str, limit_s: float = READY_LIMIT_S) -> None:
     """Wait for a condition; raises ``TimeoutError`` that names it."""
     end_s = time.monotonic() + limit_s
@@ -132,10 +121,10 @@
         self.log_level = log_level
         self.processes: dict[str, subprocess.Popen] = {}
         self.keys = {name: f"key-of-{name}" for name in site.organisations}
-        ports = iter(free_ports(1 + 3 * groups + 3 * vms))
-        self.store = f"127.0.0.1:{next(ports)}"
+        addresses = iter(free_addresses(1 + 3 * groups + 3 * vms))
+        self.store = next(addresses)
         self.endpoints = {
-            f"g{group}-{zone}": (f"127.0.0.1:{next(ports)}", zone, f"g{group}")
+            f"g{group}-{zone}": (next(addresses), zone, f"g{group}")
             for group in range(1, groups + 1)
             for zone in site.zones
         }
@@ -143,7 +132,7 @@
             Vm(
                 f"vm-{number + 1}",
                 site.zones[number % len(site.zones)],
-                *(f"127.0.0.1:{next(ports)}" for _ in range(3)),
+                *(next(addresses) for _ in range(3)),
             )
             for number in range(vms)
         ]
@@ -201,18 +190,20 @@
 
     def start_store(self) -> None:
         """Start the store stand-in."""
-        port = self.store.rpartition(":")[2]
-        self._spawn("store", "-m", "standins.store", f"--port={port}")
+        host, _, port = self.store.rpartition(":")
+        self._spawn("store", "-m", "standins.store", f"--host={host}", f"--port={port}")
 
     def start_endpoint(self, name: str) -> None:
         """Start one endpoint stand-in, with the log of its earlier run."""
         site = self.site
+        host, _, port = self.endpoints[name][0].rpartition(":")
         self._spawn(
             name,
             "-m",
             "standins.endpoint",
             f"--name={name}",
-            f"--port={self.endpoints[name][0].rpartition(':')[2]}",
+            f"--host={host}",
+            f"--port={port}",
             f"--slots={site.slots}",
             f"--connections={site.connections}",
             f"--connect_ms={site.connect_ms}",
@@ -360,6 +351,20 @@
             link.send(json.dumps(fields))
             return json.loads(link.recv())
 
+    def history_of(self, endpoint: str) -> list[dict]:
+        """Return what an endpoint ran; waits for one that is still starting."""
+        found: list[list[dict]] = []
+
+        def is_up() -> bool:
+            try:
+                found.append(self.admin(endpoint, history=True)["history"])
+            except OSError:
+                return False
+            return True
+
+        wait_until(is_up, f"the start of {endpoint}")
+        return found[-1]
+
     def primary_of(self, group: str) -> str | None:
         """Return the primary of a group by the endpoints' own word."""
         found: list[tuple[int, str]] = []
--- a/standins/load.py
+++ b/standins/load.py
@@ -253,7 +253,7 @@
             logged += ever
             surviving += kept if name == primary else []
             if deployment.processes[name].poll() is None:
-                ran += ran_of(deployment.admin(name, history=True)["history"])
+                ran += ran_of(deployment.history_of(name))
     texts = {path.name: path.read_text() for path in deployment.folder.glob("*.*")}
     return History(
         calls=calls,
--- a/tests/front_vms.py
+++ b/tests/front_vms.py
@@ -38,10 +38,10 @@
 from ebonyladder.peer import PeerLinks
 from ebonyladder.plugins.caller_front import CallerFront
 from ebonyladder.plugins.peer_links import WebSocketPeerLinks
-from ebonyladder.settings import Settings
+from ebonyladder.settings import Settings, split_address
 from ebonyladder.status import StatusObserver, StatusRoutes
 from ebonyladder.types import Position, Role, VmState
-from standins.deployment import free_ports
+from standins.address import free_addresses
 from tests.fakes import FixedConfiguration
 
 KEY = "key-1"
@@ -176,8 +176,7 @@
     def __init__(self, folder: Path, name: str, members: Members) -> None:
         path = folder / "secret"
         path.write_text("fleet")
-        ports = free_ports(2)
-        caller, peer = (f"127.0.0.1:{port}" for port in ports)
+        caller, peer = free_addresses(2)
         settings = Settings(
             vm=name,
             zone="z",
@@ -188,7 +187,7 @@
             fleet_secret_file=str(path),
         )
         self.address = caller
-        self.port = ports[0]
+        self.host_and_port = split_address(caller)
         self.kernel = Kernel(settings=settings, registry=Registry())
         self.links = WebSocketPeerLinks(kernel=self.kernel)
         self.executor = Executor()
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import socket
 import time
 from contextlib import asynccontextmanager
 
@@ -14,6 +13,7 @@
 from ebonyladder.sessions.roster import Roster
 from ebonyladder.sessions.settings import SessionSettings
 from ebonyladder.types import Address, VmId, ZoneId
+from standins.address import free_addresses
 from standins.platform import KEY, ZONES, Platform
 
 ADAPTER = "ebonyladder.platform"
@@ -21,18 +21,6 @@
 PATIENCE_S = 30.0
 
 
-# Connections start from 127.0.0.1, so their ports never take one of a listener that
-# is about to start.
-LISTEN_ADDRESS = "127.0.0.7"
-
-
-def free_address() -> Address:
-    """Return a loopback address with a free port."""
-    with socket.socket() as found:
-        found.bind((LISTEN_ADDRESS, 0))
-        return Address(f"{LISTEN_ADDRESS}:{found.getsockname()[1]}")
-
-
 async def until(condition, what: str) -> None:
     """Wait until a condition holds."""
     limit_s = time.monotonic() + PATIENCE_S
@@ -92,15 +80,16 @@
         """Start a daemon."""
         discover(PLUGIN_PACKAGE)
         discover(ADAPTER)
+        callers, readiness, peer, metrics = map(Address, free_addresses(4))
         kernel = Kernel(
             settings=SessionSettings(
                 vm=VmId(f"vm-{len(self.kernels) + 1}"),
                 zone=ZoneId(zone),
                 regions=ZONES,
-                callers=free_address(),
-                readiness=free_address(),
-                peer=free_address(),
-                metrics=free_address(),
+                callers=callers,
+                readiness=readiness,
+                peer=peer,
+                metrics=metrics,
                 store=Address(self.platform.store_address),
                 promotion=Address(self.platform.promotion_address),
             ),
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -92,7 +92,7 @@
     ):
         async def scenario(vm):
             vm.front.header_timeout_s = vm.front.body_timeout_s = 0.1
-            reader, writer = await asyncio.open_connection("127.0.0.1", vm.port)
+            reader, writer = await asyncio.open_connection(*vm.host_and_port)
             writer.write(sent)
             if ends:
                 writer.close()
@@ -119,7 +119,7 @@
 
         async def scenario(vm):
             vm.executor.rows = ["x" * 1_000_000] * 15
-            stopped = socket.create_connection(("127.0.0.1", vm.port))
+            stopped = socket.create_connection(vm.host_and_port)
             body = json.dumps(READ).encode()
             stopped.sendall(head(len(body)) + body)
             await vm.executor.began.wait()
@@ -143,7 +143,7 @@
     def test_request_of_a_caller_that_disconnects_is_recorded(self, tmp_path):
         async def scenario(vm):
             vm.executor.may_end.clear()
-            _, writer = await asyncio.open_connection("127.0.0.1", vm.port)
+            _, writer = await asyncio.open_connection(*vm.host_and_port)
             body = json.dumps(WRITE).encode()
             writer.write(head(len(body)) + body)
             await vm.executor.began.wait()
--- a/tests/test_peer_links.py
+++ b/tests/test_peer_links.py
@@ -15,7 +15,7 @@
 from ebonyladder.messages import Done, Failure, Hello, Proof, Sync
 from ebonyladder.plugins.peer_links import WebSocketPeerLinks
 from ebonyladder.settings import Settings
-from standins.deployment import free_ports
+from standins.address import free_addresses
 
 SYNC = Sync(version=3, wait_s=0.0)
 
@@ -26,7 +26,7 @@
     def __init__(self, folder: Path, name: str, *, secret: str = "fleet") -> None:
         path = folder / f"{name}.secret"
         path.write_text(secret)
-        self.address = f"127.0.0.1:{free_ports(1)[0]}"
+        self.address = free_addresses(1)[0]
         settings = Settings(
             vm=name,
             zone="zone-a",
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -22,7 +22,7 @@
 from ebonyladder.plugins.peer_links import WebSocketPeerLinks
 from ebonyladder.settings import TlsSettings, load_settings
 from ebonyladder.tls import Certificates
-from standins.deployment import free_ports
+from standins.address import LISTEN_ADDRESS, free_addresses
 from tests.test_kernel import SETTINGS
 
 SYNC = Sync(version=3, wait_s=0.0)
@@ -68,7 +68,10 @@
             .add_extension(x509.BasicConstraints(is_authority, None), critical=True)
             .add_extension(
                 x509.SubjectAlternativeName(
-                    [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]
+                    [
+                        x509.IPAddress(ipaddress.ip_address(address))
+                        for address in ("127.0.0.1", LISTEN_ADDRESS)
+                    ]
                 ),
                 critical=False,
             )
@@ -86,7 +89,7 @@
     settings = msgspec.structs.replace(
         SETTINGS,
         vm=name,
-        peer=f"127.0.0.1:{free_ports(1)[0]}",
+        peer=free_addresses(1)[0],
         fleet_secret_file=str(secret),
         peer_tls=tls,
     )
