Split fleet and executor modules; count VMs of a zone in one place

No behaviour changes. Work and Holding move to work.py, the watches of groups and VMs to fleet_watchers.py; BEGIN_READ and Freshness.newest_term had no caller.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -10,14 +10,13 @@
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
-from ebonyladder.sessions.catalog import OPEN_ORGANISATION, Organisation, Route
+from ebonyladder.sessions.catalog import Route
 from ebonyladder.sessions.command import (
     OWN_COMMAND,
     Answer,
     AnswerCode,
     Command,
     CommandKind,
-    Prepared,
     TransactionState,
     refusal,
 )
@@ -26,7 +25,8 @@
 from ebonyladder.sessions.placement import NoTarget, Placement, Target
 from ebonyladder.sessions.pool import LinkPool, Pools
 from ebonyladder.sessions.roster import Roster
-from ebonyladder.types import EndpointId, OrganisationId, Position, RequestKind
+from ebonyladder.sessions.work import Holding, Work
+from ebonyladder.types import EndpointId, RequestKind
 
 # Pause before a statement that was not run is tried again, in seconds.
 RETRY_PAUSE_S = 0.03
@@ -45,53 +45,9 @@
 # Time for a rollback before its connection is closed instead, in seconds.
 ROLLBACK_LIMIT_S = 0.5
 
-BEGIN_READ = Command(
-    id=OWN_COMMAND,
-    kind=CommandKind.BEGIN,
-    text="BEGIN READ",
-    access=RequestKind.READ,
-)
 ROLLBACK = Command(id=OWN_COMMAND, kind=CommandKind.ROLLBACK, text="ROLLBACK")
 
 
-class Work(msgspec.Struct, kw_only=True):
-    """One statement with all that decides where and how it runs.
-
-    Attributes
-    ----------
-    access : RequestKind
-        Whether it may change data.
-    own : Position or None
-        Last commit of the session on the route's service.
-    deadline_s : float
-        Time on the daemon's clock after which no answer is waited for.
-    """
-
-    command: Command
-    route: Route
-    organisation: Organisation | None
-    access: RequestKind
-    values: dict[str, str]
-    own: Position | None
-    deadline_s: float
-    prepared: Prepared | None = None
-    is_transaction: bool = False
-    was_sent: bool = False
-
-    @property
-    def organisation_id(self) -> OrganisationId:
-        """Organisation on whose behalf the statement runs."""
-        return self.organisation.name if self.organisation else OPEN_ORGANISATION
-
-
-class Holding(msgspec.Struct, kw_only=True):
-    """Link that a transaction holds from its first statement to its end."""
-
-    pool: LinkPool
-    link: EndpointLink
-    target: Target
-
-
 class Executor:
     """Runs statements on endpoints.
 
--- a/src/ebonyladder/sessions/freshness.py
+++ b/src/ebonyladder/sessions/freshness.py
@@ -87,8 +87,3 @@
         self, service: ServiceId, sample: Sample, own: Position | None
     ) -> Position:
         return sample.position if own is None else self.samples[service][-1].position
-
-    def newest_term(self, service: ServiceId) -> int:
-        """Return the newest term seen in a sample, 0 without one."""
-        samples = self.samples.get(service)
-        return samples[-1].position.term if samples else 0
--- a/src/ebonyladder/sessions/leader.py
+++ b/src/ebonyladder/sessions/leader.py
@@ -12,7 +12,7 @@
 from ebonyladder.sessions.messages import FleetState, Orders, Report, decode, encode
 from ebonyladder.sessions.ownership import assign_owners
 from ebonyladder.sessions.quota import Budget, Loan
-from ebonyladder.sessions.roster import GroupState, Roster, VmEntry
+from ebonyladder.sessions.roster import GroupState, Roster, VmEntry, zone_sizes
 from ebonyladder.sessions.supervisor import Supervisor
 from ebonyladder.sessions.watches import Watches
 from ebonyladder.types import OrganisationId, ServiceId, VmId
@@ -164,16 +164,13 @@
     def refresh(self) -> None:
         """Work out zones and owners anew, and the state that VMs are sent."""
         vms = self.vms()
-        fleet: dict = {}
-        for entry in vms.values():
-            fleet[entry.zone] = fleet.get(entry.zone, 0) + 1
         live = {
             vm: entry
             for vm, entry in vms.items()
             if vm == self.roster.vm or vm in self.supervisor.fresh()
         }
         owners = assign_owners(roster=self.roster, vms=live, leader=self.roster.vm)
-        self.roster.adopt_fleet(dict(sorted(fleet.items())), owners)
+        self.roster.adopt_fleet(zone_sizes(vms.values()), owners)
         content = {
             "endpoints": tuple(self.roster.endpoints.values()),
             "closed_zones": tuple(sorted(self.roster.closed_zones)),
--- a/src/ebonyladder/sessions/owner_service.py
+++ b/src/ebonyladder/sessions/owner_service.py
@@ -10,7 +10,7 @@
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.command import Answer, AnswerCode, TransactionState
-from ebonyladder.sessions.executor import Executor, Holding
+from ebonyladder.sessions.executor import Executor
 from ebonyladder.sessions.freshness import Sample
 from ebonyladder.sessions.link import EndpointLink, ReadBound
 from ebonyladder.sessions.messages import (
@@ -24,6 +24,7 @@
 )
 from ebonyladder.sessions.placement import Target
 from ebonyladder.sessions.pool import EndpointPool, LinkPool
+from ebonyladder.sessions.work import Holding
 from ebonyladder.types import Position
 
 # Least time that a forwarded statement gets, in seconds, so that one which arrives at
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Mapping
 
 import msgspec
 from absl import logging
@@ -13,11 +12,12 @@
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.sessions.failover import Cause, Failover, Fleet
+from ebonyladder.sessions.fleet_watchers import GroupWatcher, VmWatcher
 from ebonyladder.sessions.follower import MESSAGE_LIMIT, Follower
 from ebonyladder.sessions.leader import Leader
 from ebonyladder.sessions.leadership import LEADER_NAME, LeaderRecord, Leadership
 from ebonyladder.sessions.link import EndpointDriver, PromotionCaller
-from ebonyladder.sessions.objects import GROUPS, LEADERS, VMS, ObjectStore, StoreObject
+from ebonyladder.sessions.objects import GROUPS, LEADERS, VMS, ObjectStore
 from ebonyladder.sessions.owner_link import FORWARD_PATH
 from ebonyladder.sessions.owner_service import OwnerService
 from ebonyladder.sessions.plugins.sessions import SessionHost
@@ -25,7 +25,6 @@
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.roster import GroupState, Roster, VmEntry
 from ebonyladder.sessions.supervisor import Supervisor
-from ebonyladder.sessions.watcher import KindWatcher
 from ebonyladder.sessions.watches import Watches
 from ebonyladder.settings import split_address
 from ebonyladder.types import Incarnation, ServiceId, VmId
@@ -44,43 +43,6 @@
 SAMPLE_PERIOD_S = 0.3
 
 
-class GroupWatcher(KindWatcher):
-    """Brings group states from the store into the roster."""
-
-    def __init__(self, *, store: ObjectStore, roster: Roster) -> None:
-        super().__init__(store=store, kind=GROUPS)
-        self.roster = roster
-
-    def apply(self, objects: Mapping[str, StoreObject]) -> None:
-        """Adopt newer group states."""
-        for found in objects.values():
-            self.roster.adopt_group(msgspec.convert(found.content, GroupState))
-
-    def note(self, found: StoreObject | None) -> None:
-        """Take over one object that was read outside of the watch."""
-        if found is not None:
-            self.objects[found.name] = found
-            self.apply(self.objects)
-
-
-class VmWatcher(KindWatcher):
-    """Keeps the list of registered VMs."""
-
-    def __init__(self, *, store: ObjectStore, roster: Roster) -> None:
-        super().__init__(store=store, kind=VMS)
-        self.roster = roster
-        self.entries: dict[VmId, VmEntry] = {}
-
-    def apply(self, objects: Mapping[str, StoreObject]) -> None:
-        """Replace the list of VMs."""
-        entries = [msgspec.convert(o.content, VmEntry) for o in objects.values()]
-        self.entries = {entry.vm: entry for entry in entries}
-        fleet: dict = {}
-        for entry in entries:
-            fleet[entry.zone] = fleet.get(entry.zone, 0) + 1
-        self.roster.adopt_fleet(dict(sorted(fleet.items())), self.roster.owners)
-
-
 @register
 class FleetPlugin(Plugin, Fleet):
     """Finds the leader and reports to it, or leads."""
--- a/src/ebonyladder/sessions/roster.py
+++ b/src/ebonyladder/sessions/roster.py
@@ -1,6 +1,7 @@
 """Endpoints, VMs and replication groups as one VM knows them."""
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 import msgspec
@@ -61,6 +62,11 @@
     cores: float = 1.0
 
 
+def zone_sizes(vms: Iterable[VmEntry]) -> dict[ZoneId, int]:
+    """Return how many of the VMs are in each zone, in the order of the names."""
+    return dict(sorted(Counter(entry.zone for entry in vms).items()))
+
+
 class Owner(msgspec.Struct, frozen=True, kw_only=True):
     """VM that holds the connections to an endpoint, for all VMs."""
 
--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -22,9 +22,10 @@
     TransactionState,
     refusal,
 )
-from ebonyladder.sessions.executor import Executor, Holding, Work
+from ebonyladder.sessions.executor import Executor
 from ebonyladder.sessions.quota import Quota
 from ebonyladder.sessions.roster import Roster
+from ebonyladder.sessions.work import Holding, Work
 from ebonyladder.types import OrganisationId, Position, RequestKind, ServiceId
 
 SessionId = NewType("SessionId", str)
