Tell statements that waited in a queue as not run, and lost reads as failed

Cause: a statement whose time went by while it waited for a connection was answered as a timeout, which promises nothing, so callers could not try a write again: the timer of the statement and that of the pool end at the same moment, and the first one won. At an endpoint's owner the wait lasted as long as the caller's VM waited, so its refusal came too late. The other way round, a read whose answer was lost could be refused with a code that says 'not run'.

Change: Work counts the attempts that may have run; without any, the answer is a refusal with a time, and a read with one is told as failed. Owners keep 50 ms for the way of their reply.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -219,12 +219,12 @@
             try:
                 target = await self._target(work, tried)
                 if isinstance(target, NoTarget):
-                    return self._refuse(work, target.value)
+                    return self._fail_read(work, target.value)
                 answer = await self._send(work, target, tried)
             except EndpointError as error:
                 # A read changes nothing, so it may run again after any failure.
                 if not await self._pause(work, tried, error.peer):
-                    return self._refuse(work, error.message)
+                    return self._fail_read(work, error.message)
                 continue
             if answer.code is None:
                 return answer
@@ -301,14 +301,18 @@
     ) -> Iterator[None]:
         """Keep load and health of the endpoint while a command is under way."""
         work.was_sent = True
+        work.open_attempts += 1
         pool.running += 1
         ticket = pool.health.sent(is_commit=is_commit)
         try:
             yield
-        except BaseException:
+        except BaseException as error:
             pool.health.lost(ticket)
+            if isinstance(error, EndpointError) and error.outcome is Outcome.NOT_RUN:
+                work.open_attempts -= 1
             raise
         else:
+            work.open_attempts -= 1
             pool.health.answered(ticket)
         finally:
             pool.running -= 1
@@ -386,7 +390,16 @@
         answer = refusal(AnswerCode.OVERLOADED, detail, retry_after_s=PRIMARY_RETRY_S)
         return msgspec.structs.replace(answer, is_refused_here=not work.was_sent)
 
+    def _fail_read(self, work: Work, detail: str) -> Answer:
+        """Refuse a read; one that may have run isn't told as not run."""
+        if work.open_attempts:
+            return refusal(AnswerCode.FAILED, detail)
+        return self._refuse(work, detail)
+
     def _timeout(self, work: Work) -> Answer:
+        if work.open_attempts == 0:
+            # The time went by in a queue, so the caller may try again.
+            return self._refuse(work, "no endpoint was free in time")
         return refusal(AnswerCode.TIMEOUT, "statement timeout")
 
     def _left_s(self, work: Work) -> float:
--- a/src/ebonyladder/sessions/owner_service.py
+++ b/src/ebonyladder/sessions/owner_service.py
@@ -27,6 +27,9 @@
 from ebonyladder.sessions.work import Holding
 from ebonyladder.types import Position
 
+# Time for a reply's way to another VM, in seconds: one way between regions and a busy
+# VM at the far end. A statement that got no link by then is told as not run in time.
+REPLY_WAY_S = 0.05
 # Least time that a forwarded statement gets, in seconds, so that one which arrives at
 # its deadline ends with an error of its own.
 LEAST_LEFT_S = 0.005
@@ -118,7 +121,9 @@
         if isinstance(after, Answer):
             return after
         deadline_s = self.clock.now_s() + forward.left_s
-        link = await pool.take(forward.organisation, forward.values, deadline_s)
+        link = await pool.take(
+            forward.organisation, forward.values, deadline_s - REPLY_WAY_S
+        )
         target = Target(entry=pool.entry, is_primary=forward.needs_primary)
         try:
             # The primary may have changed while the statement waited for the link.
--- a/src/ebonyladder/sessions/work.py
+++ b/src/ebonyladder/sessions/work.py
@@ -21,6 +21,10 @@
         Last commit of the session on the route's service.
     deadline_s : float
         Time on the daemon's clock after which no answer is waited for.
+    was_sent : bool
+        Whether it was sent to an endpoint at all.
+    open_attempts : int
+        Attempts of which it isn't known that they did not run.
     """
 
     command: Command
@@ -33,6 +37,7 @@
     prepared: Prepared | None = None
     is_transaction: bool = False
     was_sent: bool = False
+    open_attempts: int = 0
 
     @property
     def organisation_id(self) -> OrganisationId:
--- a/tests/session_fakes.py
+++ b/tests/session_fakes.py
@@ -124,6 +124,7 @@
         self.is_silent = False
         self.is_down = False
         self.lost_answers = 0
+        self.is_cut_when_asked = False
         self.paused_term: Term | None = None
         self.pauses: list[Term] = []
 
@@ -203,7 +204,7 @@
         self.is_open = False
 
     async def _reach(self) -> None:
-        if self.far.is_down:
+        if self.far.is_down or self.far.is_cut_when_asked:
             self.close()
             raise EndpointError(
                 code=ErrorCode.CONNECTION_LOST, step=Step.EXECUTE, peer=self.far.name
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -147,6 +147,28 @@
         (answer,) = play(world.session(), "EXECUTE s1 a")
         assert answer.code is AnswerCode.NOT_PREPARED
 
+    def test_statement_that_got_no_connection_in_time_was_not_run(self, world):
+        # Guards against a timeout in a queue that keeps callers from trying again.
+        world.pools.get(EndpointId("primary")).limit = 0
+        answers = play(world.session(), "WRITE a b", "READ a")
+        assert [a.code for a in answers] == [AnswerCode.OVERLOADED] * 2
+        assert world.primary.ran == []
+
+    def test_read_that_may_have_run_is_told_as_a_timeout(self, world):
+        # Guards against a refusal that says "not run" of a statement that ran.
+        world.primary.lost_answers = 3
+        (answer,) = play(world.session(), "READ a")
+        assert answer.code is AnswerCode.TIMEOUT
+
+    def test_read_whose_answer_was_lost_is_not_told_as_not_run(self, world):
+        # Guards against the same where no endpoint is left to ask.
+        world.sample()
+        world.near.is_cut_when_asked = True
+        world.primary.is_down = True
+        world.far.is_down = True
+        (answer,) = play(world.session(Consistency.BOUNDED), "READ a")
+        assert answer.code is AnswerCode.FAILED
+
 
 class TestKey:
     def test_withdrawn_key_ends_the_session(self, world):
