--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -7,9 +7,7 @@
 """
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections.abc import Awaitable
-from enum import Enum
 
 import msgspec
 from absl import logging
@@ -23,6 +21,8 @@
 )
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.catalog import OPEN_ORGANISATION
+from ebonyladder.sessions.cause import Cause
+from ebonyladder.sessions.fleet import Fleet
 from ebonyladder.sessions.link import (
     EndpointControl,
     EndpointDriver,
@@ -53,46 +53,15 @@
 # Time until a promoted endpoint must lead, in seconds; the platform takes up to one.
 PROMOTE_LIMIT_S = 4.0
 POLL_S = 0.05
-# Pause between two changes of the same primary, in seconds, so that an endpoint that
-# is only slow to start isn't replaced again.
-SETTLE_S = 4.0
 # VMs that don't answer stop using the old primary when their evidence ends; the rest
 # covers clock rates and statements on their way.
 BARRIER_S = EVIDENCE_LIMIT_S + 0.5
 
 
-class Cause(Enum):
-    """Why a primary is replaced."""
-
-    SILENT = "the primary doesn't answer"
-    STALLED = "commits get no answer at the primary"
-    LEAVING = "the primary is leaving"
-    GONE = "the primary is no longer listed"
-    CUT_OFF = "most VMs can't reach the primary"
-    DEMOTED = "the primary has stepped down"
-    UNFINISHED = "an earlier change was not finished"
-
-
 class FailoverAbortedError(EbonyladderError):
     """A change of primary can't be made safely now."""
 
 
-class Fleet(ABC):
-    """What a change of primary needs of the other VMs and the store."""
-
-    @abstractmethod
-    async def write_group(self, group: GroupState) -> None:
-        """Store a group state with a higher epoch; STORE_CONFLICT if it isn't."""
-
-    @abstractmethod
-    async def wait_adopted(self, group: GroupState, limit_s: float) -> None:
-        """Return once all VMs act on the group state, or after ``limit_s``."""
-
-    @abstractmethod
-    def fencing_token(self) -> int | None:
-        """Return the token of this VM's duty, None if it isn't certain of it."""
-
-
 class Probe(msgspec.Struct, frozen=True, kw_only=True):
     """Endpoint with the link and status of a call that it answered."""
 
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -11,7 +11,9 @@
 from ebonyladder.kernel.error import ErrorCode, StoreError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
-from ebonyladder.sessions.failover import Cause, Failover, Fleet
+from ebonyladder.sessions.cause import Cause
+from ebonyladder.sessions.failover import Failover
+from ebonyladder.sessions.fleet import Fleet
 from ebonyladder.sessions.fleet_watchers import GroupWatcher, VmWatcher
 from ebonyladder.sessions.follower import MESSAGE_LIMIT, Follower
 from ebonyladder.sessions.leader import Leader
--- a/src/ebonyladder/sessions/supervisor.py
+++ b/src/ebonyladder/sessions/supervisor.py
@@ -3,11 +3,14 @@
 from collections.abc import Mapping
 
 from ebonyladder.kernel.clock import Clock
-from ebonyladder.sessions.failover import SETTLE_S, Cause
+from ebonyladder.sessions.cause import Cause
 from ebonyladder.sessions.messages import Report
 from ebonyladder.sessions.roster import GroupPhase, Roster
 from ebonyladder.types import EndpointId, EndpointState, Role, ServiceId, VmId
 
+# Pause between two changes of the same primary, in seconds, so that an endpoint that
+# is only slow to start isn't replaced again.
+SETTLE_S = 4.0
 # Reports older than this say nothing about now, in seconds.
 REPORT_LIFE_S = 1.5
 # A change that was left unfinished is taken up after this time, in seconds.
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -8,7 +8,7 @@
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.registry import discover
 from ebonyladder.sessions.daemon import PLUGIN_PACKAGE
-from ebonyladder.sessions.failover import Fleet as FleetDuties
+from ebonyladder.sessions.fleet import Fleet as FleetDuties
 from ebonyladder.sessions.registry import REGISTRY
 from ebonyladder.sessions.roster import Roster
 from ebonyladder.sessions.settings import SessionSettings
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -3,7 +3,9 @@
 import asyncio
 
 from ebonyladder.kernel.clock import SystemClock
-from ebonyladder.sessions.failover import Cause, Failover, Fleet
+from ebonyladder.sessions.cause import Cause
+from ebonyladder.sessions.failover import Failover
+from ebonyladder.sessions.fleet import Fleet
 from ebonyladder.sessions.link import PromotionCaller
 from ebonyladder.sessions.roster import GroupPhase, GroupState
 from ebonyladder.types import EndpointId, EndpointState, Role
