Look for the leader before the store is watched

Cause: each VM listed and watched five kinds at its start and stopped again as soon as the leader's orders came.

Ruled out: calls of the leader, which watches for all; registrations, one each.

Change: a VM that starts looks for the leader and watches only if none supplies it within 1.2 s, or at once where the link to a leader fails. A VM that isn't certain to lead yet is asked again after 0.2 s. Small VMs look at the record at once too, and only leave the first try for the duty to others.

Test: a VM that joins a led fleet makes no watch call; it failed before.

--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -29,6 +29,10 @@
 MESSAGE_LIMIT = 4 * 1024 * 1024
 
 
+class NotLeaderError(Exception):
+    """The far end doesn't lead, or not yet."""
+
+
 class Follower:
     """Link of this VM to the leader.
 
@@ -97,14 +101,16 @@
                 async with asyncio.TaskGroup() as group:
                     group.create_task(self._send_reports(connection))
                     group.create_task(self._receive_orders(connection))
+        except* NotLeaderError:
+            logging.info("[follower] VM isn't certain to lead. vm=%s", record.holder)
         except* (WebSocketException, OSError, TimeoutError, ValueError) as errors:
             logging.info(
                 "[follower] Link to the leader ended. vm=%s error=%r",
                 record.holder,
                 errors.exceptions[0],
             )
-        finally:
             self.watches.resume("no leader")
+        finally:
             self.quota.lose_leader()
 
     async def _send_reports(self, connection: ClientConnection) -> None:
@@ -132,7 +138,8 @@
             async with asyncio.timeout(ANSWER_LIMIT_S + 2 * REPORT_PERIOD_S):
                 orders = decode(await connection.recv(), Orders)
             if not self.accept(orders):
-                raise TimeoutError("the leader isn't certain of its duty")
+                self.watches.resume_later("the leader isn't certain of its duty")
+                raise NotLeaderError
 
     def accept(self, orders: Orders) -> bool:
         """Act on orders; False where their sender isn't certain of its duty."""
@@ -170,7 +177,7 @@
             self.roster.version >= orders.version
         )
         if not orders.has_store:
-            self.watches.resume("the leader has lost the store")
+            self.watches.resume_later("the leader has lost the store")
         elif has_all:
             self.watches.pause()
 
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -41,6 +41,11 @@
 # this long, in seconds: the leader answers the whole fleet.
 SMALL_CORES = 1.0
 SMALL_DELAY_S = 1.0
+# A VM that starts watches the store itself if no leader supplies it within this
+# time, in seconds: a new leader's first looks at the store, and two tries to reach it.
+LEADER_PATIENCE_S = 1.2
+# Pause between looks at the leader's record until then, in seconds.
+FIRST_RECORD_PERIOD_S = 0.2
 # Positions of primaries are fetched this often by the owners of replicas, in seconds.
 SAMPLE_PERIOD_S = 0.3
 
@@ -116,6 +121,7 @@
         self.must_register.set()
         for name, task in (
             ("registration", self._stay_registered()),
+            ("leader-patience", self._await_leader()),
             ("leader-link", self._follow()),
             ("leader-duty", self._lead()),
             ("evidence", self._renew_evidence()),
@@ -274,8 +280,6 @@
 
     async def _follow(self) -> None:
         """Find the leader and report to it, or take the duty over."""
-        if self.kernel.settings.cores < SMALL_CORES:
-            await asyncio.sleep(SMALL_DELAY_S)
         while True:
             try:
                 await self._look_at_record()
@@ -289,7 +293,15 @@
             record = self.leadership.record
             if record is not None and record.holder != self.roster.vm:
                 await self.follower.report_to(record)
-            await asyncio.sleep(RECORD_PERIOD_S * random.uniform(0.6, 1.0))
+            has_begun = self.watches.has_begun
+            period_s = RECORD_PERIOD_S if has_begun else FIRST_RECORD_PERIOD_S
+            await asyncio.sleep(period_s * random.uniform(0.6, 1.0))
+
+    async def _await_leader(self) -> None:
+        """Watch the store if no leader is found soon after the start."""
+        await asyncio.sleep(LEADER_PATIENCE_S)
+        if not self.watches.has_begun:
+            self.watches.resume("no leader yet")
 
     async def _look_at_record(self) -> None:
         if self.leader.token is not None:
@@ -300,9 +312,14 @@
         else:
             record = msgspec.convert(found.content, LeaderRecord)
             self.leadership.observe(record, found.revision)
-        if self.leadership.may_take_over() and not self.kernel.draining:
+        if self.leadership.may_take_over() and self._may_lead():
             await self._write_record()
 
+    def _may_lead(self) -> bool:
+        up_s = self.kernel.clock.now_s() - self.started_s
+        is_small = self.kernel.settings.cores < SMALL_CORES
+        return not self.kernel.draining and not (is_small and up_s < SMALL_DELAY_S)
+
     async def _write_record(self) -> None:
         """Take or renew the duty by a conditional write."""
         record = self.leadership.next_record(self.kernel.settings.peer)
@@ -344,7 +361,8 @@
         while True:
             await asyncio.sleep(EVIDENCE_RENEWAL_S / 4)
             sent_s = self.kernel.clock.now_s()
-            if sent_s - self.roster.evidence_s < EVIDENCE_RENEWAL_S:
+            has_evidence = sent_s - self.roster.evidence_s < EVIDENCE_RENEWAL_S
+            if has_evidence or not self.watches.has_begun:
                 continue
             if await self._is_registered() and await self._list_groups():
                 self.roster.note_evidence(sent_s)
--- a/src/ebonyladder/sessions/watches.py
+++ b/src/ebonyladder/sessions/watches.py
@@ -12,7 +12,8 @@
     """Watches of the store by this VM.
 
     Each call of the store is priced, and a change wakes every watch. While the
-    leader's orders bring the same contents, only the leader watches.
+    leader's orders bring the same contents, only the leader watches. A VM that
+    starts looks for the leader first, and watches only if it finds none.
 
     Parameters
     ----------
@@ -24,7 +25,9 @@
         self.spawn = spawn
         self.watchers: list[KindWatcher] = []
         self.tasks: list[asyncio.Task[None]] = []
-        self.is_watching = True
+        self.is_watching = False
+        # Whether it was decided once who watches for this VM.
+        self.has_begun = False
 
     def add(self, watcher: KindWatcher) -> None:
         """Add a watch, and start it."""
@@ -41,6 +44,7 @@
 
     def resume(self, reason: str) -> None:
         """Watch the store."""
+        self.has_begun = True
         if self.is_watching:
             return
         logging.info("[watches] The store is watched. reason=%s", reason)
@@ -48,8 +52,14 @@
         for watcher in self.watchers:
             self._start(watcher)
 
+    def resume_later(self, reason: str) -> None:
+        """Watch the store, unless this VM has only begun to look for a leader."""
+        if self.has_begun:
+            self.resume(reason)
+
     def pause(self) -> None:
         """Leave the watching to the leader."""
+        self.has_begun = True
         if not self.is_watching:
             return
         logging.info("[watches] The leader watches the store for this VM.")
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from ebonyladder.kernel.step import Step
+from ebonyladder.metrics import Metrics
 from ebonyladder.sessions.roster import GroupPhase
 from ebonyladder.sessions.watcher import SHORT_WAIT_S
 from standins.object_store import Outage
@@ -45,6 +47,24 @@
         assert service.databases["i-0"].data == {"a": "two"}
         assert all(run.values == {"zone": "w"} for run in service.runs)
 
+    def test_vm_that_joins_a_led_fleet_leaves_the_watching_to_the_leader(self):
+        # Guards against a fleet that calls the store more often the larger it is:
+        # each VM used to list and watch five kinds at its start.
+        async def play():
+            async with running_fleet() as fleet:
+                await until(fleet.has_leader, "a leader")
+                metrics = (await fleet.add("a")).get(Metrics)
+                joined = fleet.roster(3)
+                await until(lambda: joined.catalog is not None, "the catalog")
+                await until(lambda: joined.endpoints, "the endpoints")
+                await until(lambda: joined.vm_count == 4, "the new VM")
+                return metrics.render().decode()
+
+        text = asyncio.run(play())
+        calls = [line for line in text.splitlines() if "store_calls" in line]
+        assert any(Step.STORE_WRITE.value in line for line in calls)
+        assert not any(Step.STORE_WATCH.value in line for line in calls)
+
     def test_unknown_database_and_key_are_refused(self):
         async def play():
             async with running_fleet() as fleet:
