Divide rates by demand for the time without a leader

Cause: without a leader each VM used an equal part of each rate.

Change: the leader tells each VM its share of each organisation's rate, by the turns that it asked for lately. Shares grow only by what others have confirmed to have given up, so they never add up to more than the whole; a silent VM's share isn't lent.

--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -166,6 +166,7 @@
         if orders.asked_s is not None:
             self.roster.note_evidence(orders.asked_s)
             self.quota.accept(orders.loans, orders.asked_s)
+            self.quota.accept_shares(orders.shares)
         if not orders.is_listed:
             self.unlisted()
         self._choose_watches(orders)
@@ -193,6 +194,7 @@
             heard_s=self.heard_s,
             endpoints_version=self.endpoints_version,
             wants=self.quota.wants(),
+            shares=(self.quota.shares or {}) if self.heard_s is None else None,
             silent=tuple(silent),
             stalled=tuple(stalled),
             epochs={g.service: g.epoch for g in self.roster.groups.values()},
--- a/src/ebonyladder/sessions/leader.py
+++ b/src/ebonyladder/sessions/leader.py
@@ -13,6 +13,7 @@
 from ebonyladder.sessions.ownership import assign_owners
 from ebonyladder.sessions.quota import Budget, Loan
 from ebonyladder.sessions.roster import GroupState, Roster, VmEntry, zone_sizes
+from ebonyladder.sessions.shares import Shares
 from ebonyladder.sessions.supervisor import Supervisor
 from ebonyladder.sessions.watches import Watches
 from ebonyladder.types import OrganisationId, ServiceId, VmId
@@ -65,6 +66,7 @@
         self.watches = watches
         self.vms = vms
         self.clock = clock
+        self.shares = Shares(clock=clock)
         self.connections: dict[VmId, ServerConnection] = {}
         self.adopted: dict[tuple[VmId, ServiceId], int] = {}
         self.epoch_reported = asyncio.Event()
@@ -132,14 +134,20 @@
         if report.heard_s is not None:
             self.leadership.note_heard(report.vm, report.heard_s)
         self.supervisor.note_report(report)
+        self.shares.note_report(
+            report.vm, wants=report.wants, heard_s=report.heard_s, held=report.shares
+        )
         if self.token is None:
             return self._orders(report)
         is_behind = report.version < self.roster.version
         state = self.state
         if state is not None and state.version == report.endpoints_version:
             state = None
+        at_s = self.clock.now_s()
         return self._orders(
             report,
+            at_s=at_s,
+            shares=self.shares.grant(report.vm, at_s),
             groups=self._newer_groups(report),
             loans=self.lend(report.wants),
             state=state,
@@ -151,11 +159,11 @@
         catalog = self.roster.catalog
         if catalog is None:
             return {}
-        reporting = len(self.supervisor.fresh()) + 1
-        share = min(1.0, reporting / self.roster.vm_count)
         return {
             name: self.budget.lend(
-                catalog.organisations[name], wanted, reporting_share=share
+                catalog.organisations[name],
+                wanted,
+                part=self.shares.lendable_part(name),
             )
             for name, wanted in wants.items()
             if name in catalog.organisations
@@ -164,11 +172,9 @@
     def refresh(self) -> None:
         """Work out zones and owners anew, and the state that VMs are sent."""
         vms = self.vms()
-        live = {
-            vm: entry
-            for vm, entry in vms.items()
-            if vm == self.roster.vm or vm in self.supervisor.fresh()
-        }
+        fresh = self.supervisor.fresh().keys() | {self.roster.vm}
+        self.shares.refresh(vms, fresh)
+        live = {vm: entry for vm, entry in vms.items() if vm in fresh}
         owners = assign_owners(roster=self.roster, vms=live, leader=self.roster.vm)
         self.roster.adopt_fleet(zone_sizes(vms.values()), owners)
         content = {
@@ -246,11 +252,11 @@
             if report.epochs.get(group.service, 0) < group.epoch
         )
 
-    def _orders(self, report: Report, **fields) -> Orders:
+    def _orders(self, report: Report, *, at_s: float | None = None, **fields) -> Orders:
         return Orders(
             is_leader=self.token is not None,
             has_store=self.watches.has_store,
-            at_s=self.clock.now_s(),
+            at_s=self.clock.now_s() if at_s is None else at_s,
             version=self.roster.version,
             asked_s=report.sent_s,
             is_listed=report.vm in self.vms(),
--- a/src/ebonyladder/sessions/messages.py
+++ b/src/ebonyladder/sessions/messages.py
@@ -46,6 +46,8 @@
         The leader's version of the endpoints that the sender has.
     wants : dict of OrganisationId to int
         Turns that the sender asks for.
+    shares : dict of OrganisationId to float, or None
+        Shares that the sender holds, in its first report on a link.
     silent : tuple of EndpointId
         Endpoints that don't answer the sender.
     stalled : tuple of EndpointId
@@ -63,6 +65,7 @@
     heard_s: float | None = None
     endpoints_version: int = -1
     wants: dict[OrganisationId, int] = {}
+    shares: dict[OrganisationId, float] | None = None
     silent: tuple[EndpointId, ...] = ()
     stalled: tuple[EndpointId, ...] = ()
     epochs: dict[ServiceId, int] = {}
@@ -104,6 +107,8 @@
         Groups whose epoch the VM doesn't have.
     loans : dict of OrganisationId to Loan
         Turns that the VM asked for.
+    shares : dict of OrganisationId to float
+        Changed shares of rates, for the time without a leader.
     is_listed : bool
         Whether the leader has the VM in its list.
     """
@@ -115,6 +120,7 @@
     asked_s: float | None = None
     groups: tuple[GroupState, ...] = ()
     loans: dict[OrganisationId, Loan] = {}
+    shares: dict[OrganisationId, float] = {}
     is_listed: bool = True
     state: FleetState | None = None
     catalog: Catalog | None = None
--- a/src/ebonyladder/sessions/quota.py
+++ b/src/ebonyladder/sessions/quota.py
@@ -15,6 +15,7 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.limits import BucketSize, TokenBucket
 from ebonyladder.sessions.catalog import Organisation
+from ebonyladder.sessions.shares import effective_part
 from ebonyladder.types import OrganisationId
 
 # Turns that were lent are void this long after they were asked for, in seconds.
@@ -24,6 +25,8 @@
 AHEAD_S = 0.5
 # A loan that isn't answered in this time is asked for again, in seconds.
 ANSWER_LIMIT_S = 0.7
+# Shortest wait for a turn, in seconds, so that rounding never makes it a busy loop.
+LEAST_WAIT_S = 0.001
 # Demand is averaged over about this time, in seconds.
 DEMAND_WINDOW_S = 1.0
 # Parts of the tolerance of a limit: for uneven flows, and for the budget of a leader
@@ -113,21 +116,19 @@
         self.started_s = clock.now_s()
         self.buckets: dict[OrganisationId, TokenBucket] = {}
 
-    def lend(
-        self, organisation: Organisation, wanted: float, *, reporting_share: float
-    ) -> Loan:
+    def lend(self, organisation: Organisation, wanted: float, *, part: float) -> Loan:
         """Lend turns.
 
         Parameters
         ----------
         wanted : float
             Turns that the VM asks for.
-        reporting_share : float
-            Part of the VMs that ask this leader; the others use their equal part
-            of the rate without it.
+        part : float
+            Part of the rate that may be lent; VMs that don't report to this leader
+            use the rest on their own.
         """
         bucket = self._bucket(organisation)
-        bucket.resize(self._size(organisation, reporting_share))
+        bucket.resize(self._size(organisation, part))
         turns = floor(min(wanted, bucket.available()))
         bucket.take(turns)
         missing = 1.0 - bucket.available()
@@ -215,7 +216,8 @@
 class LentQuota(Quota):
     """Admits by turns that the leader lends.
 
-    Without a leader each VM uses an equal part of the rate.
+    Without a leader each VM uses the share of the rate that the last one told it, or
+    an equal part if it has never had one.
 
     Parameters
     ----------
@@ -230,6 +232,8 @@
         self.tolerance = tolerance or Tolerance()
         self.vm_count = 1
         self.lent_s = float("-inf")
+        # None until a leader has told this process its shares.
+        self.shares: dict[OrganisationId, float] | None = None
         self.purses: dict[OrganisationId, Purse] = {}
         self.needed = asyncio.Event()
 
@@ -297,6 +301,11 @@
             if purse is not None:
                 self._accept_loan(purse, loan, asked_s)
 
+    def accept_shares(self, changed: Mapping[OrganisationId, float]) -> None:
+        """Take over changed shares, for the time without a leader."""
+        if changed:
+            self.shares = {**(self.shares or {}), **changed}
+
     def _accept_loan(self, purse: Purse, loan: Loan, asked_s: float) -> None:
         purse.asked = 0
         purse.own_bucket = None
@@ -331,7 +340,7 @@
     async def _admit_alone(
         self, organisation: Organisation, purse: Purse, deadline_s: float
     ) -> None:
-        part = 1 / max(self.vm_count, 1)
+        part = self._own_part(organisation)
         size = BucketSize(
             organisation.rate_per_s * part, max(1.0, organisation.burst * part)
         )
@@ -345,7 +354,7 @@
         try:
             while bucket.available() < 1.0:
                 missing = purse.alone - bucket.available()
-                wait_s = missing / max(size.rate_per_s, 1e-3)
+                wait_s = max(missing / max(size.rate_per_s, 1e-3), LEAST_WAIT_S)
                 if self.clock.now_s() + wait_s > deadline_s:
                     raise self._refusal(organisation, purse, wait_s)
                 await asyncio.sleep(wait_s)
@@ -353,6 +362,12 @@
         finally:
             purse.alone -= 1
 
+    def _own_part(self, organisation: Organisation) -> float:
+        """Return the part of a rate that this VM uses without a leader."""
+        if self.shares is None:
+            return 1 / max(self.vm_count, 1)
+        return effective_part(self.shares.get(organisation.name, 0.0), self.vm_count)
+
     def _refusal(
         self, organisation: Organisation, purse: Purse, wait_s: float
     ) -> RequestError:
--- a/tests/test_session_quota.py
+++ b/tests/test_session_quota.py
@@ -37,7 +37,7 @@
 
 def lend(budget: Budget, wanted: float, share: float = 1.0) -> Loan:
     """Return a loan of the organisation's turns."""
-    return budget.lend(ORGANISATION, wanted, reporting_share=share)
+    return budget.lend(ORGANISATION, wanted, part=share)
 
 
 class TestBudget:
