Let the leader alone watch the list of VMs, and back off from a lost store

Cause: every VM without a leader watched the list of VMs. When 72 VMs start again each of them changes the list, and each change woke every watch. A store that refuses was called by five watches of each VM each 0.2 to 0.6 s.

Ruled out: the watches at a start with a leader, gone since the last change.

Change: a VM without the duty lists the VMs each 5 s; a new leader lists them anew before it leads, so that a change of primary still waits for all. Pauses after failed calls double up to 1.6 s, below the time for a change of the configuration. A reply that comes as its caller leaves is no longer logged as an exception that nobody retrieved.

--- a/src/ebonyladder/sessions/fleet_watchers.py
+++ b/src/ebonyladder/sessions/fleet_watchers.py
@@ -1,5 +1,6 @@
 """Watches of what the VMs agree on in the store: groups and registered VMs."""
 
+import asyncio
 from collections.abc import Mapping
 
 import msgspec
@@ -9,6 +10,9 @@
 from ebonyladder.sessions.watcher import KindWatcher
 from ebonyladder.types import VmId
 
+# Pause between two listings of the VMs without a leader, in seconds.
+LIST_PERIOD_S = 5.0
+
 
 class GroupWatcher(KindWatcher):
     """Brings group states from the store into the roster."""
@@ -30,12 +34,41 @@
 
 
 class VmWatcher(KindWatcher):
-    """Keeps the list of registered VMs."""
+    """Keeps the list of registered VMs.
+
+    Only the leader watches it. When many VMs start again, each of them changes the
+    list, and a watch by every VM would answer each change with a call; the others
+    need no more than the number of VMs, now and then.
+    """
 
     def __init__(self, *, store: ObjectStore, roster: Roster) -> None:
         super().__init__(store=store, kind=VMS)
         self.roster = roster
         self.entries: dict[VmId, VmEntry] = {}
+        self.is_leading = False
+        self.duty_taken = asyncio.Event()
+
+    def lead(self) -> None:
+        """Read the list anew and watch it from now on."""
+        if not self.is_leading:
+            self.is_leading = True
+            self.is_listed.clear()
+            self.duty_taken.set()
+
+    def follow(self) -> None:
+        """Leave the watching to another VM."""
+        self.is_leading = False
+        self.duty_taken.clear()
+
+    async def _follow(self, as_of: int) -> None:
+        if self.is_leading:
+            await super()._follow(as_of)
+            return
+        try:
+            async with asyncio.timeout(LIST_PERIOD_S):
+                await self.duty_taken.wait()
+        except TimeoutError:
+            return
 
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
         """Replace the list of VMs."""
--- a/src/ebonyladder/sessions/owner_link.py
+++ b/src/ebonyladder/sessions/owner_link.py
@@ -86,6 +86,8 @@
         """
         await self.open()
         reply: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
+        # The caller may be cancelled at the moment at which the channel ends.
+        reply.add_done_callback(lambda done: done.cancelled() or done.exception())
         self.waiting[number] = reply
         try:
             await self.send(envelope)
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -194,9 +194,11 @@
         while True:
             await self._pause()
             if not self.leadership.is_holder:
+                self.vms.follow()
                 continue
             self.watches.resume("this VM leads")
-            if self.leader.needs_groups:
+            self.vms.lead()
+            if self.leader.needs_groups and self.vms.is_listed.is_set():
                 await self._read_groups()
             if self.leadership.needs_renewal(self.vms.entries):
                 await self._write_record()
--- a/src/ebonyladder/sessions/watcher.py
+++ b/src/ebonyladder/sessions/watcher.py
@@ -16,9 +16,18 @@
 SHORT_WAIT_S = 1.5
 LONG_WAIT_S = 15.0
 # Pause after a failed call, in seconds; drawn between the two, so that VMs don't
-# return to the store at the same moment.
+# return to the store at the same moment. It doubles with each failure in a row, since
+# refused calls are priced too, up to a part of the time in which a change must be in
+# force.
 RETRY_LEAST_S = 0.2
 RETRY_MOST_S = 0.6
+RETRY_LIMIT_S = 1.6
+
+
+def retry_pause_s(failures: int) -> float:
+    """Return the pause after some failed calls in a row, in seconds."""
+    doubled_s = RETRY_MOST_S * 2 ** min(failures - 1, 8)
+    return random.uniform(RETRY_LEAST_S, min(doubled_s, RETRY_LIMIT_S))
 
 
 class KindWatcher(ABC):
@@ -42,7 +51,12 @@
         self.kind = kind
         self.objects: dict[str, StoreObject] = {}
         self.is_listed = asyncio.Event()
-        self.is_connected = True
+        self.failures = 0
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the last call was answered."""
+        return self.failures == 0
 
     @abstractmethod
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
@@ -64,7 +78,7 @@
                 await self._follow(listing.as_of)
             except StoreError as error:
                 self._note_failure(error)
-                await asyncio.sleep(random.uniform(RETRY_LEAST_S, RETRY_MOST_S))
+                await asyncio.sleep(retry_pause_s(self.failures))
 
     async def _follow(self, as_of: int) -> None:
         while True:
@@ -75,7 +89,7 @@
                 if error.code is ErrorCode.NOT_FOUND:
                     # The history is gone; only a listing shows the present state.
                     return
-                await asyncio.sleep(random.uniform(RETRY_LEAST_S, RETRY_MOST_S))
+                await asyncio.sleep(retry_pause_s(self.failures))
                 continue
             self._note_connected()
             as_of = found.as_of
@@ -90,9 +104,9 @@
     def _note_failure(self, error: StoreError) -> None:
         if self.is_connected:
             logging.warning("[watch] Watch is lost. kind=%s error=%s", self.kind, error)
-        self.is_connected = False
+        self.failures += 1
 
     def _note_connected(self) -> None:
         if not self.is_connected:
             logging.info("[watch] Watch is back. kind=%s", self.kind)
-        self.is_connected = True
+        self.failures = 0
