--- a/src/ebonyladder/plugins/configuration.py
+++ b/src/ebonyladder/plugins/configuration.py
@@ -52,9 +52,6 @@
 ROOTS_INTERVAL_S = 0.5
 ROOT_ANSWER_S = 0.5
 TREE_INTERVAL_S = 0.5
-# Until the roots of the view are taken over, an outage of the store can't be
-# confirmed; they are looked at more often meanwhile, in seconds.
-UNSETTLED_INTERVAL_S = 0.1
 
 
 @register
@@ -248,13 +245,7 @@
                 roots = [vm for vm in watchers if vm in zones]
                 order = tree_order(zones, roots)
                 self.parents = parents_of(self.vm, order, len(roots))
-            if self.roots.is_settled:
-                await asyncio.sleep(TREE_INTERVAL_S)
-                continue
-            # The watch under way brings evidence only at the end of its wait.
-            if self.roots.needs_evidence(self.freshness.current_at_s):
-                await self._ask_store(0.0)
-            await asyncio.sleep(UNSETTLED_INTERVAL_S)
+            await asyncio.sleep(TREE_INTERVAL_S)
 
     async def _follow_parent(self, place: int) -> None:
         """Sync from one parent by long poll, from others while it fails."""
--- a/src/ebonyladder/relay.py
+++ b/src/ebonyladder/relay.py
@@ -76,15 +76,6 @@
         """Roots to use where no majority is counted."""
         return self.pinned or self.candidate
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether the roots of the view are those in use."""
-        return self.pinned == self.candidate
-
-    def needs_evidence(self, current_at_s: float) -> bool:
-        """Tell whether new roots wait for newer evidence from the store."""
-        return not self.is_settled and current_at_s < self.candidate_at_s
-
     def update(self, zones: dict[VmId, ZoneId], current_at_s: float) -> None:
         """Take over the roots of the view if that is safe."""
         if zones is not self.zones:
