--- a/tests/test_session_quota.py
+++ b/tests/test_session_quota.py
@@ -38,6 +38,17 @@
     return asyncio.run(admit())
 
 
+async def waiting_operations(quota: LentQuota, count: int) -> list[asyncio.Task[None]]:
+    """Return operations that wait for turns of a leader."""
+    quota.accept({}, quota.clock.now_s())
+    waiting = [
+        asyncio.create_task(quota.admit(ORGANISATION, longest_s=30.0))
+        for _ in range(count)
+    ]
+    await asyncio.wait_for(quota.needed.wait(), 30.0)
+    return waiting
+
+
 def lend(budget: Budget, wanted: float, share: float = 1.0) -> Loan:
     """Return a loan of the organisation's turns."""
     return budget.lend(ORGANISATION, wanted, part=share)
@@ -157,12 +168,7 @@
         async def play():
             clock = ManualClock()
             quota = LentQuota(clock=clock)
-            quota.accept({}, clock.now_s())
-            waiting = [
-                asyncio.create_task(quota.admit(ORGANISATION, longest_s=30.0))
-                for _ in range(3)
-            ]
-            await asyncio.wait_for(quota.needed.wait(), 30.0)
+            waiting = await waiting_operations(quota, 3)
             assert quota.wants()[ORGANISATION.name] >= 3
             assert quota.wants() == {}, "the same turns are asked for twice"
             quota.accept({ORGANISATION.name: Loan(turns=3)}, clock.now_s())
@@ -176,12 +182,7 @@
         async def play():
             clock = ManualClock()
             quota = LentQuota(clock=clock)
-            quota.accept({}, clock.now_s())
-            waiting = [
-                asyncio.create_task(quota.admit(ORGANISATION, longest_s=30.0))
-                for _ in range(6)
-            ]
-            await asyncio.wait_for(quota.needed.wait(), 30.0)
+            waiting = await waiting_operations(quota, 6)
             quota.wants()
             loan = Loan(turns=2, wait_s=0.1)
             quota.accept({ORGANISATION.name: loan}, clock.now_s())
