Answer requests that come as a drained VM closes its connections

Cause: answers given during a drain, such as a step of a transaction that another VM owns, left the connection open, and the stop closed idle connections at once. A request sent at that moment got a reset. Shown with a request 50 ms after the stop began: refused by the closed listener. Ruled out: a request that the daemon had read; the drain waits for these. Change: every answer of a drain closes its connection; the stop first waits up to 1 s for callers to leave the connections that are open.

--- a/src/ebonyladder/plugins/caller_front.py
+++ b/src/ebonyladder/plugins/caller_front.py
@@ -6,6 +6,7 @@
 import logging as standard_logging
 import random
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import ClassVar
 
 from absl import logging
@@ -52,6 +53,9 @@
 BODY_LIMIT_BYTES = 1_048_576
 BODY_TIMEOUT_S = 10.0
 DRAIN_LIMIT_S = 30.0
+# A request that is sent as its idle connection is closed gets no answer. Callers that
+# use a connection send on it within this time, get an answer and close it.
+IDLE_LINGER_S = 1.0
 BACKLOG = 4_096
 ACTIONS = {
     "statements": TransactionAction.EXECUTE,
@@ -97,6 +101,7 @@
         self.runner: web.AppRunner | None = None
         self.server: asyncio.Server | None = None
         self.connections: dict[asyncio.Protocol, CallerConnection] = {}
+        self.is_unused = asyncio.Event()
         self.sockets: dict[KeyDigest, set[web.WebSocketResponse]] = {}
         self.header_timeout_s = HEADER_TIMEOUT_S
         self.body_timeout_s = BODY_TIMEOUT_S
@@ -134,11 +139,17 @@
         connection = CallerConnection(
             inner=inner,
             timeout_s=self.header_timeout_s,
-            on_end=lambda: self.connections.pop(inner, None),
+            on_end=lambda: self._forget(inner),
         )
         self.connections[inner] = connection
+        self.is_unused.clear()
         return connection
 
+    def _forget(self, inner: asyncio.Protocol) -> None:
+        self.connections.pop(inner, None)
+        if not self.connections:
+            self.is_unused.set()
+
     def _make_gateway(self) -> Gateway:
         get, settings = self.kernel.get, self.kernel.settings
         configuration = get(ConfigurationSource)
@@ -194,6 +205,10 @@
 
     async def stop(self) -> None:
         """Close the listening socket and idle connections."""
+        if self.connections and self.gateway.is_draining:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(IDLE_LINGER_S):
+                    await self.is_unused.wait()
         if self.server is not None:
             self.server.close()
         for socket in [s for sockets in self.sockets.values() for s in sockets]:
@@ -239,12 +254,13 @@
     async def _serve(self, served: Served) -> web.Response:
         return self._response(await self.calls.run(served))
 
-    @staticmethod
-    def _response(reply: Reply) -> web.Response:
+    def _response(self, reply: Reply) -> web.Response:
         response = TimedResponse(
             status=reply.status, body=reply.body, content_type="application/json"
         )
         error = reply.error
+        if self.gateway.is_draining:
+            response.force_close()
         if error is None:
             return response
         if error.retry_after_s is not None:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -275,3 +275,32 @@
             ]
 
         assert run_front(tmp_path, scenario) == [0, 1]
+
+
+class TestStop:
+    """Guards against requests that are cut as a drained VM closes connections."""
+
+    TRANSACTIONS = "/v1/services/ledger/transactions"
+
+    def test_answers_of_a_drain_tell_callers_to_close(self, tmp_path):
+        async def scenario(vm):
+            _, begun = await vm.post(self.TRANSACTIONS, json={"partition": "p"})
+            await vm.front.drain()
+            path = f"/v1/transactions/{begun['transaction']}/commit"
+            body = {"session": begun["session"]}
+            async with vm.client.post(path, json=body) as answer:
+                return answer.status, answer.headers.get("Connection")
+
+        assert run_front(tmp_path, scenario) == (200, "close")
+
+    def test_request_on_an_idle_connection_is_answered_after_the_drain(self, tmp_path):
+        async def scenario(vm):
+            await vm.statement(READ)
+            await vm.front.drain()
+            stopping = asyncio.create_task(vm.front.stop())
+            await asyncio.sleep(0.05)
+            _, answer = await vm.statement(READ)
+            await stopping
+            return answer["error"]["code"], answer["error"]["outcome"]
+
+        assert run_front(tmp_path, scenario) == ("draining", "not-run")
