Let deputies lend while the leader can't be reached

Cause: a leader that is lost together with the store leaves every VM alone until the store is back, and until a takeover otherwise. Ruled out: what lends needs no proof that nobody else leads, so no record in the store is needed; a VM reports to one lender at a time. Change: the leader names two deputies with the fleet's state; VMs that lose the leader report to the first that lends.

--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -8,13 +8,19 @@
 from websockets.exceptions import WebSocketException
 
 from ebonyladder.kernel.clock import Clock
-from ebonyladder.sessions.leadership import LeaderRecord, Leadership
+from ebonyladder.sessions.leadership import Leadership
 from ebonyladder.sessions.messages import Orders, Report, decode, encode
 from ebonyladder.sessions.pool import Pools
 from ebonyladder.sessions.quota import LentQuota
 from ebonyladder.sessions.roster import Roster
 from ebonyladder.sessions.watches import Watches
-from ebonyladder.types import ConfigurationVersion, EndpointId, Incarnation
+from ebonyladder.types import (
+    Address,
+    ConfigurationVersion,
+    EndpointId,
+    Incarnation,
+    VmId,
+)
 
 # Path of the connections on which VMs report.
 REPORT_PATH = "/report"
@@ -30,7 +36,7 @@
 
 
 class NotLeaderError(Exception):
-    """The far end doesn't lead, or not yet."""
+    """The far end doesn't lead and doesn't lend, or not yet."""
 
 
 class Follower:
@@ -40,6 +46,8 @@
     ----------
     is_certain : bool
         Whether the leader was certain of its duty when it last answered.
+    is_linked : bool
+        Whether a leader or deputy lends to this VM.
 
     Parameters
     ----------
@@ -87,15 +95,16 @@
     def _reset(self) -> None:
         self.heard_s: float | None = None
         self.is_certain = False
+        self.is_linked = False
         self.leader_version = ConfigurationVersion(0)
         self.endpoints_version = -1
 
-    async def report_to(self, record: LeaderRecord) -> None:
-        """Report to a leader until the link fails or it no longer lends."""
+    async def report_to(self, vm: VmId, address: Address) -> None:
+        """Report to a leader or deputy until the link fails or it doesn't lend."""
         self._reset()
         try:
             async with connect(
-                f"ws://{record.address}{REPORT_PATH}",
+                f"ws://{address}{REPORT_PATH}",
                 compression=None,
                 max_size=MESSAGE_LIMIT,
                 open_timeout=ANSWER_LIMIT_S,
@@ -103,20 +112,21 @@
                 ping_interval=None,
                 proxy=None,
             ) as connection:
-                logging.info("[follower] Reports go to a leader. vm=%s", record.holder)
+                logging.info("[follower] Reports go to a VM. vm=%s", vm)
                 async with asyncio.TaskGroup() as group:
                     group.create_task(self._send_reports(connection))
                     group.create_task(self._receive_orders(connection))
         except* NotLeaderError:
-            logging.info("[follower] VM isn't certain to lead. vm=%s", record.holder)
+            logging.info("[follower] VM doesn't lend. vm=%s", vm)
         except* (WebSocketException, OSError, TimeoutError, ValueError) as errors:
             logging.info(
-                "[follower] Link to the leader ended. vm=%s error=%r",
-                record.holder,
+                "[follower] Link ended. vm=%s error=%r",
+                vm,
                 errors.exceptions[0],
             )
             self.watches.resume("no leader")
         finally:
+            self.is_linked = False
             self.quota.lose_leader()
 
     async def _send_reports(self, connection: ClientConnection) -> None:
@@ -145,6 +155,7 @@
                 orders = decode(await connection.recv(), Orders)
             if not self.accept(orders):
                 raise NotLeaderError
+            self.is_linked = True
 
     def accept(self, orders: Orders) -> bool:
         """Act on orders; False where their sender neither leads nor lends."""
@@ -171,6 +182,7 @@
                 {e.id: e for e in state.endpoints}, frozenset(state.closed_zones)
             )
             self.roster.adopt_fleet(state.fleet, state.owners)
+            self.roster.adopt_deputies(state.deputies)
         self.leadership.note_exchange()
         self.heard_s = orders.at_s
         if orders.asked_s is not None:
--- a/src/ebonyladder/sessions/leader.py
+++ b/src/ebonyladder/sessions/leader.py
@@ -8,6 +8,7 @@
 from websockets.exceptions import WebSocketException
 
 from ebonyladder.kernel.clock import Clock
+from ebonyladder.sessions.deputies import choose_deputies
 from ebonyladder.sessions.leadership import Leadership, Standing
 from ebonyladder.sessions.messages import FleetState, Orders, Report, decode, encode
 from ebonyladder.sessions.ownership import assign_owners
@@ -68,6 +69,8 @@
         self.clock = clock
         self.shares = Shares(clock=clock)
         self.connections: dict[VmId, ServerConnection] = {}
+        # Set on a deputy that has lost the leader.
+        self.stands_in = False
         self.adopted: dict[tuple[VmId, ServiceId], int] = {}
         self.epoch_reported = asyncio.Event()
         self.state: FleetState | None = None
@@ -92,12 +95,12 @@
 
     @property
     def lends(self) -> bool:
-        """Whether this VM lends turns, as the last holder of the duty that it knows.
+        """Whether this VM lends turns, as the holder of the duty or a deputy.
 
         Without certainty it lends what the VMs that report to it may use on their
         own, so it needs no proof that no other VM leads.
         """
-        return self.leadership.is_holder
+        return self.leadership.is_holder or self.stands_in
 
     @property
     def needs_groups(self) -> bool:
@@ -201,7 +204,7 @@
     def refresh_shares(self) -> set[VmId]:
         """Take over which VMs report, and return them with this one."""
         fresh = self.supervisor.fresh().keys() | {self.roster.vm}
-        self.shares.refresh(self.vms(), fresh)
+        self.shares.refresh(self.vms(), fresh, vm_count=self.roster.vm_count)
         return fresh
 
     def refresh(self) -> None:
@@ -217,11 +220,19 @@
         )
         self.reached.clear()
         self.roster.adopt_fleet(zone_sizes(vms.values()), owners)
+        deputies = choose_deputies(
+            live,
+            leader=self.roster.vm,
+            owners=(owner.vm for owner in owners.values()),
+            known=self.roster.deputies,
+        )
+        self.roster.adopt_deputies(deputies)
         content = {
             "endpoints": tuple(self.roster.endpoints.values()),
             "closed_zones": tuple(sorted(self.roster.closed_zones)),
             "fleet": self.roster.fleet,
             "owners": owners,
+            "deputies": deputies,
         }
         version = self.state.version if self.state else 0
         if self.state != FleetState(version=version, **content):
--- a/src/ebonyladder/sessions/messages.py
+++ b/src/ebonyladder/sessions/messages.py
@@ -14,6 +14,7 @@
 from ebonyladder.sessions.quota import Loan
 from ebonyladder.sessions.roster import EndpointEntry, GroupState, Owner
 from ebonyladder.types import (
+    Address,
     ConfigurationVersion,
     EndpointId,
     Incarnation,
@@ -79,6 +80,8 @@
     ----------
     fleet : dict of ZoneId to int
         Number of VMs in each zone.
+    deputies : dict of VmId to Address
+        VMs that lend while the leader can't be reached, in the order of asking.
     """
 
     version: int
@@ -86,6 +89,7 @@
     closed_zones: tuple[ZoneId, ...]
     fleet: dict[ZoneId, int]
     owners: dict[EndpointId, Owner]
+    deputies: dict[VmId, Address] = {}
 
 
 class Orders(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Mapping
 
 import msgspec
 from absl import logging
@@ -29,7 +30,7 @@
 from ebonyladder.sessions.supervisor import Supervisor
 from ebonyladder.sessions.watches import Watches
 from ebonyladder.settings import split_address
-from ebonyladder.types import EndpointId, Incarnation, ServiceId, VmId
+from ebonyladder.types import Address, EndpointId, Incarnation, ServiceId, VmId
 
 # Evidence older than this is renewed from the store, in seconds.
 EVIDENCE_RENEWAL_S = 0.9
@@ -198,7 +199,9 @@
             await self._pause()
             if not self.leadership.is_holder:
                 self.vms.follow()
+                self._stand_in()
                 continue
+            self.leader.stands_in = False
             self.watches.resume("this VM leads")
             self.vms.lead()
             if self.leader.needs_groups and self.vms.is_listed.is_set():
@@ -218,6 +221,20 @@
             self._start_changes()
             await self._forget_vms()
 
+    def _stand_in(self) -> None:
+        """Lend to the VMs that report here, while this deputy has lost the leader."""
+        stands_in = (
+            self.roster.vm in self.roster.deputies and not self.follower.is_linked
+        )
+        if stands_in != self.leader.stands_in:
+            logging.info("[fleet] Deputy changes its part. lends=%s", stands_in)
+            self.leader.budget.start_empty()
+        self.leader.stands_in = stands_in
+        if stands_in:
+            self.leader.refresh_shares()
+            now_s = self.kernel.clock.now_s()
+            self.quota.accept(self.leader.lend(self.quota.wants()), now_s)
+
     async def _read_groups(self) -> None:
         """Read the groups from the store after the duty was taken."""
         token = self.leadership.record.token
@@ -245,8 +262,7 @@
         except TimeoutError:
             return
         # A follower's own link asks for the turns.
-        is_leader = self.leadership.is_holder
-        await asyncio.sleep(0 if is_leader else LEAD_PERIOD_S)
+        await asyncio.sleep(0 if self.leader.lends else LEAD_PERIOD_S)
 
     def _start_changes(self) -> None:
         silent, stalled = self.follower.findings()
@@ -290,14 +306,29 @@
             await self._look_at_record()
             record = self.leadership.record
             if record is not None and record.holder != self.roster.vm:
-                await self._report_to(record)
+                lenders = {record.holder: record.address, **self.roster.deputies}
+                if await self._report_to_first(lenders):
+                    continue
             has_begun = self.watches.has_begun
             period_s = RECORD_PERIOD_S if has_begun else FIRST_RECORD_PERIOD_S
             await asyncio.sleep(period_s * random.uniform(0.6, 1.0))
 
-    async def _report_to(self, record: LeaderRecord) -> None:
-        """Report to a leader until the link ends or another VM has the duty."""
-        link = asyncio.ensure_future(self.follower.report_to(record))
+    async def _report_to_first(self, lenders: Mapping[VmId, Address]) -> bool:
+        """Report to the leader or a deputy; True once another VM has the duty.
+
+        A deputy asks only those before it, since it lends itself after them.
+        """
+        for vm, address in lenders.items():
+            if vm == self.roster.vm:
+                return False
+            if await self._report_to(vm, address):
+                return True
+        return False
+
+    async def _report_to(self, vm: VmId, address: Address) -> bool:
+        """Report until the link ends; True once another VM has the duty."""
+        known = self.leadership.record
+        link = asyncio.ensure_future(self.follower.report_to(vm, address))
         try:
             while not link.done():
                 await asyncio.wait({link}, timeout=RECORD_PERIOD_S)
@@ -305,8 +336,9 @@
                     continue
                 await self._look_at_record()
                 found = self.leadership.record
-                if found is None or found.token != record.token:
-                    return
+                if found is None or known is None or found.token != known.token:
+                    return True
+            return False
         finally:
             link.cancel()
             await asyncio.wait({link})
--- a/src/ebonyladder/sessions/quota.py
+++ b/src/ebonyladder/sessions/quota.py
@@ -117,8 +117,15 @@
         self.clock = clock
         self.tolerance = tolerance
         self.started_s = clock.now_s()
+        self.restart_part = RESTART_PART
         self.buckets: dict[OrganisationId, TokenBucket] = {}
 
+    def start_empty(self) -> None:
+        """Begin with empty buckets, where another VM has lent until now."""
+        self.buckets.clear()
+        self.started_s = self.clock.now_s()
+        self.restart_part = 0.0
+
     def lend(self, organisation: Organisation, wanted: float, *, part: float) -> Loan:
         """Lend turns.
 
@@ -142,7 +149,7 @@
         bucket = self.buckets.get(organisation.name)
         if bucket is None:
             bucket = TokenBucket(size=self._size(organisation, 1.0), clock=self.clock)
-            restart = RESTART_PART * self.tolerance.of(organisation)
+            restart = self.restart_part * self.tolerance.of(organisation)
             bucket.tokens = min(restart, organisation.burst)
             bucket.filled_s = self.started_s
             self.buckets[organisation.name] = bucket
@@ -195,8 +202,9 @@
         self.asked = 0
         self.asked_s = float("-inf")
         self.wait_s = 0.0
-        # Used only while no leader lends; starts empty whenever it is taken up.
+        # Used only while no leader lends; made anew whenever it is taken up.
         self.own_bucket: TokenBucket | None = None
+        self.alone_s = float("-inf")
         self.alone = 0
 
     def take(self) -> bool:
@@ -352,8 +360,11 @@
         )
         if purse.own_bucket is None:
             purse.own_bucket = TokenBucket(size=size, clock=self.clock)
-            restart = RESTART_PART * self.tolerance.of(organisation) * part
-            purse.own_bucket.tokens = min(restart, size.capacity)
+            # Links that come and go must not bring these turns twice in a window.
+            if self.clock.now_s() - purse.alone_s >= self.tolerance.window_s:
+                restart = RESTART_PART * self.tolerance.of(organisation) * part
+                purse.own_bucket.tokens = min(restart, size.capacity)
+        purse.alone_s = self.clock.now_s()
         bucket = purse.own_bucket
         bucket.resize(size)
         purse.alone += 1
--- a/src/ebonyladder/sessions/report.py
+++ b/src/ebonyladder/sessions/report.py
@@ -18,6 +18,7 @@
         "configuration": roster.version,
         "evidence_age_s": round(now_s - roster.evidence_s, 3),
         "fleet": roster.fleet,
+        "deputies": list(roster.deputies),
         "closed_zones": sorted(roster.closed_zones),
         "groups": {
             group.service: {
--- a/src/ebonyladder/sessions/roster.py
+++ b/src/ebonyladder/sessions/roster.py
@@ -134,6 +134,7 @@
         # VMs of each zone; the entries themselves are known to the leader only.
         self.fleet: dict[ZoneId, int] = {}
         self.owners: dict[EndpointId, Owner] = {}
+        self.deputies: dict[VmId, Address] = {}
         self.endpoints_version = 0
         self.groups: dict[ServiceId, GroupState] = {}
         # Time at which it was certain that no group had a newer epoch.
@@ -186,6 +187,10 @@
         self.owners = owners
         self.notify()
 
+    def adopt_deputies(self, deputies: dict[VmId, Address]) -> None:
+        """Replace the VMs that lend while the leader can't be reached."""
+        self.deputies = deputies
+
     @property
     def vm_count(self) -> int:
         """Number of VMs in the fleet, this one at least."""
--- a/src/ebonyladder/sessions/shares.py
+++ b/src/ebonyladder/sessions/shares.py
@@ -140,12 +140,21 @@
         found.sent_s = at_s
         return dict(found.sent)
 
-    def refresh(self, registered: Iterable[VmId], fresh: Iterable[VmId]) -> None:
-        """Take over which VMs there are and which of them report."""
+    def refresh(
+        self,
+        registered: Iterable[VmId],
+        fresh: Iterable[VmId],
+        *,
+        vm_count: int = 1,
+    ) -> None:
+        """Take over which VMs there are and which of them report.
+
+        ``vm_count`` is the least size of the fleet; a deputy has no list of VMs.
+        """
         now_s = self.clock.now_s()
         reporting = set(fresh)
         registered = set(registered)
-        self.vm_count = max(len(registered), 1)
+        self.vm_count = max(len(registered), vm_count)
         for vm in [
             v for v, s in self.vms.items() if now_s - s.reported_s > SILENT_LIFE_S
         ]:
--- /dev/null
+++ b/tests/test_deputies.py
@@ -0,0 +1,145 @@
+"""Deputies that lend turns while the leader can't be reached."""
+
+import asyncio
+import json
+import signal
+import urllib.request
+
+import pytest
+
+from ebonyladder.sessions.deputies import DEPUTIES, choose_deputies
+from ebonyladder.sessions.roster import VmEntry
+from ebonyladder.types import Address, Incarnation, VmId, ZoneId
+from soak.fleet import SoakFleet, SoakVm
+from standins.object_store import Outage
+from standins.platform import KEY, configuration
+
+START_LIMIT_S = 20.0
+# Time in which shares of rates follow the demand.
+LEARN_S = 3.0
+# Longer than loans live, shorter than the pause before a takeover.
+LOST_S = 1.5
+# Without a deputy the VM would have an equal part, 2 operations a second.
+RATE_PER_S = 10
+WRITES = 25
+WRITES_LIMIT_S = 6.0
+
+
+def fleet(*vms: tuple[str, str, float]) -> dict[VmId, VmEntry]:
+    """Return VMs by name, zone and processor."""
+    return {
+        VmId(name): VmEntry(
+            vm=VmId(name),
+            address=Address(f"{name}:1"),
+            zone=ZoneId(zone),
+            incarnation=Incarnation(1),
+            cores=cores,
+        )
+        for name, zone, cores in vms
+    }
+
+
+class TestChoice:
+    """Guards against deputies that are lost with the leader or can't carry it."""
+
+    VMS = fleet(
+        ("leader", "a", 2.0),
+        ("small", "a", 0.5),
+        ("owner", "b", 2.0),
+        ("large", "b", 2.0),
+        ("larger", "b", 4.0),
+        ("distant", "c", 1.0),
+    )
+
+    def choose(self, vms=VMS, known=()) -> list[str]:
+        owners = [VmId("owner")]
+        found = choose_deputies(vms, leader=VmId("leader"), owners=owners, known=known)
+        return list(found)
+
+    def test_large_ones_of_different_zones_that_own_nothing_come_first(self):
+        assert self.choose() == ["larger", "distant"]
+
+    def test_present_ones_stay_while_they_live(self):
+        assert self.choose(known=["large", "gone"]) == ["large", "distant"]
+
+    def test_one_zone_is_enough(self):
+        vms = fleet(("leader", "a", 1.0), ("x", "a", 1.0), ("y", "a", 1.0))
+        assert self.choose(vms) == ["x", "y"]
+        assert len(self.choose(vms)) == DEPUTIES
+
+    def test_leader_alone_has_none(self):
+        assert self.choose(fleet(("leader", "a", 1.0))) == []
+
+
+def state_of(vm: SoakVm) -> dict:
+    """Return what a VM believes, empty before it answers."""
+    url = f"http://{vm.host}:{vm.ports[1]}/state"
+    try:
+        with urllib.request.urlopen(url, timeout=1.0) as answer:
+            return json.load(answer)
+    except OSError:
+        return {}
+
+
+async def settled(soak: SoakFleet) -> list[SoakVm]:
+    """Wait until all VMs know the deputies; return leader, deputies and the rest."""
+    async with asyncio.timeout(START_LIMIT_S):
+        while True:
+            states = [await asyncio.to_thread(state_of, vm) for vm in soak.vms]
+            named = [state.get("deputies", []) for state in states]
+            if len(named[0]) == DEPUTIES and all(one == named[0] for one in named):
+                break
+            await asyncio.sleep(0.2)
+    by_name = {state["vm"]: vm for state, vm in zip(states, soak.vms, strict=True)}
+    deputies = [by_name[name] for name in named[0]]
+    leader = next(vm for vm in soak.vms if "Duty is taken" in log_of(vm))
+    rest = [vm for vm in soak.vms if vm not in (leader, *deputies)]
+    return [leader, *deputies, *rest]
+
+
+def log_of(vm: SoakVm) -> str:
+    return (vm.folder / f"vm-{vm.index}.{vm.starts}.log").read_text()
+
+
+async def write(vm: SoakVm, count: int) -> int:
+    """Write one after the other; return how many were acknowledged."""
+    reader, writer = await asyncio.open_connection(vm.host, vm.ports[2])
+    done = 0
+    try:
+        writer.write(f"STARTUP pay {KEY}\r\n".encode())
+        await reader.readline()
+        for number in range(count):
+            writer.write(f"QUERY s{number} WRITE key {number}\r\n".encode())
+            while not (line := await reader.readline()).startswith(b"READY"):
+                done += line.startswith(b"COMPLETE")
+                if not line:
+                    return done
+    finally:
+        writer.close()
+    return done
+
+
+@pytest.mark.xdist_group("processes")
+class TestLostLeader:
+    """Guards against refusals for a rate that is kept, in an outage of the store."""
+
+    def test_caller_at_a_vm_without_a_share_is_served(self, tmp_path):
+        async def scenario() -> int:
+            soak = SoakFleet(folder=tmp_path, size=5)
+            try:
+                await soak.start()
+                leader, _, _, busy, idle = await settled(soak)
+                changed = configuration(2, rate_per_s=RATE_PER_S)
+                soak.platform.store.put("config", "main", changed)
+                async with asyncio.timeout(START_LIMIT_S):
+                    await write(busy, WRITES)
+                await asyncio.sleep(LEARN_S)
+                soak.platform.store.outage = Outage.BUSY
+                leader.send(signal.SIGKILL)
+                await asyncio.sleep(LOST_S)
+                async with asyncio.timeout(WRITES_LIMIT_S):
+                    return await write(idle, WRITES)
+            finally:
+                await soak.stop()
+
+        assert asyncio.run(scenario()) == WRITES
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -165,6 +165,20 @@
         most = part * (10.0 * ORGANISATION.rate_per_s + ORGANISATION.burst)
         assert 0 < found.loans[ORGANISATION.name].turns <= most
 
+    def test_deputy_lends_once_it_has_lost_the_leader(self):
+        # Guards against seconds without a lender between two leaders.
+        world = World()
+        wants = {ORGANISATION.name: 10_000}
+        assert not world.leader.answer(report(wants=wants)).lends
+        world.leader.stands_in = True
+        world.leader.answer(report(shares={ORGANISATION.name: 0.5}))
+        world.leader.refresh_shares()
+        world.clock.advance(1.0)
+        found = world.leader.answer(report(wants=wants))
+        assert not found.is_leader
+        assert found.lends
+        assert found.loans[ORGANISATION.name].turns > 0
+
     def test_former_holder_lends_nothing(self):
         world = World()
         world.lead()
--- a/tests/test_session_quota.py
+++ b/tests/test_session_quota.py
@@ -86,6 +86,17 @@
         allowed = ORGANISATION.rate_per_s * 5 + ORGANISATION.burst
         assert total <= allowed + TOLERANCE.of(ORGANISATION)
 
+    def test_budget_after_another_lender_starts_empty(self):
+        # Guards against a second burst from a deputy that follows the leader.
+        clock = ManualClock()
+        budget = Budget(clock=clock, tolerance=TOLERANCE)
+        clock.advance(60.0)
+        lend(budget, 1)
+        budget.start_empty()
+        assert lend(budget, 1_000).turns == 0
+        clock.advance(1.0)
+        assert lend(budget, 1_000).turns == ORGANISATION.rate_per_s
+
     def test_rate_is_kept_for_vms_that_do_not_ask(self):
         # Guards against promising twice what a VM out of touch may still use.
         clock = ManualClock()
@@ -193,6 +204,21 @@
 
         assert asyncio.run(play()) == (2, 2)
 
+    def test_lenders_that_come_and_go_bring_no_second_start(self):
+        # Guards against turns of a fresh own bucket after each lost link.
+        clock = ManualClock()
+        quota = LentQuota(clock=clock, tolerance=TOLERANCE)
+        first = admitted(quota, 100)
+        assert first > 0
+        for _ in range(4):
+            quota.accept({ORGANISATION.name: Loan(turns=0)}, clock.now_s())
+            quota.lose_leader()
+            assert admitted(quota, 100) == 0
+        clock.advance(TOLERANCE.window_s)
+        quota.accept({ORGANISATION.name: Loan(turns=0)}, clock.now_s())
+        quota.lose_leader()
+        assert admitted(quota, 100) == first
+
     def test_refund_gives_the_turn_to_the_next_operation(self):
         # Guards against rates used up by operations that reached no endpoint.
         clock = ManualClock()
