Ask deputies first after a lost leader, and let them lend sooner

A renewal of the duty that hung held up the leader's own callers. A VM that took the duty long after its start lent a whole burst at once, after another lender had done so. Change: links without orders are given up after 1.4 s, deputies lend after 1.1 s without orders and are asked before the leader once it was lost; the renewal is a task of its own; budgets start anew when the duty is taken. Tests: test_duty_taken_over_brings_only_a_part_of_the_tolerance_at_once.

--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -32,6 +32,13 @@
 ASK_PAUSE_S = 0.02
 # Time for the leader's answer, in seconds: several round trips between regions.
 ANSWER_LIMIT_S = 1.0
+# A link without orders for this long is given up, in seconds: a report's period in
+# large fleets and several round trips. Deputies lend meanwhile, so the end of a link
+# that was only slow costs little.
+SILENCE_LIMIT_S = 1.4
+# A deputy lends once it has had no orders for this long, in seconds: before the other
+# VMs give up their links and come to it.
+DEPUTY_SILENCE_S = 1.1
 MESSAGE_LIMIT = 4 * 1024 * 1024
 
 
@@ -46,8 +53,8 @@
     ----------
     is_certain : bool
         Whether the leader was certain of its duty when it last answered.
-    is_linked : bool
-        Whether a leader or deputy lends to this VM.
+    accepted_s : float
+        Time of the last orders on the present link.
 
     Parameters
     ----------
@@ -95,10 +102,15 @@
     def _reset(self) -> None:
         self.heard_s: float | None = None
         self.is_certain = False
-        self.is_linked = False
+        self.accepted_s = float("-inf")
         self.leader_version = ConfigurationVersion(0)
         self.endpoints_version = -1
 
+    @property
+    def is_linked(self) -> bool:
+        """Whether a leader or deputy has answered this VM lately."""
+        return self.clock.now_s() - self.accepted_s < DEPUTY_SILENCE_S
+
     async def report_to(self, vm: VmId, address: Address) -> None:
         """Report to a leader or deputy until the link fails or it doesn't lend."""
         self._reset()
@@ -126,7 +138,7 @@
             )
             self.watches.resume("no leader")
         finally:
-            self.is_linked = False
+            self.accepted_s = float("-inf")
             self.quota.lose_leader()
 
     async def _send_reports(self, connection: ClientConnection) -> None:
@@ -151,11 +163,11 @@
 
     async def _receive_orders(self, connection: ClientConnection) -> None:
         while True:
-            async with asyncio.timeout(ANSWER_LIMIT_S + 2 * REPORT_PERIOD_S):
+            async with asyncio.timeout(SILENCE_LIMIT_S):
                 orders = decode(await connection.recv(), Orders)
             if not self.accept(orders):
                 raise NotLeaderError
-            self.is_linked = True
+            self.accepted_s = self.clock.now_s()
 
     def accept(self, orders: Orders) -> bool:
         """Act on orders; False where their sender neither leads nor lends."""
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -62,6 +62,9 @@
         self.changing: set[ServiceId] = set()
         self.must_register = asyncio.Event()
         self.server: Server | None = None
+        self.renewal: asyncio.Task[None] | None = None
+        # Token of the leader whose link was lost last; 0 for none.
+        self.lost_token = 0
 
     async def start(self) -> None:
         """Register this VM, listen to others, and find the leader."""
@@ -206,13 +209,16 @@
             self.vms.lead()
             if self.leader.needs_groups and self.vms.is_listed.is_set():
                 await self._read_groups()
-            if self.leadership.needs_renewal(self.vms.entries):
-                await self._write_record()
+            # A store that hangs must not hold up the turns of this VM's callers.
+            is_renewing = self.renewal is not None and not self.renewal.done()
+            if not is_renewing and self.leadership.needs_renewal(self.vms.entries):
+                self.renewal = self.kernel.spawn(self._write_record(), name="renewal")
             now_s = self.kernel.clock.now_s()
-            self.quota.accept(self.leader.lend(self.quota.wants()), now_s)
             if self.leader.token is None:
                 self.leader.refresh_shares()
+                self._lend_own()
                 continue
+            self._lend_own()
             self.roster.note_evidence(now_s)
             self.leader.refresh()
             if self.roster.version != version:
@@ -228,12 +234,16 @@
         )
         if stands_in != self.leader.stands_in:
             logging.info("[fleet] Deputy changes its part. lends=%s", stands_in)
-            self.leader.budget.start_empty()
+            self.leader.budget.start_anew(is_empty=True)
         self.leader.stands_in = stands_in
         if stands_in:
             self.leader.refresh_shares()
-            now_s = self.kernel.clock.now_s()
-            self.quota.accept(self.leader.lend(self.quota.wants()), now_s)
+            self._lend_own()
+
+    def _lend_own(self) -> None:
+        """Lend to the operations of this VM."""
+        now_s = self.kernel.clock.now_s()
+        self.quota.accept(self.leader.lend(self.quota.wants()), now_s)
 
     async def _read_groups(self) -> None:
         """Read the groups from the store after the duty was taken."""
@@ -305,22 +315,33 @@
         while True:
             await self._look_at_record()
             record = self.leadership.record
-            if record is not None and record.holder != self.roster.vm:
-                lenders = {record.holder: record.address, **self.roster.deputies}
-                if await self._report_to_first(lenders):
-                    continue
+            others = record is not None and record.holder != self.roster.vm
+            if others and await self._report_to_first(self._lenders(record)):
+                continue
             has_begun = self.watches.has_begun
             period_s = RECORD_PERIOD_S if has_begun else FIRST_RECORD_PERIOD_S
             await asyncio.sleep(period_s * random.uniform(0.6, 1.0))
 
-    async def _report_to_first(self, lenders: Mapping[VmId, Address]) -> bool:
-        """Report to the leader or a deputy; True once another VM has the duty.
+    def _lenders(self, record: LeaderRecord) -> dict[VmId, Address]:
+        """Return the VMs to report to, in the order of asking.
 
-        A deputy asks only those before it, since it lends itself after them.
+        Once the leader's link was lost, deputies are asked first, since opening a
+        link to a VM that is cut off takes a second. A deputy asks only those before
+        it, and lends itself after them.
         """
-        for vm, address in lenders.items():
+        deputies: dict[VmId, Address] = {}
+        for vm, address in self.roster.deputies.items():
             if vm == self.roster.vm:
-                return False
+                break
+            deputies[vm] = address
+        leader = {record.holder: record.address}
+        if record.token == self.lost_token:
+            return {**deputies, **leader}
+        return {**leader, **deputies}
+
+    async def _report_to_first(self, lenders: Mapping[VmId, Address]) -> bool:
+        """Report to the leader or a deputy; True once another VM has the duty."""
+        for vm, address in lenders.items():
             if await self._report_to(vm, address):
                 return True
         return False
@@ -342,6 +363,8 @@
         finally:
             link.cancel()
             await asyncio.wait({link})
+            if known is not None and vm == known.holder:
+                self.lost_token = known.token
 
     async def _await_leader(self) -> None:
         """Watch the store if no leader is found soon after the start."""
@@ -390,6 +413,8 @@
             return
         if not self.leadership.is_holder:
             logging.info("[fleet] Duty is taken. token=%d", record.token)
+            if not self.leader.stands_in:
+                self.leader.budget.start_anew(is_empty=False)
         self.leadership.note_written(record, found.revision, sent_s)
 
     async def _reread_record(self) -> None:
--- a/src/ebonyladder/sessions/quota.py
+++ b/src/ebonyladder/sessions/quota.py
@@ -120,11 +120,18 @@
         self.restart_part = RESTART_PART
         self.buckets: dict[OrganisationId, TokenBucket] = {}
 
-    def start_empty(self) -> None:
-        """Begin with empty buckets, where another VM has lent until now."""
+    def start_anew(self, *, is_empty: bool) -> None:
+        """Forget the time in which other VMs lent or used the turns.
+
+        Parameters
+        ----------
+        is_empty : bool
+            Whether another VM lends up to now, so that not even the part of the
+            tolerance for restarts is free.
+        """
         self.buckets.clear()
         self.started_s = self.clock.now_s()
-        self.restart_part = 0.0
+        self.restart_part = 0.0 if is_empty else RESTART_PART
 
     def lend(self, organisation: Organisation, wanted: float, *, part: float) -> Loan:
         """Lend turns.
--- a/tests/test_session_quota.py
+++ b/tests/test_session_quota.py
@@ -92,11 +92,21 @@
         budget = Budget(clock=clock, tolerance=TOLERANCE)
         clock.advance(60.0)
         lend(budget, 1)
-        budget.start_empty()
+        budget.start_anew(is_empty=True)
         assert lend(budget, 1_000).turns == 0
         clock.advance(1.0)
         assert lend(budget, 1_000).turns == ORGANISATION.rate_per_s
 
+    def test_duty_taken_over_brings_only_a_part_of_the_tolerance_at_once(self):
+        # Guards against a second burst from a VM that takes the duty long after its
+        # start, when the former leader has just lent one.
+        clock = ManualClock()
+        budget = Budget(clock=clock, tolerance=TOLERANCE)
+        clock.advance(60.0)
+        budget.start_anew(is_empty=False)
+        most = RESTART_PART * TOLERANCE.of(ORGANISATION)
+        assert 0 < lend(budget, 1_000).turns <= most
+
     def test_rate_is_kept_for_vms_that_do_not_ask(self):
         # Guards against promising twice what a VM out of touch may still use.
         clock = ManualClock()
