--- a/src/ebonyladder/sessions/deputies.py
+++ b/src/ebonyladder/sessions/deputies.py
@@ -47,3 +47,23 @@
         ranked.remove(chosen)
         found[chosen.vm] = chosen
     return {vm: entry.address for vm, entry in found.items()}
+
+
+def order_lenders(
+    own: VmId,
+    *,
+    leader: Mapping[VmId, Address],
+    deputies: Mapping[VmId, Address],
+    is_leader_lost: bool,
+) -> dict[VmId, Address]:
+    """Return the VMs that a VM reports to, in the order of asking.
+
+    Once its link to the leader was lost, the deputies come first, since opening a
+    link to a VM that is cut off takes a second. A deputy asks only those before it,
+    and lends itself where none of them does.
+    """
+    before = list(deputies)
+    if own in deputies:
+        before = before[: before.index(own)]
+    asked = {vm: deputies[vm] for vm in before}
+    return {**asked, **leader} if is_leader_lost else {**leader, **asked}
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Mapping
 
 import msgspec
 from absl import logging
@@ -13,6 +12,7 @@
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.sessions.cause import Cause
+from ebonyladder.sessions.deputies import order_lenders
 from ebonyladder.sessions.failover import Failover
 from ebonyladder.sessions.fleet import Fleet
 from ebonyladder.sessions.fleet_watchers import GroupWatcher, VmWatcher
@@ -316,31 +316,20 @@
             await self._look_at_record()
             record = self.leadership.record
             others = record is not None and record.holder != self.roster.vm
-            if others and await self._report_to_first(self._lenders(record)):
+            if others and await self._report_to_first(record):
                 continue
             has_begun = self.watches.has_begun
             period_s = RECORD_PERIOD_S if has_begun else FIRST_RECORD_PERIOD_S
             await asyncio.sleep(period_s * random.uniform(0.6, 1.0))
 
-    def _lenders(self, record: LeaderRecord) -> dict[VmId, Address]:
-        """Return the VMs to report to, in the order of asking.
-
-        Once the leader's link was lost, deputies are asked first, since opening a
-        link to a VM that is cut off takes a second. A deputy asks only those before
-        it, and lends itself after them.
-        """
-        deputies: dict[VmId, Address] = {}
-        for vm, address in self.roster.deputies.items():
-            if vm == self.roster.vm:
-                break
-            deputies[vm] = address
-        leader = {record.holder: record.address}
-        if record.token == self.lost_token:
-            return {**deputies, **leader}
-        return {**leader, **deputies}
-
-    async def _report_to_first(self, lenders: Mapping[VmId, Address]) -> bool:
+    async def _report_to_first(self, record: LeaderRecord) -> bool:
         """Report to the leader or a deputy; True once another VM has the duty."""
+        lenders = order_lenders(
+            self.roster.vm,
+            leader={record.holder: record.address},
+            deputies=self.roster.deputies,
+            is_leader_lost=record.token == self.lost_token,
+        )
         for vm, address in lenders.items():
             if await self._report_to(vm, address):
                 return True
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from ebonyladder.sessions.deputies import DEPUTIES, choose_deputies
+from ebonyladder.sessions.deputies import (
+    DEPUTIES,
+    choose_deputies,
+    order_lenders,
+)
 from ebonyladder.sessions.roster import VmEntry
 from ebonyladder.types import Address, Incarnation, VmId, ZoneId
 from soak.fleet import SoakFleet, SoakVm
@@ -71,6 +75,29 @@
         assert self.choose(fleet(("leader", "a", 1.0))) == []
 
 
+class TestOrder:
+    """Guards against a second without a lender, and deputies that ask each other."""
+
+    DEPUTIES = dict.fromkeys((VmId("one"), VmId("two")), Address("a:1"))
+
+    def order(self, own: str, *, is_leader_lost: bool) -> list[str]:
+        found = order_lenders(
+            VmId(own),
+            leader={VmId("leader"): Address("a:1")},
+            deputies=self.DEPUTIES,
+            is_leader_lost=is_leader_lost,
+        )
+        return list(found)
+
+    def test_leader_comes_first_until_its_link_is_lost(self):
+        assert self.order("vm", is_leader_lost=False) == ["leader", "one", "two"]
+        assert self.order("vm", is_leader_lost=True) == ["one", "two", "leader"]
+
+    def test_deputy_asks_only_those_before_it(self):
+        assert self.order("one", is_leader_lost=True) == ["leader"]
+        assert self.order("two", is_leader_lost=True) == ["one", "leader"]
+
+
 def state_of(vm: SoakVm) -> dict:
     """Return what a VM believes, empty before it answers."""
     url = f"http://{vm.host}:{vm.ports[1]}/state"
