Run the link to a lender as a task of the kernel

A failure of the link other than a lost connection was kept in a task that nobody read; the kernel logs it. NoLenderError names what it stands for.

--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -42,20 +42,13 @@
 MESSAGE_LIMIT = 4 * 1024 * 1024
 
 
-class NotLeaderError(Exception):
-    """The far end doesn't lead and doesn't lend, or not yet."""
+class NoLenderError(Exception):
+    """The far end neither leads nor lends, or not yet."""
 
 
 class Follower:
     """Link of this VM to the leader.
 
-    Attributes
-    ----------
-    is_certain : bool
-        Whether the leader was certain of its duty when it last answered.
-    accepted_s : float
-        Time of the last orders on the present link.
-
     Parameters
     ----------
     roster : Roster
@@ -74,6 +67,13 @@
         Clock of reports.
     unlisted : callable
         Called when the leader doesn't have this VM in its list.
+
+    Attributes
+    ----------
+    is_certain : bool
+        Whether the leader was certain of its duty when it last answered.
+    accepted_s : float
+        Time of the last orders on the present link.
     """
 
     def __init__(
@@ -128,7 +128,7 @@
                 async with asyncio.TaskGroup() as group:
                     group.create_task(self._send_reports(connection))
                     group.create_task(self._receive_orders(connection))
-        except* NotLeaderError:
+        except* NoLenderError:
             logging.info("[follower] VM doesn't lend. vm=%s", vm)
         except* (WebSocketException, OSError, TimeoutError, ValueError) as errors:
             logging.info(
@@ -166,7 +166,7 @@
             async with asyncio.timeout(SILENCE_LIMIT_S):
                 orders = decode(await connection.recv(), Orders)
             if not self.accept(orders):
-                raise NotLeaderError
+                raise NoLenderError
             self.accepted_s = self.clock.now_s()
 
     def accept(self, orders: Orders) -> bool:
--- a/src/ebonyladder/sessions/leader.py
+++ b/src/ebonyladder/sessions/leader.py
@@ -47,6 +47,11 @@
         Returns the registered VMs.
     clock : Clock
         Clock of orders.
+
+    Attributes
+    ----------
+    stands_in : bool
+        Whether this VM is a deputy that has lost the leader.
     """
 
     def __init__(
@@ -69,7 +74,6 @@
         self.clock = clock
         self.shares = Shares(clock=clock)
         self.connections: dict[VmId, ServerConnection] = {}
-        # Set on a deputy that has lost the leader.
         self.stands_in = False
         self.adopted: dict[tuple[VmId, ServiceId], int] = {}
         self.epoch_reported = asyncio.Event()
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -338,7 +338,9 @@
     async def _report_to(self, vm: VmId, address: Address) -> bool:
         """Report until the link ends; True once another VM has the duty."""
         known = self.leadership.record
-        link = asyncio.ensure_future(self.follower.report_to(vm, address))
+        link = self.kernel.spawn(
+            self.follower.report_to(vm, address), name=f"reports-{vm}"
+        )
         try:
             while not link.done():
                 await asyncio.wait({link}, timeout=RECORD_PERIOD_S)
