Take the reserve leases of shards in use first

Cause: a fleet takes its 512 reserve leases over 6 s after its start. Change: reserves of shards in use wait for a view of 0.3 s like main ones, unless the VM sees only itself, and come first at the same pace of calls. Test: test_outage_soon_after_the_start_stops_no_organisation, which failed before.

--- a/src/ebonyladder/_lease_keeper.py
+++ b/src/ebonyladder/_lease_keeper.py
@@ -11,7 +11,7 @@
 from ebonyladder.kernel.error import ErrorCode, StoreError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.lease import Lease, LeaseState
-from ebonyladder.limits import LeaseName, preferred_leases
+from ebonyladder.limits import SHARDS, LeaseName, preferred_leases
 from ebonyladder.store import PlatformStore
 from ebonyladder.types import Incarnation, VmId
 
@@ -27,10 +27,13 @@
 MAX_STORE_CALLS = 8
 # Spreads the calls of leases that were taken at the same time.
 RENEWAL_JITTER = 0.25
+# The reserves of shards in use come first within this time, at the same pace: they
+# carry the rates once an outage of the store has ended the main leases.
 RESERVE_START_S = 6.0
 # A VM that starts sees itself alone until peers answer, and would try for all
 # leases. It waits for a view that stays the same, but not for ever.
-# Nothing is admitted without the 64 main leases; the 512 reserves can wait longer.
+# Nothing is admitted without the 64 main leases; reserves of shards without
+# organisations can wait longer.
 MAIN_SETTLE_S = 0.3
 RESERVE_SETTLE_S = 1.0
 VIEW_SETTLE_LIMIT_S = 6.0
@@ -109,7 +112,10 @@
     def _is_settled(self, name: LeaseName) -> bool:
         """Tell whether the view has been the same for long enough after a start."""
         now_s = self.clock.now_s()
-        settle_s = MAIN_SETTLE_S if name.is_main else RESERVE_SETTLE_S
+        is_first = name.is_main or (
+            name.shard in self.holdings.specs and len(self.preferred_view) > 1
+        )
+        settle_s = MAIN_SETTLE_S if is_first else RESERVE_SETTLE_S
         is_quiet = now_s >= self.preferred_since_s + settle_s
         return is_quiet or now_s >= self.started_s + VIEW_SETTLE_LIMIT_S
 
@@ -127,7 +133,7 @@
         self.leases[name] = lease
         try:
             if not name.is_main:
-                await asyncio.sleep(self.random.uniform(0.0, RESERVE_START_S))
+                await asyncio.sleep(self._start_delay_s(name))
             while name in self.preferred or lease.state is LeaseState.HELD:
                 try:
                     await self._hold_once(name, lease)
@@ -138,6 +144,13 @@
             if lease.state is not LeaseState.HELD:
                 self.leases.pop(name, None)
 
+    def _start_delay_s(self, name: LeaseName) -> float:
+        """Return a random delay that keeps the pace of all reserves at a start."""
+        in_use = len(self.holdings.specs) / SHARDS * RESERVE_START_S
+        if name.shard in self.holdings.specs:
+            return self.random.uniform(0.0, in_use)
+        return self.random.uniform(in_use, RESERVE_START_S)
+
     async def _hold_once(self, name: LeaseName, lease: Lease) -> None:
         if lease.state is LeaseState.HELD:
             await asyncio.sleep(self._renewal_left_s(name, lease))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -10,6 +10,7 @@
 from ebonyladder.kernel.error import ErrorCode, Outcome
 from ebonyladder.lease import Lease, LeaseState
 from ebonyladder.limits import (
+    MAIN_DURATION_S,
     RESERVES,
     SHARDS,
     BucketSize,
@@ -179,6 +180,22 @@
 
         assert run_virtual(scenario()) < START_LIMIT_S + 1.0
 
+    def test_outage_soon_after_the_start_stops_no_organisation(self):
+        # Guards against main leases that end in an outage before any reserve of a
+        # shard in use was taken.
+        async def scenario() -> list[bool]:
+            fleet = Fleet(rate_per_s=400.0, burst=80.0)
+            await fleet.add("vm-1", "vm-2", "vm-3")
+            await asyncio.sleep(1.0)
+            fleet.store.is_down = True
+            await asyncio.sleep(MAIN_DURATION_S + 4.0)
+            served = [await fleet.request(name, wait_s=0.5) for name in fleet.vms]
+            fleet.store.is_down = False
+            await fleet.stop()
+            return served
+
+        assert run_virtual(scenario()) == [True, True, True]
+
 
 class TestFaults:
     """Guards P7 under faults of VMs, store and network."""
