Use one client of the statement protocol in tests, soak and demo

The tests, the soak, the demonstration and the test of deputies each spoke the protocol on their own. StatementClient in standins/ serves all four. The soak draws in the same order as before, and its checks are unchanged; the name of a VM's log is worked out in one place.

--- a/scripts/demo_platform.py
+++ b/scripts/demo_platform.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from soak.fleet import SoakFleet
-from standins.platform import KEY
+from standins.statement_client import StatementClient
 
 START_LIMIT_S = 30.0
 TRIES = 50
@@ -14,48 +14,34 @@
 PRIMARY = "i-0"
 
 
-class DemoSession:
-    """Session that prints what it sends and gets."""
+async def connect(address: str, database: str) -> StatementClient:
+    """Start a session, trying again while the daemon starts."""
+    async with asyncio.timeout(START_LIMIT_S):
+        while True:
+            try:
+                client = await StatementClient.connect(address, database)
+                if client.greeting.startswith("READY"):
+                    return client
+                client.close()
+            except OSError:
+                pass
+            await asyncio.sleep(0.2)
 
-    def __init__(self, reader, writer) -> None:
-        self.reader = reader
-        self.writer = writer
 
-    @classmethod
-    async def open(cls, address: str, database: str) -> "DemoSession":
-        """Connect, trying again while the daemon starts."""
-        host, port = address.split(":")
-        async with asyncio.timeout(START_LIMIT_S):
-            while True:
-                try:
-                    session = cls(*await asyncio.open_connection(host, int(port)))
-                    session.writer.write(f"STARTUP {database} {KEY}\r\n".encode())
-                    if (await session.line()).startswith("READY"):
-                        return session
-                except OSError:
-                    pass
-                await asyncio.sleep(0.2)
+async def query(client: StatementClient, text: str) -> str:
+    """Run a statement; print its answer and return the first line."""
+    lines = await client.query(text)
+    print(f"   {text:24} -> {' | '.join(lines)}")
+    return lines[0]
 
-    async def line(self) -> str:
-        """Return the next line."""
-        return (await self.reader.readline()).decode().rstrip()
 
-    async def query(self, text: str) -> str:
-        """Run a statement; print and return the first line of its answer."""
-        self.writer.write(f"QUERY demo {text}\r\n".encode())
-        lines = []
-        while not (lines and lines[-1].startswith("READY")):
-            lines.append(await self.line())
-        print(f"   {text:24} -> {' | '.join(lines)}")
-        return lines[0]
-
-    async def write(self, value: str) -> None:
-        """Write until the write is taken; every refusal is printed."""
-        for _ in range(TRIES):
-            if (await self.query(f"WRITE pitch {value}")).startswith("COMPLETE"):
-                return
-            await asyncio.sleep(PAUSE_S)
-        raise SystemExit("the write was not taken")
+async def write(client: StatementClient, value: str) -> None:
+    """Write until the write is taken; every refusal is printed."""
+    for _ in range(TRIES):
+        if (await query(client, f"WRITE pitch {value}")).startswith("COMPLETE"):
+            return
+        await asyncio.sleep(PAUSE_S)
+    raise SystemExit("the write was not taken")
 
 
 async def show() -> None:
@@ -63,19 +49,19 @@
     fleet = SoakFleet(folder=Path(tempfile.mkdtemp(prefix="demo-")), size=3)
     await fleet.start()
     try:
-        first = await DemoSession.open(fleet.vms[0].address, "book")
-        second = await DemoSession.open(fleet.vms[1].address, "pay")
+        first = await connect(fleet.vms[0].address, "book")
+        second = await connect(fleet.vms[1].address, "pay")
         print("== A session writes through one VM; another VM reads it.")
-        await first.write("reserved")
-        await second.query("READ pitch")
+        await write(first, "reserved")
+        await query(second, "READ pitch")
         print("== A transaction runs on one connection, with the session's values.")
         for text in ("SET zone west", "BEGIN", "WRITE pitch paid", "COMMIT"):
-            await second.query(text)
+            await query(second, text)
         print("== The primary crashes; a replica with every commit takes over.")
         await fleet.platform.service.databases[PRIMARY].stop()
-        await second.write("moved")
+        await write(second, "moved")
         print(f"   promotions (endpoint, token): {fleet.platform.service.promotions}")
-        await first.query("READ pitch")
+        await query(first, "READ pitch")
     finally:
         await fleet.stop()
 
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -1,12 +1,11 @@
 """Clients of a soak; they use open connections until the process is gone."""
 
 import asyncio
-import itertools
 import random
 
 from soak.fleet import SoakFleet
 from soak.history import History
-from standins.platform import KEY
+from standins.statement_client import StatementClient
 
 ANSWER_LIMIT_S = 6.0
 PAUSE_S = 0.03
@@ -28,8 +27,6 @@
         Seed of its choices.
     """
 
-    ids = itertools.count(1)
-
     def __init__(
         self, *, name: str, fleet: SoakFleet, history: History, seed: int
     ) -> None:
@@ -44,47 +41,48 @@
         """Hold sessions, one after the other, until told to stop."""
         while not self.is_stopping:
             address = self.random.choice(self.fleet.vms).address
-            host, port = address.split(":")
-            writer = None
+            client = None
             try:
-                reader, writer = await asyncio.open_connection(host, int(port))
-                await self._session(reader, writer)
-            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                client = await StatementClient.open(address, patience_s=ANSWER_LIMIT_S)
+                await self._session(client)
+            except (OSError, TimeoutError):
                 self.history.counts["broken sessions"] += 1
             finally:
-                if writer is not None:
-                    writer.close()
+                if client is not None:
+                    client.close()
             await asyncio.sleep(PAUSE_S)
 
-    async def _session(self, reader, writer) -> None:
+    async def _session(self, client: StatementClient) -> None:
         route = self.random.choice(["pay", "book"])
-        writer.write(f"STARTUP {route} {KEY}\r\n".encode())
-        if not (await self._line(reader)).startswith("READY"):
+        greeting = await client.start(route)
+        if not greeting:
+            raise ConnectionResetError("the connection ended")
+        if not greeting.startswith("READY"):
             return
         own = 0
         for _ in range(self.random.randint(1, 40)):
             if self.is_stopping:
                 return
             if self.random.random() < 0.4:
-                own = await self._write(reader, writer) or own
+                own = await self._write(client) or own
             else:
-                await self._read(reader, writer, route, own)
+                await self._read(client, route, own)
             await asyncio.sleep(PAUSE_S)
 
-    async def _write(self, reader, writer) -> int | None:
+    async def _write(self, client: StatementClient) -> int | None:
         self.value += 1
         value = self.value
         self.history.attempted[self.name] = value
         if self.random.random() < 0.3:
-            await self._query(reader, writer, "BEGIN")
-            first = await self._query(reader, writer, f"WRITE {self.name} {value}")
+            await _answer(client, "BEGIN")
+            first = await _answer(client, f"WRITE {self.name} {value}")
             if first[0].startswith("ERROR"):
-                await self._query(reader, writer, "ROLLBACK")
+                await _answer(client, "ROLLBACK")
                 self.history.promised_not_kept.add(f"{self.name}={value}")
                 return None
-            answer = await self._query(reader, writer, "COMMIT")
+            answer = await _answer(client, "COMMIT")
         else:
-            answer = await self._query(reader, writer, f"WRITE {self.name} {value}")
+            answer = await _answer(client, f"WRITE {self.name} {value}")
         word, _, rest = answer[0].partition(" ")
         if word == "COMPLETE":
             self.history.acknowledged[self.name] = value
@@ -95,29 +93,21 @@
             self.history.promised_not_kept.add(f"{self.name}={value}")
         return None
 
-    async def _read(self, reader, writer, route: str, own: int) -> None:
+    async def _read(self, client: StatementClient, route: str, own: int) -> None:
         key = self.name
         least = own
         if route == "pay":
             key = self.random.choice(list(self.history.attempted) or [self.name])
             least = self.history.acknowledged.get(key, 0)
-        answer = await self._query(reader, writer, f"READ {key}")
+        answer = await _answer(client, f"READ {key}")
         if answer[0].startswith("ROW"):
             self.history.counts["reads"] += 1
             self.history.check_read(route, key, answer[0][4:], least)
 
-    async def _query(self, reader, writer, text: str) -> list[str]:
-        writer.write(f"QUERY s{next(self.ids)} {text}\r\n".encode())
-        lines = []
-        while True:
-            line = await self._line(reader)
-            lines.append(line)
-            if line.startswith("READY"):
-                return lines
 
-    async def _line(self, reader) -> str:
-        async with asyncio.timeout(ANSWER_LIMIT_S):
-            line = await reader.readline()
-        if not line.endswith(b"\r\n"):
-            raise ConnectionResetError("the connection ended")
-        return line.decode().rstrip()
+async def _answer(client: StatementClient, text: str) -> list[str]:
+    """Return an answer; raises ``ConnectionResetError`` if it isn't whole."""
+    lines = await client.query(text)
+    if not lines or not lines[-1].startswith("READY"):
+        raise ConnectionResetError("the connection ended")
+    return lines
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -91,6 +91,11 @@
         """Address for clients."""
         return f"{self.host}:{self.ports[2]}"
 
+    @property
+    def log_path(self) -> Path:
+        """Log of the present process."""
+        return self.folder / f"vm-{self.index}.{self.starts}.log"
+
     @property
     def is_running(self) -> bool:
         """Whether the process has not ended."""
@@ -114,8 +119,7 @@
     async def start(self) -> None:
         """Start the process; its log goes to a file."""
         self.starts += 1
-        log = (self.folder / f"vm-{self.index}.{self.starts}.log").open("wb")
-        with log:
+        with self.log_path.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -1,7 +1,6 @@
 """Session daemons in one process over the stand-ins of the users' platform."""
 
 import asyncio
-import itertools
 import time
 from contextlib import asynccontextmanager
 
@@ -14,7 +13,7 @@
 from ebonyladder.sessions.settings import SessionSettings
 from ebonyladder.types import Address, VmId, ZoneId
 from standins.address import free_addresses
-from standins.platform import KEY, ZONES, Platform
+from standins.platform import ZONES, Platform
 
 ADAPTER = "ebonyladder.platform"
 # Bound on waits for a condition, in seconds; generous, since CI may be busy.
@@ -30,45 +29,6 @@
         await asyncio.sleep(0.02)
 
 
-class Client:
-    """Client session that speaks the statement protocol."""
-
-    numbers = itertools.count(1)
-
-    def __init__(self, reader, writer) -> None:
-        self.reader = reader
-        self.writer = writer
-
-    @classmethod
-    async def connect(cls, address: str, database: str, key: str = KEY) -> "Client":
-        """Open a session; ``greeting`` holds the daemon's first line."""
-        host, port = address.split(":")
-        client = cls(*await asyncio.open_connection(host, int(port)))
-        client.writer.write(f"STARTUP {database} {key}\r\n".encode())
-        client.greeting = await client.line()
-        return client
-
-    async def line(self) -> str:
-        """Return the next line, empty at the end."""
-        async with asyncio.timeout(PATIENCE_S):
-            return (await self.reader.readline()).decode().rstrip()
-
-    async def query(self, text: str) -> list[str]:
-        """Send one query and return the lines of its answer."""
-        id = f"q{next(self.numbers)}"
-        self.writer.write(f"QUERY {id} {text}\r\n".encode())
-        lines = []
-        while line := await self.line():
-            lines.append(line)
-            if line.startswith("READY"):
-                break
-        return lines
-
-    def close(self) -> None:
-        """Leave without a word."""
-        self.writer.close()
-
-
 class Fleet:
     """Daemons, one for each zone."""
 
--- a/tests/test_deputies.py
+++ b/tests/test_deputies.py
@@ -16,7 +16,8 @@
 from ebonyladder.types import Address, Incarnation, VmId, ZoneId
 from soak.fleet import SoakFleet, SoakVm
 from standins.object_store import Outage
-from standins.platform import KEY, configuration
+from standins.platform import configuration
+from standins.statement_client import StatementClient
 
 START_LIMIT_S = 20.0
 # Time in which shares of rates follow the demand.
@@ -119,31 +120,19 @@
             await asyncio.sleep(0.2)
     by_name = {state["vm"]: vm for state, vm in zip(states, soak.vms, strict=True)}
     deputies = [by_name[name] for name in named[0]]
-    leader = next(vm for vm in soak.vms if "Duty is taken" in log_of(vm))
+    leader = next(vm for vm in soak.vms if "Duty is taken" in vm.log_path.read_text())
     rest = [vm for vm in soak.vms if vm not in (leader, *deputies)]
     return [leader, *deputies, *rest]
 
 
-def log_of(vm: SoakVm) -> str:
-    return (vm.folder / f"vm-{vm.index}.{vm.starts}.log").read_text()
-
-
 async def write(vm: SoakVm, count: int) -> int:
     """Write one after the other; return how many were acknowledged."""
-    reader, writer = await asyncio.open_connection(vm.host, vm.ports[2])
-    done = 0
+    client = await StatementClient.connect(vm.address, "pay")
     try:
-        writer.write(f"STARTUP pay {KEY}\r\n".encode())
-        await reader.readline()
-        for number in range(count):
-            writer.write(f"QUERY s{number} WRITE key {number}\r\n".encode())
-            while not (line := await reader.readline()).startswith(b"READY"):
-                done += line.startswith(b"COMPLETE")
-                if not line:
-                    return done
+        answers = [await client.query(f"WRITE key {n}") for n in range(count)]
     finally:
-        writer.close()
-    return done
+        client.close()
+    return sum(lines[0].startswith("COMPLETE") for lines in answers if lines)
 
 
 @pytest.mark.xdist_group("processes")
--- a/tests/test_ownership_of_links.py
+++ b/tests/test_ownership_of_links.py
@@ -17,7 +17,8 @@
     ZoneId,
 )
 from standins.platform import configuration
-from tests.platform_fleet import Client, running_fleet, until
+from standins.statement_client import StatementClient
+from tests.platform_fleet import running_fleet, until
 from tests.session_fakes import SERVICE, roster
 
 
@@ -129,7 +130,8 @@
             async with running_fleet() as fleet:
                 await self.share(fleet)
                 clients = [
-                    await Client.connect(fleet.address(i), "book") for i in range(3)
+                    await StatementClient.connect(fleet.address(i), "book")
+                    for i in range(3)
                 ]
                 for number, client in enumerate(clients):
                     assert (await client.query(f"WRITE a {number}"))[0][
@@ -153,7 +155,7 @@
                 await self.share(fleet)
                 for database in fleet.platform.service.databases.values():
                     database.work_s = 0.05
-                client = await Client.connect(fleet.address(2), "pay")
+                client = await StatementClient.connect(fleet.address(2), "pay")
                 await client.query("BEGIN")
                 for number in range(4):
                     answer = await client.query(f"WRITE a {number}")
@@ -169,11 +171,11 @@
         async def play():
             async with running_fleet() as fleet:
                 await self.share(fleet)
-                client = await Client.connect(fleet.address(2), "pay")
+                client = await StatementClient.connect(fleet.address(2), "pay")
                 await client.query("BEGIN")
                 await client.query("WRITE a one")
                 client.close()
-                other = await Client.connect(fleet.address(1), "pay")
+                other = await StatementClient.connect(fleet.address(1), "pay")
                 answer = await other.query("WRITE a two")
                 return answer, fleet.platform.service.databases["i-0"].data
 
@@ -192,7 +194,7 @@
                 )
                 others = [i for i in range(3) if i != index]
                 await fleet.kernels[index].stop()
-                client = await Client.connect(fleet.address(others[0]), "pay")
+                client = await StatementClient.connect(fleet.address(others[0]), "pay")
                 for attempt in range(30):
                     answer = await client.query(f"WRITE a {attempt}")
                     if answer[0].startswith("COMPLETE"):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -11,7 +11,8 @@
 from ebonyladder.sessions.watcher import SHORT_WAIT_S
 from standins.object_store import Outage
 from standins.platform import SERVICE, configuration
-from tests.platform_fleet import Client, running_fleet, until
+from standins.statement_client import StatementClient
+from tests.platform_fleet import running_fleet, until
 
 pytestmark = pytest.mark.xdist_group("processes")
 
@@ -20,11 +21,11 @@
     def test_sessions_write_and_read_on_all_vms(self):
         async def play():
             async with running_fleet() as fleet:
-                writer = await Client.connect(fleet.address(0), "book")
+                writer = await StatementClient.connect(fleet.address(0), "book")
                 assert writer.greeting == "READY I -"
                 assert (await writer.query("WRITE a one"))[0].startswith("COMPLETE s")
                 assert (await writer.query("READ a"))[0] == "ROW one"
-                reader = await Client.connect(fleet.address(2), "pay")
+                reader = await StatementClient.connect(fleet.address(2), "pay")
                 assert (await reader.query("READ a"))[0] == "ROW one"
                 return fleet.platform.service.runs
 
@@ -34,7 +35,7 @@
     def test_transaction_commits_on_one_connection(self):
         async def play():
             async with running_fleet() as fleet:
-                client = await Client.connect(fleet.address(1), "pay")
+                client = await StatementClient.connect(fleet.address(1), "pay")
                 assert await client.query("SET zone w") == ["COMPLETE -", "READY I -"]
                 await client.query("PREPARE s1 WRITE q2c")
                 assert (await client.query("BEGIN"))[-1] == "READY T -"
@@ -68,8 +69,10 @@
     def test_unknown_database_and_key_are_refused(self):
         async def play():
             async with running_fleet() as fleet:
-                first = await Client.connect(fleet.address(0), "nothing")
-                second = await Client.connect(fleet.address(0), "pay", "nobody")
+                first = await StatementClient.connect(fleet.address(0), "nothing")
+                second = await StatementClient.connect(
+                    fleet.address(0), "pay", "nobody"
+                )
                 return first.greeting, second.greeting, await second.line()
 
         first, second, rest = asyncio.run(play())
@@ -83,7 +86,7 @@
         # Guards against a service that stays without a primary, and lost commits.
         async def play():
             async with running_fleet() as fleet:
-                client = await Client.connect(fleet.address(1), "pay")
+                client = await StatementClient.connect(fleet.address(1), "pay")
                 await client.query("WRITE a one")
                 await fleet.platform.service.databases["i-0"].stop()
                 for attempt in range(30):
@@ -107,7 +110,8 @@
         async def play():
             async with running_fleet() as fleet:
                 clients = [
-                    await Client.connect(fleet.address(i), "pay") for i in range(3)
+                    await StatementClient.connect(fleet.address(i), "pay")
+                    for i in range(3)
                 ]
                 fleet.platform.store.put(
                     "config", "main", configuration(2, keys=("other",))
@@ -152,7 +156,8 @@
         async def play():
             async with running_fleet() as fleet:
                 clients = [
-                    await Client.connect(fleet.address(i), "pay") for i in range(3)
+                    await StatementClient.connect(fleet.address(i), "pay")
+                    for i in range(3)
                 ]
                 fleet.platform.store.outage = outage
                 for _ in range(10):
@@ -185,7 +190,7 @@
                     assert await reader.read() == b""
                 except ConnectionError:
                     pass
-                client = await Client.connect(fleet.address(0), "pay")
+                client = await StatementClient.connect(fleet.address(0), "pay")
                 assert client.greeting == "READY I -"
 
         asyncio.run(play())
@@ -193,7 +198,7 @@
     def test_unknown_command_is_malformed_and_the_session_goes_on(self):
         async def play():
             async with running_fleet() as fleet:
-                client = await Client.connect(fleet.address(0), "pay")
+                client = await StatementClient.connect(fleet.address(0), "pay")
                 first = await client.query("DROP a")
                 return first, await client.query("READ a")
 
