Ask for the certainty of the duty once, and simplify what lends

Leader.token looks at every VM and was worked out up to four times for each report and twice in each pass of the leader's loop; it is asked for once and handed on. The whole view is looked at only until the first relay roots are taken, the only use of it. A lender's link is judged by the record it began with instead of a second look at it; the deputies before a VM and the tries of a release are written more directly; a stop that closes idle connections after its wait says so in the log. Behaviour and tests are as before.

--- a/src/ebonyladder/_lease_keeper.py
+++ b/src/ebonyladder/_lease_keeper.py
@@ -204,16 +204,18 @@
         self.holdings.close(name)
         for tries_left in reversed(range(RELEASE_TRIES)):
             try:
-                return await self.leases[name].release()
+                await self.leases[name].release()
             except StoreError as error:
-                if tries_left and error.code is not ErrorCode.LEASE_LOST:
-                    logging.info("[limits] Release is tried again. key=%s", name.key)
-                    continue
-                logging.warning(
-                    "[limits] Lease was not released. key=%s error=%s", name.key, error
-                )
-                return None
-        return None
+                if not tries_left or error.code is ErrorCode.LEASE_LOST:
+                    logging.warning(
+                        "[limits] Lease was not released. key=%s error=%s",
+                        name.key,
+                        error,
+                    )
+                    return
+                logging.info("[limits] Release is tried again. key=%s", name.key)
+            else:
+                return
 
 
 def _start_order(name: LeaseName) -> tuple[bool, LeaseName]:
--- a/src/ebonyladder/plugins/caller_front.py
+++ b/src/ebonyladder/plugins/caller_front.py
@@ -6,7 +6,6 @@
 import logging as standard_logging
 import random
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from typing import ClassVar
 
 from absl import logging
@@ -206,9 +205,12 @@
     async def stop(self) -> None:
         """Close the listening socket and idle connections."""
         if self.connections and self.gateway.is_draining:
-            with suppress(TimeoutError):
+            try:
                 async with asyncio.timeout(IDLE_LINGER_S):
                     await self.is_unused.wait()
+            except TimeoutError:
+                count = len(self.connections)
+                logging.info("[callers] Idle connections are closed. count=%d", count)
         if self.server is not None:
             self.server.close()
         for socket in [s for sockets in self.sockets.values() for s in sockets]:
--- a/src/ebonyladder/plugins/configuration.py
+++ b/src/ebonyladder/plugins/configuration.py
@@ -240,9 +240,9 @@
             if is_changed:
                 known = members
                 zones = {member.vm: member.zone for member in members}
-            self.roots.update(
-                zones, self.freshness.current_at_s, is_whole=membership.is_whole()
-            )
+            # Only the first roots depend on it, and it looks at every member.
+            is_whole = not self.roots.pinned and membership.is_whole()
+            self.roots.update(zones, self.freshness.current_at_s, is_whole=is_whole)
             if is_changed or watchers != self.roots.watchers:
                 watchers = list(self.roots.watchers)
                 roots = [vm for vm in watchers if vm in zones]
--- a/src/ebonyladder/sessions/deputies.py
+++ b/src/ebonyladder/sessions/deputies.py
@@ -1,6 +1,7 @@
 """VMs that lend the parts of rates while the leader can't be reached."""
 
 from collections.abc import Iterable, Mapping
+from itertools import takewhile
 
 from ebonyladder.sessions.roster import VmEntry
 from ebonyladder.types import Address, VmId
@@ -62,8 +63,5 @@
     link to a VM that is cut off takes a second. A deputy asks only those before it,
     and lends itself where none of them does.
     """
-    before = list(deputies)
-    if own in deputies:
-        before = before[: before.index(own)]
-    asked = {vm: deputies[vm] for vm in before}
-    return {**asked, **leader} if is_leader_lost else {**leader, **asked}
+    before = dict(takewhile(lambda item: item[0] != own, deputies.items()))
+    return {**before, **leader} if is_leader_lost else {**leader, **before}
--- a/src/ebonyladder/sessions/leader.py
+++ b/src/ebonyladder/sessions/leader.py
@@ -170,9 +170,11 @@
         self.shares.note_report(
             report.vm, wants=report.wants, heard_s=report.heard_s, held=report.shares
         )
+        # The token is worked out over all VMs, so an answer asks for it once.
         if self.token is None:
-            loans = self.lend(report.wants) if self.lends else {}
-            return self._orders(report, lends=self.lends, loans=loans)
+            wants = report.wants if self.lends else {}
+            loans = self.lend(wants, is_certain=False)
+            return self._orders(report, is_leader=False, lends=self.lends, loans=loans)
         is_behind = report.version < self.roster.version
         state = self.state
         if state is not None and state.version == report.endpoints_version:
@@ -180,20 +182,30 @@
         at_s = self.clock.now_s()
         return self._orders(
             report,
+            is_leader=True,
             at_s=at_s,
             shares=self.shares.grant(report.vm, at_s),
             groups=self._newer_groups(report),
-            loans=self.lend(report.wants),
+            loans=self.lend(report.wants, is_certain=True),
             state=state,
             catalog=self.roster.catalog if is_behind else None,
         )
 
-    def lend(self, wants: dict[OrganisationId, int]) -> dict[OrganisationId, Loan]:
-        """Lend turns of the organisations that are asked for."""
+    def lend(
+        self, wants: dict[OrganisationId, int], *, is_certain: bool
+    ) -> dict[OrganisationId, Loan]:
+        """Lend turns of the organisations that are asked for.
+
+        Parameters
+        ----------
+        wants : dict of OrganisationId to int
+            Turns that a VM asks for.
+        is_certain : bool
+            Whether this VM is certain of the duty now.
+        """
         catalog = self.roster.catalog
         if catalog is None:
             return {}
-        is_certain = self.token is not None
         part_of = self.shares.lendable_part if is_certain else self.shares.pooled_part
         return {
             name: self.budget.lend(
@@ -307,9 +319,16 @@
             if report.epochs.get(group.service, 0) < group.epoch
         )
 
-    def _orders(self, report: Report, *, at_s: float | None = None, **fields) -> Orders:
+    def _orders(
+        self,
+        report: Report,
+        *,
+        is_leader: bool,
+        at_s: float | None = None,
+        **fields,
+    ) -> Orders:
         return Orders(
-            is_leader=self.token is not None,
+            is_leader=is_leader,
             has_store=self.watches.has_store,
             at_s=self.clock.now_s() if at_s is None else at_s,
             version=self.roster.version,
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -214,11 +214,12 @@
             if not is_renewing and self.leadership.needs_renewal(self.vms.entries):
                 self.renewal = self.kernel.spawn(self._write_record(), name="renewal")
             now_s = self.kernel.clock.now_s()
-            if self.leader.token is None:
+            is_certain = self.leader.token is not None
+            if not is_certain:
                 self.leader.refresh_shares()
-                self._lend_own()
+            self._lend_own(is_certain=is_certain)
+            if not is_certain:
                 continue
-            self._lend_own()
             self.roster.note_evidence(now_s)
             self.leader.refresh()
             if self.roster.version != version:
@@ -238,12 +239,13 @@
         self.leader.stands_in = stands_in
         if stands_in:
             self.leader.refresh_shares()
-            self._lend_own()
+            self._lend_own(is_certain=False)
 
-    def _lend_own(self) -> None:
+    def _lend_own(self, *, is_certain: bool) -> None:
         """Lend to the operations of this VM."""
         now_s = self.kernel.clock.now_s()
-        self.quota.accept(self.leader.lend(self.quota.wants()), now_s)
+        loans = self.leader.lend(self.quota.wants(), is_certain=is_certain)
+        self.quota.accept(loans, now_s)
 
     async def _read_groups(self) -> None:
         """Read the groups from the store after the duty was taken."""
@@ -331,13 +333,17 @@
             is_leader_lost=record.token == self.lost_token,
         )
         for vm, address in lenders.items():
-            if await self._report_to(vm, address):
+            if await self._report_to(vm, address, record):
                 return True
         return False
 
-    async def _report_to(self, vm: VmId, address: Address) -> bool:
-        """Report until the link ends; True once another VM has the duty."""
-        known = self.leadership.record
+    async def _report_to(
+        self, vm: VmId, address: Address, record: LeaderRecord
+    ) -> bool:
+        """Report until the link ends; True once another VM has the duty.
+
+        ``record`` is the record of the duty at the beginning.
+        """
         link = self.kernel.spawn(
             self.follower.report_to(vm, address), name=f"reports-{vm}"
         )
@@ -348,14 +354,14 @@
                     continue
                 await self._look_at_record()
                 found = self.leadership.record
-                if found is None or known is None or found.token != known.token:
+                if found is None or found.token != record.token:
                     return True
             return False
         finally:
             link.cancel()
             await asyncio.wait({link})
-            if known is not None and vm == known.holder:
-                self.lost_token = known.token
+            if vm == record.holder:
+                self.lost_token = record.token
 
     async def _await_leader(self) -> None:
         """Watch the store if no leader is found soon after the start."""
