Restart tasks that live as long as the daemon after a failure

Cause: the kernel logged the failure of a task and nothing else, so an unexpected error left a daemon that answered its readiness probe but no longer followed a list of the store, reported to the leader or maintained its pools.

Change: Kernel.supervise restarts such a task with a backoff of 0.1 to 5 s, counts the failures for the metric ebonyladder_task_failures and logs them. All tasks of the session daemon and the loops of the HTTP daemon's plug-ins run under it. Tasks for one operation still run under spawn.

--- a/src/ebonyladder/kernel/kernel.py
+++ b/src/ebonyladder/kernel/kernel.py
@@ -1,7 +1,8 @@
 """Kernel: runs plug-ins in dependency order and stops them gracefully."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections import Counter
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol, TypeVar
 
 from absl import logging
@@ -13,6 +14,12 @@
 
 T = TypeVar("T")
 
+# Backoff before a supervised task is restarted, in seconds; it doubles with each
+# failure. A task that ran for longer than the reset time begins with the first one.
+MIN_RESTART_BACKOFF_S = 0.1
+MAX_RESTART_BACKOFF_S = 5.0
+BACKOFF_RESET_S = 30.0
+
 
 class DaemonSettings(Protocol):
     """Settings that the kernel itself reads."""
@@ -35,6 +42,11 @@
         Registry with the plug-ins to run.
     disabled : frozenset of str
         Names of plug-ins that are not run.
+
+    Attributes
+    ----------
+    task_failures : Counter of str
+        Number of failures of each task, by its name.
     """
 
     def __init__(
@@ -50,6 +62,7 @@
         self.plugins: list[Plugin] = []
         self.providers: dict[type, Plugin] = {}
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.task_failures: Counter[str] = Counter()
         self.draining = False
         for plugin_class in registry.select(disabled=disabled):
             plugin = plugin_class(kernel=self)
@@ -73,22 +86,54 @@
     def spawn(self, coroutine: Coroutine[Any, Any, Any], *, name: str) -> asyncio.Task:
         """Run a coroutine as a task that the kernel cancels on stop.
 
-        A task that fails is logged; it never ends the daemon.
+        A task that fails is logged; it never ends the daemon. Tasks that must live as
+        long as the daemon are run by ``supervise``.
         """
         task = asyncio.create_task(coroutine, name=name)
         self.tasks.add(task)
         task.add_done_callback(self._on_task_done)
         return task
 
+    def supervise(
+        self, run: Callable[[], Coroutine[Any, Any, None]], *, name: str
+    ) -> asyncio.Task[None]:
+        """Run a coroutine function as a task that is restarted after a failure.
+
+        Without a restart, an unexpected error in a task that lives as long as the
+        daemon would leave a daemon that answers but no longer follows the fleet.
+        """
+        return self.spawn(self._run_supervised(run, name), name=name)
+
+    async def _run_supervised(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> None:
+        backoff_s = MIN_RESTART_BACKOFF_S
+        while True:
+            started_at_s = self.clock.now_s()
+            try:
+                await run()
+                return
+            except Exception as error:
+                self._record_failure(name, error)
+            if self.clock.now_s() - started_at_s > BACKOFF_RESET_S:
+                backoff_s = MIN_RESTART_BACKOFF_S
+            await asyncio.sleep(backoff_s)
+            backoff_s = min(2 * backoff_s, MAX_RESTART_BACKOFF_S)
+
     def _on_task_done(self, task: asyncio.Task) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logging.error(
-                "[kernel] Task failed. task=%s error=%r",
-                task.get_name(),
-                task.exception(),
-                exc_info=task.exception(),
-            )
+            self._record_failure(task.get_name(), task.exception())
+
+    def _record_failure(self, name: str, error: BaseException) -> None:
+        self.task_failures[name] += 1
+        logging.error(
+            "[kernel] Task failed. task=%s failures=%d error=%r",
+            name,
+            self.task_failures[name],
+            error,
+            exc_info=error,
+        )
 
     async def start(self) -> None:
         """Start all plug-ins, each after those it requires."""
--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -219,7 +219,7 @@
         self.server = await asyncio.start_server(
             self._accept, host, port, limit=MAX_LINE_BYTES, backlog=LISTEN_BACKLOG
         )
-        self.kernel.spawn(self._close_idle_when_isolated(), name="session-release")
+        self.kernel.supervise(self._close_idle_when_isolated, name="session-release")
 
     async def drain(self) -> None:
         """Let callers finish; near the end of the grace period, close what is open."""
--- a/src/ebonyladder/plugins/certificates.py
+++ b/src/ebonyladder/plugins/certificates.py
@@ -25,7 +25,7 @@
 
     async def start(self) -> None:
         """Start to check the files."""
-        self.kernel.spawn(self._watch_files(), name="certificates")
+        self.kernel.supervise(self._watch_files, name="certificates")
 
     def server(self, tls: TlsSettings) -> ssl.SSLContext:
         """Return the context of a listening socket."""
--- a/src/ebonyladder/plugins/configuration.py
+++ b/src/ebonyladder/plugins/configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from absl import logging
@@ -126,12 +127,12 @@
         peers.handle(Sync, self._answer_sync)
         peers.handle(ConfirmationRequest, self._answer_confirmation)
         await self._load_initial()
-        self.kernel.spawn(self._update_tree(), name="configuration-tree")
-        self.kernel.spawn(self._watch_store(), name="configuration-store")
-        self.kernel.spawn(self._poll_roots(), name="configuration-roots")
+        self.kernel.supervise(self._update_tree, name="configuration-tree")
+        self.kernel.supervise(self._watch_store, name="configuration-store")
+        self.kernel.supervise(self._poll_roots, name="configuration-roots")
         for parent_index in range(len(PARENT_STEPS_S)):
-            self.kernel.spawn(
-                self._sync_with_parent(parent_index),
+            self.kernel.supervise(
+                partial(self._sync_with_parent, parent_index),
                 name=f"configuration-parent-{parent_index}",
             )
 
--- a/src/ebonyladder/plugins/endpoint_links.py
+++ b/src/ebonyladder/plugins/endpoint_links.py
@@ -91,7 +91,7 @@
         peers.handle(Forward, self._answer_forward)
         peers.handle(TransactionStep, self._answer_step)
         peers.handle(GroupStateRequest, self._answer_group_state)
-        self.kernel.spawn(self._close_unused(), name="close-unused")
+        self.kernel.supervise(self._close_unused, name="close-unused")
 
     async def _close_unused(self) -> None:
         while True:
--- a/src/ebonyladder/plugins/group_monitor.py
+++ b/src/ebonyladder/plugins/group_monitor.py
@@ -1,6 +1,7 @@
 """Plug-in that monitors the groups of which this VM owns an endpoint."""
 
 import asyncio
+from functools import partial
 from typing import ClassVar
 
 from absl import logging
@@ -69,7 +70,7 @@
         self.kernel.get(ConfigurationSource).subscribe(
             lambda _: self.reconcile_needed.set()
         )
-        self.kernel.spawn(self._run_reconciliation(), name="follow-ownership")
+        self.kernel.supervise(self._run_reconciliation, name="follow-ownership")
 
     def views(self) -> list[GroupView]:
         """Return the views, by group name."""
@@ -124,13 +125,15 @@
         self.monitored[group] = monitored
         for endpoint, address in endpoints.items():
             monitored.tasks.append(
-                self.kernel.spawn(
-                    self._read_reports(monitored, endpoint, address),
+                self.kernel.supervise(
+                    partial(self._read_reports, monitored, endpoint, address),
                     name=f"reports-{endpoint}",
                 )
             )
         monitored.tasks.append(
-            self.kernel.spawn(self._probe(monitored), name=f"probe-{group}")
+            self.kernel.supervise(
+                partial(self._probe, monitored), name=f"probe-{group}"
+            )
         )
         logging.info("[groups] Started to monitor the group. group=%s", group)
 
--- a/src/ebonyladder/plugins/limits.py
+++ b/src/ebonyladder/plugins/limits.py
@@ -1,6 +1,7 @@
 """Plug-in for fleet-wide rate limits: leases, grants and admission."""
 
 import asyncio
+from functools import partial
 from math import floor
 from typing import NamedTuple
 
@@ -102,7 +103,7 @@
             held_leases=self.held_leases,
         )
         self.lease_manager.start()
-        self.kernel.spawn(self._find_holders(), name="limits-start")
+        self.kernel.supervise(self._find_holders, name="limits-start")
 
     async def drain(self) -> None:
         """Release all leases, so that other VMs acquire them immediately."""
@@ -127,8 +128,8 @@
         waiter = queue.add(wait_s=max(wait_s, GRANT_TTL_S))
         if organisation not in self.requesting_organisations:
             self.requesting_organisations.add(organisation)
-            self.kernel.spawn(
-                self._request_tokens(queue), name=f"limits-{organisation}"
+            self.kernel.supervise(
+                partial(self._request_tokens, queue), name=f"limits-{organisation}"
             )
         try:
             async with asyncio.timeout(max(wait_s, GRANT_TTL_S)):
--- a/src/ebonyladder/plugins/membership.py
+++ b/src/ebonyladder/plugins/membership.py
@@ -1,6 +1,7 @@
 """Plug-in that maintains the view of the VMs."""
 
 import asyncio
+from functools import partial
 from random import Random
 
 from absl import logging
@@ -55,9 +56,9 @@
         self.kernel.get(PeerConnections).handle(Ping, self._answer_ping)
         self.is_started = True
         await self._read_list()
-        self.kernel.spawn(self._join(), name="membership-join")
-        self.kernel.spawn(self._update_ping_targets(), name="membership-targets")
-        self.kernel.spawn(self._poll_list(), name="membership-list")
+        self.kernel.supervise(self._join, name="membership-join")
+        self.kernel.supervise(self._update_ping_targets, name="membership-targets")
+        self.kernel.supervise(self._poll_list, name="membership-list")
 
     async def announce_drain(self) -> None:
         """Ping the ping targets and up to 32 live VMs, which inform the others."""
@@ -165,7 +166,9 @@
     def _ping_peer(self, vm: VmId) -> None:
         self.ping_targets.add(vm)
         if vm not in self.tasks:
-            task = self.kernel.spawn(self._ping_loop(vm), name=f"membership-{vm}")
+            task = self.kernel.supervise(
+                partial(self._ping_loop, vm), name=f"membership-{vm}"
+            )
             self.tasks[vm] = task
             task.add_done_callback(lambda _: self.tasks.pop(vm, None))
 
--- a/src/ebonyladder/plugins/metrics.py
+++ b/src/ebonyladder/plugins/metrics.py
@@ -131,6 +131,8 @@
 
     def render(self) -> bytes:
         """Return all metrics in Prometheus text format, version 0.0.4."""
+        for task, failures in self.kernel.task_failures.items():
+            self.gauge("task_failures", failures, task=task)
         return TextFormatter().marshall(self.registry)
 
     def _histogram(self, name: str, description: str) -> Histogram:
--- a/src/ebonyladder/plugins/promotion.py
+++ b/src/ebonyladder/plugins/promotion.py
@@ -181,7 +181,7 @@
         self.configuration = self.kernel.get(ConfigurationSource)
         self.gate = self.kernel.get(WriteGate)
         self.configuration.subscribe(self._notify_controllers)
-        self.kernel.spawn(self._run_controllers(), name="promotion")
+        self.kernel.supervise(self._run_controllers, name="promotion")
 
     async def drain(self) -> None:
         """Stop all controllers; another VM completes a promotion in flight."""
@@ -240,8 +240,8 @@
         policy = PromotionPolicy(view=view, vm=self.vm, clock=self.kernel.clock)
         controller = GroupController(view=view, policy=policy, plugin=self)
         self.controllers[view.group] = controller
-        self.tasks[view.group] = self.kernel.spawn(
-            controller.run(), name=f"promotion {view.group}"
+        self.tasks[view.group] = self.kernel.supervise(
+            controller.run, name=f"promotion {view.group}"
         )
 
     def _stop_controller(self, group: GroupId) -> None:
--- a/src/ebonyladder/plugins/status_page.py
+++ b/src/ebonyladder/plugins/status_page.py
@@ -101,7 +101,7 @@
         )
         self.exchange.start()
         self.peers.handle(StatusRequest, self._answer_snapshot)
-        self.kernel.spawn(self._run(), name="status")
+        self.kernel.supervise(self._run, name="status")
 
     async def drain(self) -> None:
         """Write the buffered observations, or hand them over to other VMs."""
--- a/src/ebonyladder/sessions/plugins/sessions.py
+++ b/src/ebonyladder/sessions/plugins/sessions.py
@@ -80,7 +80,7 @@
             positions=positions,
             clock=clock,
         )
-        self.kernel.spawn(self._maintain_pools(), name="pool-maintenance")
+        self.kernel.supervise(self._maintain_pools, name="pool-maintenance")
 
     async def stop(self) -> None:
         """Close the channels to owners."""
--- a/src/ebonyladder/sessions/plugins/watches.py
+++ b/src/ebonyladder/sessions/plugins/watches.py
@@ -15,4 +15,4 @@
 
     def __init__(self, *, kernel: Kernel) -> None:
         Plugin.__init__(self, kernel=kernel)
-        WatchManager.__init__(self, spawn=kernel.spawn)
+        WatchManager.__init__(self, supervise=kernel.supervise)
--- a/src/ebonyladder/sessions/watch_manager.py
+++ b/src/ebonyladder/sessions/watch_manager.py
@@ -18,8 +18,8 @@
 
     Parameters
     ----------
-    spawn : callable
-        Runs a coroutine as a named task.
+    supervise : callable
+        Runs a coroutine function as a named task that is restarted after a failure.
 
     Attributes
     ----------
@@ -28,8 +28,8 @@
         watches the store.
     """
 
-    def __init__(self, *, spawn: Callable[..., asyncio.Task[None]]) -> None:
-        self.spawn = spawn
+    def __init__(self, *, supervise: Callable[..., asyncio.Task[None]]) -> None:
+        self.supervise = supervise
         self.watchers: list[KindWatcher] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.is_watching = False
@@ -77,4 +77,4 @@
             watcher.mark_stale()
 
     def _start_watcher(self, watcher: KindWatcher) -> None:
-        self.tasks.append(self.spawn(watcher.run(), name=f"watch-{watcher.kind}"))
+        self.tasks.append(self.supervise(watcher.run, name=f"watch-{watcher.kind}"))
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -24,7 +24,7 @@
         self.leadership = Leadership(
             vm=VmId("vm-2"), incarnation=Incarnation(1), clock=clock
         )
-        self.watch_manager = WatchManager(spawn=lambda coroutine, name: None)
+        self.watch_manager = WatchManager(supervise=lambda run, name: None)
         self.follower = Follower(
             cluster=self.cluster,
             leadership=self.leadership,
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -61,7 +61,7 @@
             leadership=self.leadership,
             failure_detector=FailureDetector(cluster=self.cluster, clock=self.clock),
             allocator=PermitAllocator(clock=self.clock, tolerance=Tolerance()),
-            watch_manager=WatchManager(spawn=lambda coroutine, name: None),
+            watch_manager=WatchManager(supervise=lambda run, name: None),
             vms=lambda: self.vms,
             clock=self.clock,
         )
