Keep a log line that can't be formatted from failing its caller

Cause: formatting an integer of more than 4,300 digits raises ValueError, and encoding a lone surrogate UnicodeEncodeError; the handler passed both to the code that logs.

Change: the handler writes a line that names the format and the error instead, and escapes what UTF-8 can't encode.

Result: the test fails before the change with ValueError.

--- a/src/ebonyladder/logs.py
+++ b/src/ebonyladder/logs.py
@@ -73,12 +73,20 @@
             self.suppressed += 1
             return
         self.allowance -= 1
-        line = self.format(record)
+        try:
+            line = self.format(record)
+        except Exception as error:
+            # A value that can't be formatted, such as an integer of thousands of
+            # digits, must not fail the code that logs it.
+            problem = {"at": round(record.created, 3), "part": "logs"}
+            problem |= {"message": "A line could not be formatted."}
+            problem |= {"format": str(record.msg), "error": type(error).__name__}
+            line = json.dumps(problem)
         if self.suppressed:
             summary = {"at": round(record.created, 3), "part": "logs"}
             summary |= {"message": "Lines were suppressed.", "count": self.suppressed}
             line = f"{json.dumps(summary)}\n{line}"
-        self._write(line.encode() + b"\n")
+        self._write(line.encode(errors="backslashreplace") + b"\n")
 
     def _write(self, data: bytes) -> None:
         # A full pipe may have accepted only part of the last line. Its rest is
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -67,6 +67,17 @@
         self.handler.emit(record("[session] Warned.", logging.WARNING))
         assert self.lines()[0]["count"] > BURST_LINES
 
+    def test_value_that_can_not_be_formatted_does_not_fail_the_caller(self):
+        # Guards against a decision that fails because of its log line.
+        number = logging.LogRecord(
+            "absl", logging.INFO, "", 0, "[store] Read. id=%d", (10**5_000,), None
+        )
+        self.handler.emit(number)
+        self.handler.emit(record("[store] Read. name=\ud800"))
+        first, second = self.lines()
+        assert first["error"] == "ValueError"
+        assert second["name"] == "\\ud800"
+
     def test_full_pipe_does_not_block(self):
         # Guards against a daemon that hangs because nobody reads its logs.
         for number in range(250):
