Decode any bytes from another VM to a message or ValueError

Cause: decode() named three error types. A deeply nested message raised RecursionError, an infinite id ValidationError or OverflowError by the decoder, and a message of a few bytes could decompress to any size. An envelope without a field ended its task with AttributeError, so its sender waited until the deadline. After an invalid reply the channel to an owner stayed open with nobody reading.

Change: every decoding error is a ValueError; decompression stops at the size limit of a message; an envelope has exactly one field; an unexpected error of a forwarded statement is answered with an unknown outcome; an invalid reply closes the channel.

--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -10,7 +10,13 @@
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.sessions.cluster_view import ClusterView
 from ebonyladder.sessions.leadership import Leadership
-from ebonyladder.sessions.messages import LeaderUpdate, Report, decode, encode
+from ebonyladder.sessions.messages import (
+    MAX_MESSAGE_BYTES,
+    LeaderUpdate,
+    Report,
+    decode,
+    encode,
+)
 from ebonyladder.sessions.pool import PoolSet
 from ebonyladder.sessions.quota import GrantedQuota
 from ebonyladder.sessions.watch_manager import WatchManager
@@ -41,7 +47,6 @@
 # A standby grants permits after this long without updates, in seconds: before the other
 # VMs close their connections to the leader and report to it.
 STANDBY_TIMEOUT_S = 1.1
-MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 
 class NotGrantingError(Exception):
--- a/src/ebonyladder/sessions/forwarding_pool.py
+++ b/src/ebonyladder/sessions/forwarding_pool.py
@@ -15,6 +15,7 @@
 from ebonyladder.sessions.connection import MinPosition, PooledConnection, ReadBound
 from ebonyladder.sessions.health import EndpointHealth
 from ebonyladder.sessions.messages import (
+    MAX_MESSAGE_BYTES,
     Envelope,
     ForwardedStatement,
     ForwardReply,
@@ -30,7 +31,6 @@
 FORWARD_PATH = "/forward"
 # Longest time to connect to an owner, in seconds.
 CONNECT_TIMEOUT_S = 0.6
-MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 
 
 class OwnerChannel:
@@ -120,6 +120,8 @@
             cause = error
         finally:
             self.connection = None
+            # After an invalid reply the connection is still open.
+            connection.transport.abort()
             for pending in self.pending.values():
                 if not pending.done():
                     pending.set_exception(self._error(cause, Outcome.UNKNOWN))
--- a/src/ebonyladder/sessions/forwarding_service.py
+++ b/src/ebonyladder/sessions/forwarding_service.py
@@ -120,6 +120,19 @@
             return ForwardReply(
                 id=forward.id, failure=StatementFailure.from_error(error), load=load
             )
+        except Exception as error:
+            # Without a reply the caller would wait until its deadline.
+            logging.exception(
+                "[owner] Statement failed unexpectedly. request=%s endpoint=%s",
+                forward.command.id,
+                forward.endpoint,
+            )
+            failure = self._error(
+                forward, f"unexpected error: {error!r}", Outcome.UNKNOWN
+            )
+            return ForwardReply(
+                id=forward.id, failure=StatementFailure.from_error(failure), load=load
+            )
         return ForwardReply(id=forward.id, answer=answer, load=load)
 
     async def _execute(
--- a/src/ebonyladder/sessions/messages.py
+++ b/src/ebonyladder/sessions/messages.py
@@ -27,6 +27,9 @@
 
 T = TypeVar("T")
 
+# Largest message, in bytes: a catalog with 10,000 routes takes 2 MB.
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+
 # Messages above this size are compressed, in bytes; smaller ones gain little.
 COMPRESSION_THRESHOLD_BYTES = 512
 # First byte of an encoded message.
@@ -242,6 +245,11 @@
     release: ReleaseTransaction | None = None
     sample: PositionRequest | None = None
 
+    def __post_init__(self) -> None:
+        """Check that exactly one field is set."""
+        if sum(f is not None for f in (self.forward, self.release, self.sample)) != 1:
+            raise ValueError("exactly one field of an envelope must be set")
+
 
 def encode(message: msgspec.Struct) -> bytes:
     """Return a message as CBOR, compressed if it is large."""
@@ -260,7 +268,17 @@
         If the data isn't a message of this kind.
     """
     try:
-        body = zlib.decompress(data[1:]) if data[:1] == COMPRESSED else data[1:]
+        body = _decompress(data[1:]) if data[:1] == COMPRESSED else data[1:]
         return msgspec.convert(cbor2.loads(body), kind)
-    except (cbor2.CBORDecodeError, msgspec.ValidationError, zlib.error) as error:
-        raise ValueError(f"not a {kind.__name__}: {error}") from error
+    except Exception as error:
+        # The decoders raise errors of many types for invalid data, among them
+        # ``RecursionError``, ``OverflowError`` and ``TypeError``.
+        raise ValueError(f"not a {kind.__name__}: {error!r}") from error
+
+
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    body = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+    if not decompressor.eof:
+        raise ValueError("the message is truncated or exceeds the size limit")
+    return body
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -103,6 +103,18 @@
             AnswerReader().feed(b"COMPLETE 7.1")
 
 
+class TestAnswerReader:
+    @given(st.lists(st.binary(max_size=40), max_size=4))
+    def test_any_lines_are_an_answer_or_an_error(self, lines):
+        # Guards against an endpoint whose answer ends more than its connection.
+        reader = AnswerReader()
+        try:
+            for line in lines:
+                reader.feed(line + b"\r\n")
+        except WireError:
+            return
+
+
 class TestPositions:
     """Guards against positions that change on the wire."""
 
