Follow lists of the store past entries that can't be decoded

Cause: a page of a list was decoded as a whole and only msgspec.DecodeError was caught. One entry with a number out of range made every list and watch of its kind fail for ever; one nested 20,000 deep raised RecursionError and ended the watch. Entries of the daemon's own kinds that another writer had spoiled ended the watch, the follower or the leader's task, and a spoiled leader record left the fleet without a leader. An address with a port out of range reached the event loop, whose OverflowError no caller expects.

Change: entries are decoded one by one; where the decoder rejects the whole text, the parts are found by their brackets without recursion. Content that can't be read is marked, ignored with a log line, and the last valid value of the entry stays. Addresses, capacities, rates and times are checked for their ranges. Any error of connecting is a connection error. A spoiled leader record is replaced after the takeover timeout with a fencing token above all former ones.

--- /dev/null
+++ b/src/ebonyladder/platform/_store_answers.py
@@ -0,0 +1,181 @@
+"""Decoding of the store's answers; an unreadable entry leaves the others readable."""
+
+from typing import Any
+
+import msgspec
+from absl import logging
+
+from ebonyladder.platform._json_parts import members, split_container
+from ebonyladder.sessions.objects import (
+    UNREADABLE,
+    Change,
+    Changes,
+    ListResult,
+    Revision,
+    StoreObject,
+)
+
+# Errors of a decoder at content that it can't represent.
+DECODE_ERRORS = (msgspec.DecodeError, RecursionError, UnicodeDecodeError)
+
+
+class StoreAnswerError(Exception):
+    """Answer that doesn't have the form of the called operation."""
+
+
+class Page(msgspec.Struct, frozen=True, kw_only=True):
+    """Some of the objects of a kind.
+
+    Attributes
+    ----------
+    continue_after : str or None
+        Name after which the next page begins; None on the last page.
+    """
+
+    result: ListResult
+    continue_after: str | None
+
+
+class _Meta(msgspec.Struct, kw_only=True):
+    name: str
+    revision: int = 0
+
+
+class _Object(msgspec.Struct, kw_only=True):
+    meta: _Meta
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Event(msgspec.Struct, kw_only=True):
+    object: msgspec.Raw
+    removed: bool
+
+
+class _Page(msgspec.Struct, kw_only=True):
+    items: list[msgspec.Raw]
+    has_more: bool
+    as_of: int
+
+
+class _Events(msgspec.Struct, kw_only=True):
+    events: list[msgspec.Raw]
+    as_of: int
+
+
+def decode_page(body: bytes) -> Page:
+    """Decode one page of a list.
+
+    Raises
+    ------
+    StoreAnswerError
+        If the body isn't a page.
+    """
+    page = _decode_with_array(body, _Page, "items")
+    found = [_try_decode_object(bytes(item)) for item in page.items]
+    objects = tuple(o for o in found if o is not None)
+    if page.has_more and not objects:
+        raise StoreAnswerError("no entry of the page has a readable name")
+    return Page(
+        result=ListResult(objects=objects, as_of=Revision(page.as_of)),
+        continue_after=objects[-1].name if page.has_more else None,
+    )
+
+
+def decode_changes(body: bytes) -> Changes:
+    """Decode the answer of a watch.
+
+    Raises
+    ------
+    StoreAnswerError
+        If the body isn't a list of events.
+    """
+    answer = _decode_with_array(body, _Events, "events")
+    found = [_try_decode_change(bytes(event)) for event in answer.events]
+    return Changes(
+        changes=tuple(c for c in found if c is not None),
+        as_of=Revision(answer.as_of),
+    )
+
+
+def decode_object(body: bytes) -> StoreObject:
+    """Decode one object; content that can't be read becomes ``UNREADABLE``.
+
+    Raises
+    ------
+    StoreAnswerError
+        If the body isn't an object with a name.
+    """
+    try:
+        encoded = msgspec.json.decode(body, type=_Object)
+    except DECODE_ERRORS:
+        parts = members(body)
+        encoded = _Object(
+            meta=_decode(parts.get("meta", b""), _Meta),
+            spec=msgspec.Raw(parts.get("spec", b"")),
+        )
+    return StoreObject(
+        name=encoded.meta.name,
+        revision=Revision(encoded.meta.revision),
+        content=_decode_content(encoded.meta.name, bytes(encoded.spec)),
+    )
+
+
+def _decode_content(name: str, encoded: bytes) -> Any:
+    try:
+        return msgspec.json.decode(encoded)
+    except DECODE_ERRORS as error:
+        logging.warning(
+            "[platform] Entry can't be read. name=%s bytes=%d error=%r",
+            name,
+            len(encoded),
+            error,
+        )
+        return UNREADABLE
+
+
+def _try_decode_object(encoded: bytes) -> StoreObject | None:
+    try:
+        return decode_object(encoded)
+    except StoreAnswerError as error:
+        logging.warning("[platform] Entry without a name is left out. error=%s", error)
+        return None
+
+
+def _try_decode_change(encoded: bytes) -> Change | None:
+    try:
+        event = msgspec.json.decode(encoded, type=_Event)
+    except DECODE_ERRORS:
+        parts = members(encoded)
+        event = _Event(
+            object=msgspec.Raw(parts.get("object", b"")),
+            removed=parts.get("removed", b"").strip() == b"true",
+        )
+    found = _try_decode_object(bytes(event.object))
+    return None if found is None else Change(object=found, is_removed=event.removed)
+
+
+def _decode_with_array(body: bytes, body_type: type, key: str) -> Any:
+    """Decode a struct whose array ``key`` may have elements that can't be decoded."""
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except DECODE_ERRORS:
+        parts = members(body)
+        fields = {
+            name: _decode(value, Any)
+            for name, value in parts.items()
+            if name in body_type.__struct_fields__ and name != key
+        }
+    try:
+        answer = msgspec.convert({**fields, key: []}, body_type)
+    except msgspec.ValidationError as error:
+        raise StoreAnswerError(str(error)) from error
+    elements = split_container(parts.get(key, b""))
+    setattr(answer, key, [msgspec.Raw(element) for element in elements])
+    return answer
+
+
+def _decode(encoded: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(encoded, type=kind)
+    except DECODE_ERRORS as error:
+        raise StoreAnswerError(str(error)) from error
--- a/src/ebonyladder/platform/configuration.py
+++ b/src/ebonyladder/platform/configuration.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Mapping
-from typing import Any
+from functools import partial
+from typing import Annotated, Any
 
 import msgspec
 from absl import logging
 
+from ebonyladder._schema import address_problem
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.sessions.catalog import (
     CallerKey,
@@ -49,14 +51,24 @@
 }
 
 
+# Ranges within which the daemon can compute; values outside are taken as errors of the
+# writer. Timers fail with times far beyond the lifetime of a process.
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=86_400_000)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+ConnectionCount = Annotated[int, msgspec.Meta(ge=0, le=1_000_000)]
+SlotCount = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+
+
 class _Route(msgspec.Struct, kw_only=True):
     # Name that callers connect to, not the name of the service behind it.
     database: str
     type: str
     service: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    max_staleness_ms: float = 0.0
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 1000.0
+    max_staleness_ms: Milliseconds = 0.0
     priority: int = 0
     public: bool = False
     allowed_regions: list[str] = []
@@ -64,7 +76,7 @@
 
 class _Service(msgspec.Struct, kw_only=True):
     name: str
-    max_connections: int
+    max_connections: ConnectionCount
     sync_replicas: int = 0
 
 
@@ -72,17 +84,17 @@
     name: str
     api_keys: list[str] = []
     # Operations, not statements.
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    rate_per_s: Rate = 0.0
+    burst: Rate = 0.0
     allowed_regions: list[str] = []
 
 
 class _Limits(msgspec.Struct, frozen=True, kw_only=True):
-    tx_idle_ms: float = 3000.0
+    tx_idle_ms: Milliseconds = 3000.0
 
 
 class _Config(msgspec.Struct, kw_only=True):
-    version: int
+    version: Version
     routes: list[_Route] = []
     services: list[_Service] = []
     tenants: list[_Tenant] = []
@@ -94,10 +106,10 @@
     address: str
     zone: str
     # Statements that run concurrently.
-    capacity: int
+    capacity: SlotCount
     state: str
     db_role: str
-    born: int = 0
+    born: UnixMilliseconds = 0
 
 
 def _regions(names: list[str]) -> frozenset[RegionId]:
@@ -162,6 +174,9 @@
     """Decode an endpoint's entry; None if it is invalid."""
     try:
         server = msgspec.convert(content, _Server)
+        problem = address_problem(server.address)
+        if problem is not None:
+            raise ValueError(problem)
         return EndpointEntry(
             id=EndpointId(name),
             service=ServiceId(server.service),
@@ -250,7 +265,9 @@
         watch_manager.add(CatalogWatcher(store=store, cluster=cluster))
         watch_manager.add(EndpointWatcher(store=store, endpoints=endpoints))
         watch_manager.add(EvacuationWatcher(store=store, cluster=cluster))
-        self.kernel.spawn(self._expire_endpoints(endpoints), name="endpoint-list")
+        self.kernel.supervise(
+            partial(self._expire_endpoints, endpoints), name="endpoint-list"
+        )
 
     async def _expire_endpoints(self, endpoints: EndpointRegistry) -> None:
         watch_manager = self.kernel.get(WatchManager)
--- a/src/ebonyladder/platform/endpoint.py
+++ b/src/ebonyladder/platform/endpoint.py
@@ -254,9 +254,9 @@
         self, entry: EndpointEntry, organisation: OrganisationId
     ) -> ControlConnection:
         """Open a connection and start a session on it."""
-        host, port = split_address(entry.address)
         writer = None
         try:
+            host, port = split_address(entry.address)
             reader, writer = await asyncio.open_connection(
                 host, port, limit=MAX_LINE_BYTES
             )
@@ -269,7 +269,12 @@
                 writer=writer,
             )
             await connection.start_session(entry.service)
-        except (OSError, WireError) as error:
+        except EndpointError:
+            writer.close()
+            raise
+        except Exception as error:
+            # Besides ``OSError``: an address that the event loop rejects raises
+            # ``OverflowError`` or ``ValueError``.
             if writer is not None:
                 writer.close()
             raise EndpointError(
--- a/src/ebonyladder/platform/object_store.py
+++ b/src/ebonyladder/platform/object_store.py
@@ -1,9 +1,9 @@
 """Client of the platform's object store over HTTP."""
 
 import socket
-from typing import Any, ClassVar
+from collections.abc import Callable
+from typing import Any, ClassVar, TypeVar
 
-import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
 
 from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
@@ -11,9 +11,14 @@
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.step import Step
 from ebonyladder.metrics import Metrics
+from ebonyladder.platform._store_answers import (
+    StoreAnswerError,
+    decode_changes,
+    decode_object,
+    decode_page,
+)
 from ebonyladder.platform.sockets import enable_keep_alive
 from ebonyladder.sessions.objects import (
-    Change,
     Changes,
     Kind,
     ListResult,
@@ -23,45 +28,13 @@
 )
 from ebonyladder.sessions.registry import register
 
+T = TypeVar("T")
+
 STORE_PEER = "store"
 # The store's slow answers take 0.25 s.
 CALL_TIMEOUT_S = 1.5
 
 
-class _Meta(msgspec.Struct, kw_only=True):
-    name: str
-    revision: int = 0
-
-
-class _Object(msgspec.Struct, kw_only=True):
-    meta: _Meta
-    spec: Any = None
-
-
-class _Event(msgspec.Struct, kw_only=True):
-    object: _Object
-    removed: bool
-
-
-class _Page(msgspec.Struct, kw_only=True):
-    items: list[_Object]
-    has_more: bool
-    as_of: int
-
-
-class _Events(msgspec.Struct, kw_only=True):
-    events: list[_Event]
-    as_of: int
-
-
-def _decode_object(encoded: _Object) -> StoreObject:
-    return StoreObject(
-        name=encoded.meta.name,
-        revision=Revision(encoded.meta.revision),
-        content=encoded.spec,
-    )
-
-
 def _make_socket(address_info: tuple) -> socket.socket:
     family, kind, protocol, _, _ = address_info
     sock = socket.socket(family=family, type=kind, proto=protocol)
@@ -98,7 +71,7 @@
         status, body = await self._call(Step.STORE_READ, "GET", f"/{kind}/{name}")
         if status == 404:
             return None
-        return _decode_object(self._parse(Step.STORE_READ, body, _Object))
+        return self._parse(Step.STORE_READ, body, decode_object)
 
     async def list(self, kind: Kind) -> ListResult:
         """Return all objects of a kind."""
@@ -108,11 +81,11 @@
             _, body = await self._call(
                 Step.STORE_READ, "GET", f"/{kind}", params=params
             )
-            page = self._parse(Step.STORE_READ, body, _Page)
-            objects += [_decode_object(item) for item in page.items]
-            if not page.has_more or not page.items:
-                return ListResult(objects=tuple(objects), as_of=Revision(page.as_of))
-            params = {"after": page.items[-1].meta.name}
+            page = self._parse(Step.STORE_READ, body, decode_page)
+            objects += page.result.objects
+            if page.continue_after is None:
+                return ListResult(objects=tuple(objects), as_of=page.result.as_of)
+            params = {"after": page.continue_after}
 
     async def watch(self, kind: Kind, after: Revision, wait_s: float) -> Changes:
         """Wait up to ``wait_s`` seconds for changes after a revision."""
@@ -124,18 +97,13 @@
             params=params,
             timeout_s=wait_s + CALL_TIMEOUT_S,
         )
-        answer = self._parse(Step.STORE_WATCH, body, _Events)
-        changes = tuple(
-            Change(object=_decode_object(event.object), is_removed=event.removed)
-            for event in answer.events
-        )
-        return Changes(changes=changes, as_of=Revision(answer.as_of))
+        return self._parse(Step.STORE_WATCH, body, decode_changes)
 
     async def create(self, kind: Kind, name: str, content: Any) -> StoreObject:
         """Create an object."""
         body = {"meta": {"name": name}, "spec": content}
         _, answer = await self._call(Step.STORE_WRITE, "POST", f"/{kind}", json=body)
-        return _decode_object(self._parse(Step.STORE_WRITE, answer, _Object))
+        return self._parse(Step.STORE_WRITE, answer, decode_object)
 
     async def replace(
         self, kind: Kind, name: str, content: Any, revision: Revision
@@ -145,7 +113,7 @@
         _, answer = await self._call(
             Step.STORE_WRITE, "PUT", f"/{kind}/{name}", json=body
         )
-        return _decode_object(self._parse(Step.STORE_WRITE, answer, _Object))
+        return self._parse(Step.STORE_WRITE, answer, decode_object)
 
     async def delete(self, kind: Kind, name: str, revision: Revision) -> None:
         """Delete an object that is still at ``revision``."""
@@ -206,12 +174,14 @@
             )
         return response.status, body
 
-    def _parse(self, step: Step, body: bytes, body_type: type) -> Any:
+    def _parse(self, step: Step, body: bytes, decode: Callable[[bytes], T]) -> T:
         try:
-            return msgspec.json.decode(body, type=body_type)
-        except msgspec.DecodeError as error:
+            return decode(body)
+        except StoreAnswerError as error:
+            # The call was accepted, so a write has taken effect.
+            outcome = Outcome.RUN if step is Step.STORE_WRITE else Outcome.NOT_RUN
             raise self._error(
-                ErrorCode.STORE_UNAVAILABLE, step, f"invalid answer: {error}"
+                ErrorCode.STORE_UNAVAILABLE, step, f"invalid answer: {error}", outcome
             ) from error
 
     @staticmethod
--- a/src/ebonyladder/sessions/fleet_watchers.py
+++ b/src/ebonyladder/sessions/fleet_watchers.py
@@ -3,8 +3,6 @@
 import asyncio
 from collections.abc import Mapping
 
-import msgspec
-
 from ebonyladder.sessions.cluster_view import (
     ClusterView,
     GroupState,
@@ -12,7 +10,7 @@
     zone_sizes,
 )
 from ebonyladder.sessions.objects import GROUPS, VMS, ObjectStore, StoreObject
-from ebonyladder.sessions.watcher import KindWatcher
+from ebonyladder.sessions.watcher import KindWatcher, convert_content
 from ebonyladder.types import VmId
 
 # Interval at which a VM that doesn't lead lists the VMs, in seconds.
@@ -29,7 +27,9 @@
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
         """Apply newer group states."""
         for found in objects.values():
-            self.cluster.apply_group(msgspec.convert(found.content, GroupState))
+            group = convert_content(found, GroupState)
+            if group is not None:
+                self.cluster.apply_group(group)
 
     def apply_object(self, found: StoreObject | None) -> None:
         """Apply one object that was read outside of the watch."""
@@ -76,7 +76,15 @@
             return
 
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
-        """Replace the list of VMs."""
-        entries = [msgspec.convert(o.content, VmEntry) for o in objects.values()]
-        self.entries = {entry.vm: entry for entry in entries}
-        self.cluster.apply_fleet(zone_sizes(entries), self.cluster.owners)
+        """Replace the list of VMs.
+
+        A VM whose entry became invalid keeps its last valid one, since failovers must
+        still wait for it; it registers again once the leader has no entry of it.
+        """
+        entries = {}
+        for name, found in objects.items():
+            entry = convert_content(found, VmEntry) or self.entries.get(VmId(name))
+            if entry is not None:
+                entries[entry.vm] = entry
+        self.entries = entries
+        self.cluster.apply_fleet(zone_sizes(entries.values()), self.cluster.owners)
--- a/src/ebonyladder/sessions/leadership.py
+++ b/src/ebonyladder/sessions/leadership.py
@@ -7,6 +7,7 @@
 leadership.
 """
 
+import time
 from collections.abc import Iterable
 from enum import Enum
 
@@ -91,6 +92,10 @@
         self.incarnation = incarnation
         self.clock = clock
         self.record: LeaderRecord | None = None
+        # Whether the stored record is invalid, so that its holder isn't known.
+        self.is_unreadable = False
+        # Highest fencing token of a valid record.
+        self.highest_token = 0
         self.revision = Revision(0)
         self.record_changed_at_s = clock.now_s()
         self.leader_contact_at_s = float("-inf")
@@ -102,13 +107,38 @@
         """Apply the record that was read from the store."""
         if revision == self.revision and record is not None:
             return
-        known = self.record
-        if known is not None and record is not None and record.token < known.token:
+        if record is not None and revision < self.revision:
+            # The answer to an earlier read arrived later.
+            return
+        if record is not None and record.token < self.highest_token:
+            # Another writer has put an earlier record back.
+            self.apply_unreadable_record(revision)
             return
         self.record = record
+        self.is_unreadable = False
+        if record is not None:
+            self.highest_token = record.token
         self.revision = revision
         self.record_changed_at_s = self.clock.now_s()
 
+    def apply_unreadable_record(self, revision: Revision) -> None:
+        """Apply a record that another writer has made invalid.
+
+        Its holder may be any VM, so this VM no longer leads by it, and takes over only
+        after the same time as from a leader that it can't reach.
+        """
+        if revision == self.revision:
+            return
+        self.record = None
+        self.is_unreadable = True
+        self.revision = revision
+        self.record_changed_at_s = self.clock.now_s()
+
+    @property
+    def is_stored(self) -> bool:
+        """Whether the store has a record, which a conditional write replaces."""
+        return self.record is not None or self.is_unreadable
+
     def record_renewal(
         self, record: LeaderRecord, revision: Revision, sent_at_s: float
     ) -> None:
@@ -178,9 +208,10 @@
             and record.holder == self.vm
             and record.incarnation != self.incarnation
         )
-        if record is None or was_holder_before_restart:
+        is_missing = record is None and not self.is_unreadable
+        if is_missing or was_holder_before_restart:
             return now_s - self.started_at_s >= self.takeover_delay_s
-        if record.is_released:
+        if record is not None and record.is_released:
             return now_s - self.record_changed_at_s >= self.takeover_delay_s
         timeout_s = TAKEOVER_TIMEOUT_S + self.takeover_delay_s
         return (
@@ -194,9 +225,12 @@
             return msgspec.structs.replace(
                 self.record, renewals=self.record.renewals + 1
             )
+        # After an invalid record the last token isn't known. The time is above any
+        # count of leaders.
+        lowest = int(time.time()) if self.is_unreadable else 0
         return LeaderRecord(
             holder=self.vm,
             incarnation=self.incarnation,
             address=address,
-            token=(self.record.token if self.record else 0) + 1,
+            token=max(self.highest_token, lowest) + 1,
         )
--- a/src/ebonyladder/sessions/objects.py
+++ b/src/ebonyladder/sessions/objects.py
@@ -1,6 +1,7 @@
 """Interface to the objects of the store, by kind and name."""
 
 from abc import ABC, abstractmethod
+from enum import Enum
 from typing import Any, NewType
 
 import msgspec
@@ -14,6 +15,16 @@
 LEADERS = Kind("ebonyladder-leaders")
 
 
+class Unreadable(Enum):
+    """Marks content that can't be decoded."""
+
+    UNREADABLE = "unreadable"
+
+
+# Matches no schema, so that whoever converts the content gets a ``ValidationError``.
+UNREADABLE = Unreadable.UNREADABLE
+
+
 class StoreObject(msgspec.Struct, frozen=True, kw_only=True):
     """Object of the store.
 
@@ -22,7 +33,7 @@
     revision : Revision
         Revision of the object's last change.
     content : Any
-        Value that was written last.
+        Value that was written last, ``UNREADABLE`` if it can't be decoded.
     """
 
     name: str
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from functools import partial
 
 import msgspec
 from absl import logging
@@ -18,17 +19,19 @@
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.failure_detector import FailureDetector
 from ebonyladder.sessions.fleet_watchers import GroupWatcher, VmWatcher
-from ebonyladder.sessions.follower import MAX_MESSAGE_BYTES, Follower
+from ebonyladder.sessions.follower import Follower
 from ebonyladder.sessions.forwarding_pool import FORWARD_PATH
 from ebonyladder.sessions.forwarding_service import ForwardingService
 from ebonyladder.sessions.leader import Leader
 from ebonyladder.sessions.leadership import LEADER_NAME, LeaderRecord, Leadership
-from ebonyladder.sessions.objects import GROUPS, LEADERS, VMS, ObjectStore
+from ebonyladder.sessions.messages import MAX_MESSAGE_BYTES
+from ebonyladder.sessions.objects import GROUPS, LEADERS, VMS, ObjectStore, StoreObject
 from ebonyladder.sessions.plugins.sessions import SessionFactory
 from ebonyladder.sessions.quota import GrantedQuota, PermitAllocator
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.standbys import order_report_targets
 from ebonyladder.sessions.watch_manager import WatchManager
+from ebonyladder.sessions.watcher import convert_content
 from ebonyladder.settings import split_address
 from ebonyladder.types import Address, EndpointId, Incarnation, ServiceId, VmId
 
@@ -134,18 +137,18 @@
         self.watch_manager.add(self.group_watcher)
         self.watch_manager.add(self.vm_watcher)
         self.must_register.set()
-        for name, task in (
-            ("registration", self._stay_registered()),
-            ("leader-discovery", self._watch_without_leader()),
-            ("follower", self._run_follower()),
-            ("leader", self._run_leader()),
-            ("group-refresh", self._refresh_groups()),
+        for name, run in (
+            ("registration", self._stay_registered),
+            ("leader-discovery", self._watch_without_leader),
+            ("follower", self._run_follower),
+            ("leader", self._run_leader),
+            ("group-refresh", self._refresh_groups),
             (
                 "position-samples",
-                self.forwarding_service.sample_primaries(SAMPLE_INTERVAL_S),
+                partial(self.forwarding_service.sample_primaries, SAMPLE_INTERVAL_S),
             ),
         ):
-            self.kernel.spawn(task, name=name)
+            self.kernel.supervise(run, name=name)
 
     async def announce_drain(self) -> None:
         """Release the leadership, so that another VM takes over immediately."""
@@ -419,8 +422,7 @@
         if found is None:
             self.leadership.apply_record(None, self.leadership.revision)
         else:
-            record = msgspec.convert(found.content, LeaderRecord)
-            self.leadership.apply_record(record, found.revision)
+            self._apply_leader_record(found)
         if self.leadership.may_take_over() and not self.kernel.draining:
             await self._write_leader_record()
 
@@ -430,7 +432,7 @@
         sent_at_s = self.kernel.clock.now_s()
         content = msgspec.to_builtins(record)
         try:
-            if self.leadership.record is None:
+            if not self.leadership.is_stored:
                 found = await self.store.create(LEADERS, LEADER_NAME, content)
             else:
                 found = await self.store.replace(
@@ -459,7 +461,13 @@
             logging.info("[fleet] Leader record could not be read. error=%s", error)
             return
         if found is not None:
-            record = msgspec.convert(found.content, LeaderRecord)
+            self._apply_leader_record(found)
+
+    def _apply_leader_record(self, found: StoreObject) -> None:
+        record = convert_content(found, LeaderRecord)
+        if record is None:
+            self.leadership.apply_unreadable_record(found.revision)
+        else:
             self.leadership.apply_record(record, found.revision)
 
     async def _refresh_groups(self) -> None:
--- a/src/ebonyladder/sessions/watcher.py
+++ b/src/ebonyladder/sessions/watcher.py
@@ -4,12 +4,16 @@
 import random
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
+from typing import TypeVar
 
+import msgspec
 from absl import logging
 
 from ebonyladder.kernel.error import ErrorCode, StoreError
 from ebonyladder.sessions.objects import Kind, ObjectStore, StoreObject
 
+T = TypeVar("T")
+
 # Wait of one watch call, in seconds. A watch whose history is compacted while it waits
 # may receive no event until the wait ends, so for kinds whose changes must become
 # active in a bounded time the wait is shorter than that. Calls are billed, so other
@@ -31,6 +35,23 @@
     return random.uniform(MIN_BACKOFF_S, min(upper_bound_s, MAX_BACKOFF_S))
 
 
+def convert_content(found: StoreObject, kind: type[T]) -> T | None:
+    """Return the content as ``kind``, None with a log line if it doesn't match.
+
+    Any writer may have changed an entry; the caller then keeps the last valid one.
+    """
+    try:
+        return msgspec.convert(found.content, kind)
+    except msgspec.ValidationError as error:
+        logging.warning(
+            "[watch] Entry is invalid and is ignored. name=%s revision=%d error=%s",
+            found.name,
+            found.revision,
+            error,
+        )
+        return None
+
+
 class KindWatcher(ABC):
     """Keeps a copy of the objects of one kind up to date.
 
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -20,6 +20,22 @@
     NO_RESPONSE = "silent"
 
 
+class RawContent(str):
+    """JSON text that is sent as it is, such as one that no decoder accepts."""
+
+
+def dump(value: Any) -> str:
+    """Return a value as JSON, with the text of each ``RawContent`` in its place."""
+    if isinstance(value, RawContent):
+        return str(value)
+    if isinstance(value, dict):
+        pairs = (f"{json.dumps(key)}: {dump(item)}" for key, item in value.items())
+        return "{" + ", ".join(pairs) + "}"
+    if isinstance(value, list):
+        return "[" + ", ".join(map(dump, value)) + "]"
+    return json.dumps(value)
+
+
 class ObjectStoreServer:
     """Objects by kind and name, with revisions, conditional writes and watches.
 
@@ -119,9 +135,8 @@
         items = sorted(
             self.objects.get(kind, {}).values(), key=lambda o: o["meta"]["name"]
         )
-        return web.json_response(
-            {"items": items, "has_more": False, "as_of": self.revision}
-        )
+        page = {"items": items, "has_more": False, "as_of": self.revision}
+        return web.json_response(page, dumps=dump)
 
     async def _watch(self, kind: str, query) -> web.Response:
         after = int(query["watch"])
@@ -143,7 +158,7 @@
             if after + 1 < self.oldest_revision:
                 raise web.HTTPGone() from error
             events = []
-        return web.json_response({"events": events, "as_of": self.revision})
+        return web.json_response({"events": events, "as_of": self.revision}, dumps=dump)
 
     async def get(self, request: web.Request) -> web.Response:
         """Return one object."""
@@ -151,7 +166,7 @@
         found = self.objects.get(kind, {}).get(name)
         if found is None:
             raise web.HTTPNotFound()
-        return web.json_response(found)
+        return web.json_response(found, dumps=dump)
 
     async def create(self, request: web.Request) -> web.Response:
         """Create an object."""
@@ -160,9 +175,9 @@
         name = body["meta"]["name"]
         current = self.objects.get(kind, {}).get(name)
         if current is not None:
-            raise web.HTTPConflict(text=json.dumps(current))
+            raise web.HTTPConflict(text=dump(current))
         self.put(kind, name, body["spec"])
-        return web.json_response(self.objects[kind][name])
+        return web.json_response(self.objects[kind][name], dumps=dump)
 
     async def replace(self, request: web.Request) -> web.Response:
         """Replace an object; a stated revision must be the current one."""
@@ -173,9 +188,9 @@
             raise web.HTTPNotFound()
         revision = body["meta"].get("revision")
         if revision is not None and revision != current["meta"]["revision"]:
-            raise web.HTTPConflict(text=json.dumps(current))
+            raise web.HTTPConflict(text=dump(current))
         self.put(kind, name, body["spec"])
-        return web.json_response(self.objects[kind][name])
+        return web.json_response(self.objects[kind][name], dumps=dump)
 
     async def delete(self, request: web.Request) -> web.Response:
         """Remove an object; a stated revision must be the current one."""
@@ -185,6 +200,6 @@
             raise web.HTTPNotFound()
         expected = request.query.get("revision")
         if expected is not None and int(expected) != current["meta"]["revision"]:
-            raise web.HTTPConflict(text=json.dumps(current))
+            raise web.HTTPConflict(text=dump(current))
         self.remove(kind, name)
-        return web.json_response(current)
+        return web.json_response(current, dumps=dump)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -163,3 +163,46 @@
         older = msgspec.structs.replace(found.record, token=0, holder=TWO)
         found.apply_record(older, Revision(0))
         assert found.is_holder
+
+
+class TestUnreadableRecord:
+    """Guards against a leader record that another writer has made invalid."""
+
+    def test_new_vm_waits_as_for_an_unreachable_leader(self):
+        # The leader may hold its lease without the record.
+        clock = ManualClock()
+        found = leadership(clock, TWO)
+        found.apply_unreadable_record(Revision(5))
+        assert not found.may_take_over()
+        clock.advance(TAKEOVER_TIMEOUT_S + 0.01)
+        assert found.may_take_over()
+
+    def test_record_is_replaced_and_not_created(self):
+        # Guards against a fleet that never finds a leader again.
+        found = leadership(ManualClock(), TWO)
+        found.apply_unreadable_record(Revision(5))
+        assert found.is_stored
+        assert found.revision == 5
+
+    def test_token_is_above_those_of_all_former_leaders(self):
+        # Guards against a promotion with a lower fencing token than one already used.
+        clock = ManualClock()
+        known, unknown = leader(clock), leadership(clock, TWO)
+        for found in (known, unknown):
+            found.apply_unreadable_record(Revision(5))
+        assert known.next_record(ADDRESS).token > 1
+        assert unknown.next_record(ADDRESS).token > 1_000_000_000
+
+    def test_leader_whose_record_was_spoiled_no_longer_leads(self):
+        # Guards against two leaders: the spoiled record may have been a successor's.
+        found = leader(ManualClock())
+        found.apply_unreadable_record(Revision(5))
+        assert found.state(FLEET) is LeadershipState.FOLLOWER
+
+    def test_earlier_record_that_was_put_back_is_not_followed(self):
+        clock = ManualClock()
+        found = leader(clock)
+        older = msgspec.structs.replace(found.record, token=0, holder=TWO)
+        found.apply_record(older, Revision(9))
+        assert found.record is None
+        assert found.next_record(ADDRESS).token > 1
