Answer callers that connect just before the listener closes

Cause: the stop of the HTTP daemon closed the listener and, without a wait, the connections that were accepted just before. A request that was sent on one of them got a reset.

Result: the new test fails before with ConnectionResetError, and passes.

--- a/src/ebonyladder/plugins/caller_front_end.py
+++ b/src/ebonyladder/plugins/caller_front_end.py
@@ -205,21 +205,31 @@
             )
 
     async def stop(self) -> None:
-        """Close the listening socket and idle connections."""
-        if self.connections and self.gateway.is_draining:
-            try:
-                async with asyncio.timeout(IDLE_CLOSE_DELAY_S):
-                    await self.all_closed.wait()
-            except TimeoutError:
-                count = len(self.connections)
-                logging.info("[callers] Closing idle connections. count=%d", count)
+        """Close the listening socket and idle connections.
+
+        Connections that are accepted until the listener closes get the same time to
+        send their request as those that were open before.
+        """
+        await self._wait_until_closed()
         if self.server is not None:
             self.server.close()
+        await self._wait_until_closed()
         for socket in [s for sockets in self.sockets.values() for s in sockets]:
             await socket.close(code=1001, message=b"daemon stops")
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def _wait_until_closed(self) -> None:
+        """Wait until callers have closed their connections, up to a timeout."""
+        if not self.connections or not self.gateway.is_draining:
+            return
+        try:
+            async with asyncio.timeout(IDLE_CLOSE_DELAY_S):
+                await self.all_closed.wait()
+        except TimeoutError:
+            count = len(self.connections)
+            logging.info("[callers] Idle connections are still open. count=%d", count)
+
     # HTTP.
 
     @web.middleware
--- a/tests/test_front_end.py
+++ b/tests/test_front_end.py
@@ -12,6 +12,7 @@
 from ebonyladder._caller_socket import MAX_CALLS_IN_FLIGHT
 from ebonyladder.messages import TransactionAction
 from tests.front_end_vms import KEY, READ, WRITE, FrontEndVm, Members
+from tests.platform_fleet import until
 
 STATEMENTS = "/v1/services/ledger/statements"
 BEGIN, ROLLBACK = TransactionAction.BEGIN, TransactionAction.ROLLBACK
@@ -306,3 +307,24 @@
             return answer["error"]["code"], answer["error"]["outcome"]
 
         assert run_front_end(tmp_path, scenario) == ("draining", "not-run")
+
+    def test_connection_accepted_just_before_the_listener_closes_is_answered(
+        self, tmp_path
+    ):
+        # A caller that connects while the VM stops sends its request right after.
+        async def scenario(vm):
+            await vm.front_end.drain()
+            reader, writer = await asyncio.open_connection(*vm.host_and_port)
+            stopping = asyncio.create_task(vm.front_end.stop())
+            await until(
+                lambda: not vm.front_end.server.is_serving(), "the end of listening"
+            )
+            body = json.dumps(READ).encode()
+            writer.write(head(len(body)) + body)
+            answer = await reader.read()
+            writer.close()
+            await stopping
+            return json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
+
+        error = run_front_end(tmp_path, scenario)
+        assert (error["code"], error["outcome"]) == ("draining", "not-run")
