Answer a command that has arrived before a session is closed

Cause: a drain, an isolation or a withdrawn key closed every session on which no command was running. A command whose bytes had arrived, but which its task had not read yet, ran on the closed connection: it took effect and the caller got no answer.

Change: a session with an unread command isn't idle; the command is answered first.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -46,6 +46,15 @@
 LISTEN_BACKLOG = 512
 
 
+class CallerReader(asyncio.StreamReader):
+    """Stream from a caller that tells whether a request has arrived."""
+
+    @property
+    def has_line(self) -> bool:
+        """Whether a whole line was received that nobody has read yet."""
+        return b"\n" in self._buffer
+
+
 class SessionConnection:
     """Connection of one caller, served by one task.
 
@@ -57,7 +66,7 @@
         Cluster view with the active configuration.
     metrics : Metrics
         Counters and histograms of this daemon.
-    reader, writer : asyncio.StreamReader, asyncio.StreamWriter
+    reader, writer : CallerReader, asyncio.StreamWriter
         Streams of the connection.
     """
 
@@ -67,7 +76,7 @@
         session_factory: SessionFactory,
         cluster: ClusterView,
         metrics: Metrics,
-        reader: asyncio.StreamReader,
+        reader: CallerReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         self.session_factory = session_factory
@@ -108,7 +117,11 @@
             self.writer.close()
 
     async def _serve_commands(self, session: Session) -> None:
-        while not self.is_closing or session.state is not TransactionState.IDLE:
+        while (
+            not self.is_closing
+            or self.reader.has_line
+            or session.state is not TransactionState.IDLE
+        ):
             line = await self._next_line(session)
             if not line:
                 return
@@ -160,22 +173,31 @@
         self.writer.write(data)
         await self.writer.drain()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no command is running or has arrived."""
+        return not (self.is_busy or self.reader.has_line)
+
     @property
     def is_between_commands(self) -> bool:
         """Whether the session is open and no command is running on it."""
-        return self.session is not None and not self.is_busy
+        return self.session is not None and self.is_idle
 
     def close_when_idle(self) -> None:
-        """Close the connection once no command or transaction is in progress on it."""
+        """Close the connection once no command or transaction is in progress on it.
+
+        A command that has arrived is answered first.
+        """
         self.is_closing = True
-        if not self.is_busy and (
+        if self.is_idle and (
             self.session is None or self.session.state is TransactionState.IDLE
         ):
             self.writer.close()
 
     def check_access(self) -> None:
         """Close the connection if its key was withdrawn or its route removed."""
-        if self.session is None or self.is_busy:
+        if self.session is None or not self.is_idle:
+            # The next command is refused and closes the connection.
             return
         access = authorize(self.cluster, self.session.database, self.session.key)
         if isinstance(access, Answer) and access.code in (
@@ -216,8 +238,8 @@
         self.metrics = self.kernel.get(Metrics)
         self.cluster.listeners.append(self._check_access)
         host, port = split_address(self.kernel.settings.callers)
-        self.server = await asyncio.start_server(
-            self._accept, host, port, limit=MAX_LINE_BYTES, backlog=LISTEN_BACKLOG
+        self.server = await asyncio.get_running_loop().create_server(
+            self._make_protocol, host, port, backlog=LISTEN_BACKLOG
         )
         self.kernel.supervise(self._close_idle_when_isolated, name="session-release")
 
@@ -246,9 +268,11 @@
         if self.server is not None:
             self.server.close()
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    def _make_protocol(self) -> asyncio.StreamReaderProtocol:
+        reader = CallerReader(limit=MAX_LINE_BYTES)
+        return asyncio.StreamReaderProtocol(reader, self._accept)
+
+    async def _accept(self, reader: CallerReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError):
             enable_keep_alive(writer.get_extra_info("socket"))
         connection = SessionConnection(
