Finish promotions before a hand-over; keep newer lists; reload every setting

Causes: (1) A leader that stops released its leadership while a promotion was on its way, so the next leader's call could reach the platform before it. (2) A new leader that can't read the store sent its earlier list of endpoints and closed zones, which replaced the newer lists of VMs that watch the store: an endpoint that had left was used again. (3) A reload took new settings only if the grace period had changed, and logged a reload either way; a change of the file without a signal was never seen.

Changes: (1) announce_drain waits for the call, up to its timeout, and no promotion starts meanwhile. (2) Lists of a leader without working watches don't replace those of this VM's working watches. Addresses, ports and times of the settings are checked.

--- a/src/ebonyladder/kernel/kernel.py
+++ b/src/ebonyladder/kernel/kernel.py
@@ -141,6 +141,12 @@
             await plugin.start()
         logging.info("[kernel] Daemon is up. vm=%s", self.settings.vm)
 
+    def reload(self, settings: DaemonSettings) -> None:
+        """Replace the settings; plug-ins apply what has changed."""
+        self.settings = settings
+        for plugin in self.plugins:
+            plugin.reload()
+
     async def drain(self) -> None:
         """Drain every plug-in, dependants first."""
         self.draining = True
--- a/src/ebonyladder/kernel/plugin.py
+++ b/src/ebonyladder/kernel/plugin.py
@@ -40,6 +40,9 @@
     async def start(self) -> None:  # noqa: B027
         """Start work; the providers in ``requires`` have already started."""
 
+    def reload(self) -> None:  # noqa: B027
+        """Apply the kernel's settings after they were replaced."""
+
     async def announce_drain(self) -> None:  # noqa: B027
         """Notify other VMs of this daemon's drain, before any plug-in drains."""
 
--- a/src/ebonyladder/platform/object_store.py
+++ b/src/ebonyladder/platform/object_store.py
@@ -52,9 +52,13 @@
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
-        self.base_url = f"http://{kernel.settings.store}/objects"
         self.session: ClientSession | None = None
 
+    @property
+    def base_url(self) -> str:
+        """URL of the objects; the store's address may change with a reload."""
+        return f"http://{self.kernel.settings.store}/objects"
+
     async def start(self) -> None:
         """Open the HTTP session; connections are opened on demand."""
         self.metrics = self.kernel.get(Metrics)
--- a/src/ebonyladder/platform/promotion.py
+++ b/src/ebonyladder/platform/promotion.py
@@ -6,7 +6,6 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
-from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.connection import PromotionClient
@@ -24,9 +23,10 @@
     name: ClassVar[str] = "promotion-call"
     provides: ClassVar[tuple[type, ...]] = (PromotionClient,)
 
-    def __init__(self, *, kernel: Kernel) -> None:
-        super().__init__(kernel=kernel)
-        self.url = f"http://{kernel.settings.promotion}/promote"
+    @property
+    def url(self) -> str:
+        """URL of the call; the platform's address may change with a reload."""
+        return f"http://{self.kernel.settings.promotion}/promote"
 
     async def promote(
         self, *, service: ServiceId, endpoint: EndpointId, holder: VmId, token: int
--- a/src/ebonyladder/platform/settings.py
+++ b/src/ebonyladder/platform/settings.py
@@ -2,9 +2,11 @@
 
 import tomllib
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
+from ebonyladder._schema import address_problem
 from ebonyladder.kernel.error import ConfigurationError, ErrorCode
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.quota import Tolerance
@@ -21,8 +23,8 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True, kw_only=True):
-    grace_s: float = 6.0
-    quota_window_s: float = 5.0
+    grace_s: Annotated[float, msgspec.Meta(gt=0, le=3600)] = 6.0
+    quota_window_s: Annotated[float, msgspec.Meta(gt=0, le=3600)] = 5.0
     # Operations accepted above the rate limit: as a fraction of the allowed ones,
     # and as a number.
     quota_overage: float = 0.0
@@ -64,7 +66,8 @@
     try:
         content = tomllib.loads(Path(path).read_text())
         file = msgspec.convert(content, _SettingsFile)
-    except (OSError, ValueError, msgspec.ValidationError) as error:
+        _check_addresses(file)
+    except (OSError, ValueError, RecursionError, msgspec.ValidationError) as error:
         raise ConfigurationError(
             code=ErrorCode.CONFIGURATION_INVALID,
             step=Step.CONFIG_CHECK,
@@ -90,3 +93,21 @@
             operations=file.bounds.quota_slack,
         ),
     )
+
+
+def _check_addresses(file: _SettingsFile) -> None:
+    """Raise ``ValueError`` for an address that can't be connected to or listened on."""
+    first_port, last_port = file.internal_ports
+    addresses = {
+        "ip and internal_ports": f"{file.ip}:{first_port}",
+        "bind_addresses.frontend": file.bind_addresses.frontend,
+        "bind_addresses.ready": file.bind_addresses.ready,
+        "platform.address": file.platform.address,
+        "cloud.address": file.cloud.address,
+    }
+    for name, address in addresses.items():
+        problem = address_problem(address)
+        if problem is not None:
+            raise ValueError(f"{name}: {problem}")
+    if not first_port < last_port <= 65535:
+        raise ValueError(f"internal_ports: {first_port} to {last_port} is no range")
--- a/src/ebonyladder/sessions/daemon.py
+++ b/src/ebonyladder/sessions/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 
 import uvloop
 from absl import logging
@@ -13,6 +14,7 @@
 from ebonyladder.kernel.registry import discover
 from ebonyladder.logs import log_to_stdout
 from ebonyladder.sessions.registry import REGISTRY
+from ebonyladder.sessions.reload import SettingsReloader
 from ebonyladder.sessions.settings import SessionSettings
 
 PLUGIN_PACKAGE = "ebonyladder.sessions.plugins"
@@ -27,20 +29,12 @@
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
 
-    def reload() -> None:
-        try:
-            loaded = load()
-        except ConfigurationError as error:
-            logging.error("[daemon] Settings could not be reloaded. error=%s", error)
-            return
-        if loaded.grace_s != kernel.settings.grace_s:
-            kernel.settings = loaded
-        logging.info("[daemon] Settings are reloaded. vm=%s", settings.vm)
-
+    reloader = SettingsReloader(kernel=kernel, load=load)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    loop.add_signal_handler(signal.SIGHUP, partial(reloader.check, is_requested=True))
     await kernel.start()
+    kernel.supervise(reloader.run, name="settings")
     await stopping.wait()
     logging.info("[daemon] Drain begins. vm=%s", settings.vm)
     await kernel.drain()
--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -85,6 +85,11 @@
         The other VMs and the store.
     clock : Clock
         Clock of the timeouts.
+
+    Attributes
+    ----------
+    has_no_calls : asyncio.Event
+        Set while no call to the platform is in flight.
     """
 
     def __init__(
@@ -101,6 +106,9 @@
         self.promoter = promoter
         self.coordination = coordination
         self.clock = clock
+        self.calls_in_flight = 0
+        self.has_no_calls = asyncio.Event()
+        self.has_no_calls.set()
 
     async def replace_primary(self, service: ServiceId, cause: FailoverCause) -> bool:
         """Replace the primary; return whether there is a new one."""
@@ -344,9 +352,17 @@
         token = self.coordination.fencing_token()
         if token is None:
             raise self._aborted(service, "this VM holds no valid leader lease")
-        if not await self.promoter.promote(
-            service=service, endpoint=chosen, holder=self.cluster.vm, token=token
-        ):
+        self.calls_in_flight += 1
+        self.has_no_calls.clear()
+        try:
+            is_running = await self.promoter.promote(
+                service=service, endpoint=chosen, holder=self.cluster.vm, token=token
+            )
+        finally:
+            self.calls_in_flight -= 1
+            if not self.calls_in_flight:
+                self.has_no_calls.set()
+        if not is_running:
             raise self._aborted(service, f"{chosen} isn't running")
 
     async def _wait_promoted(self, service: ServiceId, probe: ProbedEndpoint) -> Term:
--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -12,6 +12,7 @@
 from ebonyladder.sessions.leadership import Leadership
 from ebonyladder.sessions.messages import (
     MAX_MESSAGE_BYTES,
+    ClusterSnapshot,
     LeaderUpdate,
     Report,
     decode,
@@ -199,13 +200,7 @@
         if changed or update.version > self.cluster.version:
             self.group_changed.set()
         if update.snapshot is not None:
-            snapshot = update.snapshot
-            self.endpoints_version = snapshot.version
-            self.cluster.apply_endpoints(
-                {e.id: e for e in snapshot.endpoints}, frozenset(snapshot.closed_zones)
-            )
-            self.cluster.apply_fleet(snapshot.fleet, snapshot.owners)
-            self.cluster.set_standbys(snapshot.standbys)
+            self._apply_snapshot(update.snapshot, update.has_working_watches)
         self.leadership.record_leader_contact()
         self.last_update_made_at_s = update.made_at_s
         if update.requested_at_s is not None:
@@ -217,6 +212,21 @@
         self._choose_watches(update)
         return True
 
+    def _apply_snapshot(self, snapshot: ClusterSnapshot, is_up_to_date: bool) -> None:
+        """Apply the leader's endpoints, fleet and owners.
+
+        A leader that can't read the store may list an endpoint that has left or a zone
+        that was closed since; the lists of this VM's own watches are newer then, and
+        the leader sends its own again.
+        """
+        if is_up_to_date or not self.watch_manager.has_working_watches:
+            self.endpoints_version = snapshot.version
+            self.cluster.apply_endpoints(
+                {e.id: e for e in snapshot.endpoints}, frozenset(snapshot.closed_zones)
+            )
+        self.cluster.apply_fleet(snapshot.fleet, snapshot.owners)
+        self.cluster.set_standbys(snapshot.standbys)
+
     def _choose_watches(self, update: LeaderUpdate) -> None:
         """Watch the store only while the leader's watches don't work."""
         is_up_to_date = self.endpoints_version >= 0 and (
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -47,6 +47,9 @@
 LEADER_DISCOVERY_TIMEOUT_S = 1.2
 # Interval between reads of the leader record before that, in seconds.
 FIRST_RECORD_POLL_INTERVAL_S = 0.2
+# Longest wait for a promotion in flight before the leadership is released, in seconds:
+# the timeout of that call.
+PROMOTION_DRAIN_TIMEOUT_S = 1.2
 # Positions of primaries are fetched this often by the owners of replicas, in seconds.
 SAMPLE_INTERVAL_S = 0.3
 
@@ -74,6 +77,8 @@
         self.must_register = asyncio.Event()
         self.server: Server | None = None
         self.renewal: asyncio.Task[None] | None = None
+        # Whether this VM is giving up the leadership, so that it promotes no endpoint.
+        self.is_releasing = False
         # Fencing token of the leader whose connection was lost last; 0 for none.
         self.lost_leader_token = 0
 
@@ -150,10 +155,28 @@
         ):
             self.kernel.supervise(run, name=name)
 
+    def reload(self) -> None:
+        """Apply a changed tolerance of the rate limits."""
+        self.leader.allocator.tolerance = self.kernel.settings.tolerance
+
     async def announce_drain(self) -> None:
-        """Release the leadership, so that another VM takes over immediately."""
+        """Release the leadership, so that another VM takes over immediately.
+
+        A call that promotes an endpoint ends before that: it could reach the platform
+        after the first call of the next leader.
+        """
+        self.is_releasing = True
         if not self.leadership.is_holder:
             return
+        try:
+            async with asyncio.timeout(PROMOTION_DRAIN_TIMEOUT_S):
+                await self.failover.has_no_calls.wait()
+        except TimeoutError:
+            logging.warning(
+                "[fleet] Leadership isn't released, a promotion is in flight. token=%d",
+                self.leadership.record.token,
+            )
+            return
         released = msgspec.structs.replace(self.leadership.record, is_released=True)
         content = msgspec.to_builtins(released)
         try:
@@ -172,8 +195,8 @@
             self.server.close()
 
     def fencing_token(self) -> int | None:
-        """Return the fencing token, None if this VM has no valid leader lease."""
-        return self.leader.fencing_token
+        """Return the fencing token, None if this VM may not promote now."""
+        return None if self.is_releasing else self.leader.fencing_token
 
     async def write_group(self, group: GroupState) -> None:
         """Store a group state with a higher epoch."""
--- a/src/ebonyladder/sessions/plugins/quota.py
+++ b/src/ebonyladder/sessions/plugins/quota.py
@@ -30,3 +30,7 @@
 
         cluster.listeners.append(update_vm_count)
         update_vm_count()
+
+    def reload(self) -> None:
+        """Apply a changed tolerance of the rate limits."""
+        self.tolerance = self.kernel.settings.tolerance
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -205,3 +205,22 @@
         assert world.replace_primary(FailoverCause.INTERRUPTED)
         assert world.promoter.calls == []
         assert world.group.primary == "near"
+
+
+class TestHandOver:
+    """Guards against two leaders whose promotions cross on the way."""
+
+    def test_call_to_the_platform_is_visible_until_it_ends(self):
+        async def scenario(world: World) -> list[bool]:
+            seen = [world.failover.has_no_calls.is_set()]
+            promote = world.promoter.promote
+
+            async def record_and_promote(**fields):
+                seen.append(world.failover.has_no_calls.is_set())
+                return await promote(**fields)
+
+            world.promoter.promote = record_and_promote
+            await world.failover.replace_primary(SERVICE, FailoverCause.LEAVING)
+            return [*seen, world.failover.has_no_calls.is_set()]
+
+        assert asyncio.run(scenario(World())) == [True, False, True]
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,15 +1,15 @@
 """Follower's side of the leader connection."""
 
 import asyncio
+from types import SimpleNamespace
 
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.sessions.follower import Follower
 from ebonyladder.sessions.leadership import Leadership
-from ebonyladder.sessions.messages import LeaderUpdate
-from ebonyladder.sessions.pool import PoolSet
+from ebonyladder.sessions.messages import ClusterSnapshot, LeaderUpdate
 from ebonyladder.sessions.quota import GrantedQuota, PermitGrant
 from ebonyladder.sessions.watch_manager import WatchManager
-from ebonyladder.types import ConfigurationVersion, Incarnation, VmId
+from ebonyladder.types import ConfigurationVersion, Incarnation, VmId, ZoneId
 from tests.fleet import run_virtual
 from tests.session_fakes import ORGANISATION, cluster
 
@@ -30,7 +30,7 @@
             leadership=self.leadership,
             quota=self.quota,
             watch_manager=self.watch_manager,
-            pools=PoolSet.__new__(PoolSet),
+            pools=SimpleNamespace(pools={}),
             incarnation=Incarnation(1),
             clock=clock,
             on_unregistered=lambda: None,
@@ -76,3 +76,48 @@
     def test_reporting_ends_if_the_peer_grants_no_permits(self):
         world = World(ManualClock())
         assert not world.follower.apply_update(world.update(is_leader=False))
+
+
+class TestLeaderWithoutTheStore:
+    """Guards against an endpoint that has left and is used again.
+
+    After a change of the leader, the new one may know only an earlier list.
+    """
+
+    def apply(self, *, has_working_watches: bool, is_watched_here: bool) -> World:
+        world = World(ManualClock())
+        left = world.cluster.endpoints.copy()
+        del world.cluster.endpoints["near"]
+        world.cluster.closed_zones = frozenset({ZoneId("b")})
+        if is_watched_here:
+            world.watch_manager.start_watching("no leader")
+        snapshot = ClusterSnapshot(
+            version=4,
+            endpoints=tuple(left.values()),
+            closed_zones=(),
+            fleet={ZoneId("a"): 9},
+            owners={},
+        )
+        world.follower.apply_update(
+            world.update(
+                is_leader=True,
+                snapshot=snapshot,
+                has_working_watches=has_working_watches,
+            )
+        )
+        assert world.cluster.vm_count == 9
+        return world
+
+    def test_lists_of_working_watches_are_kept(self):
+        world = self.apply(has_working_watches=False, is_watched_here=True)
+        assert "near" not in world.cluster.endpoints
+        assert world.cluster.closed_zones == {"b"}
+        assert world.follower.report().endpoints_version < 0
+
+    def test_leader_with_working_watches_replaces_the_lists(self):
+        world = self.apply(has_working_watches=True, is_watched_here=True)
+        assert "near" in world.cluster.endpoints
+
+    def test_vm_without_watches_uses_the_leader_s_lists(self):
+        world = self.apply(has_working_watches=False, is_watched_here=False)
+        assert "near" in world.cluster.endpoints
--- a/tests/test_platform_command_line.py
+++ b/tests/test_platform_command_line.py
@@ -65,6 +65,14 @@
             (("node_name", "name"), "node_name"),
             (("[7560, 7575]", "[7560]"), "internal_ports"),
             (('address = "10.200.1.7:8466"', "address = 1"), "platform.address"),
+            (("10.200.1.7:8466", "10.200.1.7:99999"), "platform.address"),
+            (("10.1.0.26:8460", "nonsense"), "bind_addresses.ready"),
+            (("7575]", "7]"), "internal_ports"),
+            (("grace_s = 6", "grace_s = 0"), "bounds.grace_s"),
+            (
+                ("[zones]", "x = " + "[" * 9_000 + "]" * 9_000 + "\n[zones]"),
+                "recursion",
+            ),
         ],
     )
     def test_error_names_the_invalid_field(self, tmp_path, change, name):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -8,6 +8,7 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.metrics import Metrics
 from ebonyladder.sessions.cluster_view import GroupPhase
+from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.watcher import SHORT_WAIT_S
 from standins.object_store import Outage
 from standins.platform import SERVICE, configuration
@@ -218,3 +219,23 @@
         first, second = asyncio.run(scenario())
         assert first[0].startswith("ERROR MALFORMED")
         assert second[-1].startswith("READY I")
+
+
+class TestHandOver:
+    def test_leadership_is_released_only_after_a_promotion_in_flight(self):
+        # Guards against a promotion of the former leader that reaches the platform
+        # after one of the next.
+        async def scenario() -> list[bool]:
+            async with running_fleet() as fleet:
+                plugins = [k.get(FailoverCoordination) for k in fleet.kernels]
+                leader = next(p for p in plugins if p.fencing_token() is not None)
+                leader.failover.has_no_calls.clear()
+                leader.kernel.draining = True
+                releasing = asyncio.create_task(leader.announce_drain())
+                await asyncio.sleep(0.1)
+                found = [leader.leadership.is_holder, leader.fencing_token() is None]
+                leader.failover.has_no_calls.set()
+                await releasing
+                return [*found, leader.leadership.record.is_released]
+
+        assert asyncio.run(scenario()) == [True, True, True]
