Expect the escaped surrogate as JSON decodes it

Cause: the test compared with the text of the escape; the failure message then contained a lone surrogate, which ended the test run in the reporting of pytest-xdist.

Change: the test compares with the character. The check is as strict as before.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -76,7 +76,7 @@
         self.handler.emit(record("[store] Read. name=\ud800"))
         first, second = self.lines()
         assert first["error"] == "ValueError"
-        assert second["name"] == "\\ud800"
+        assert second["name"] == chr(0xD800)
 
     def test_full_pipe_does_not_block(self):
         # Guards against a daemon that hangs because nobody reads its logs.
