Report to a standby as soon as the leader is lost

Cause: a VM chose the standbys to try when it connected to the leader, at its start often none. After the leader was lost it waited 0.3 to 0.5 s and then read the leader record, which takes 1.5 s when the store doesn't answer either. While reporting to a standby, a read that hung also hid the end of that connection.

Change: the VMs to try are determined again after each connection; the leader record is polled by a task of its own. A takeover's write is completed when that task ends.

Result: tests/test_leader_loss.py fails before.

--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -385,16 +385,22 @@
 
     async def _report_to_any(self, record: LeaderRecord) -> bool:
         """Report to the leader or a standby; True once the leader has changed."""
-        targets = order_report_targets(
-            self.cluster.vm,
-            leader={record.holder: record.address},
-            standbys=self.cluster.standbys,
-            is_leader_lost=record.token == self.lost_leader_token,
-        )
-        for vm, address in targets.items():
-            if await self._report_to(vm, address, record):
+        tried: set[VmId] = set()
+        while True:
+            # The leader may have named other standbys while this VM reported to it.
+            targets = order_report_targets(
+                self.cluster.vm,
+                leader={record.holder: record.address},
+                standbys=self.cluster.standbys,
+                is_leader_lost=record.token == self.lost_leader_token,
+            )
+            remaining = [vm for vm in targets if vm not in tried]
+            if not remaining:
+                return False
+            vm = remaining[0]
+            tried.add(vm)
+            if await self._report_to(vm, targets[vm], record):
                 return True
-        return False
 
     async def _report_to(
         self, vm: VmId, address: Address, record: LeaderRecord
@@ -406,22 +412,36 @@
         reporting = self.kernel.spawn(
             self.follower.report_to(vm, address), name=f"reports-{vm}"
         )
+        # A store that hangs must not delay the change to another VM.
+        polling = self.kernel.spawn(
+            self._wait_for_other_leader(record), name="leader-record"
+        )
         try:
-            while not reporting.done():
-                await asyncio.wait({reporting}, timeout=RECORD_POLL_INTERVAL_S)
-                if reporting.done() or self.follower.has_valid_leader:
-                    continue
-                await self._read_leader_record()
-                found = self.leadership.record
-                if found is None or found.token != record.token:
-                    return True
-            return False
+            await asyncio.wait(
+                {reporting, polling}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return polling.done() and not polling.cancelled()
         finally:
             reporting.cancel()
-            await asyncio.wait({reporting})
+            polling.cancel()
+            await asyncio.wait({reporting, polling})
             if vm == record.holder:
                 self.lost_leader_token = record.token
 
+    async def _wait_for_other_leader(self, record: LeaderRecord) -> None:
+        """Return once the store names another leader than ``record``.
+
+        The store isn't read while the leader that this VM reports to has its lease.
+        """
+        while True:
+            await asyncio.sleep(RECORD_POLL_INTERVAL_S)
+            if self.follower.has_valid_leader:
+                continue
+            await self._read_leader_record()
+            found = self.leadership.record
+            if found is None or found.token != record.token:
+                return
+
     async def _watch_without_leader(self) -> None:
         """Watch the store if no leader is found soon after the start."""
         await asyncio.sleep(LEADER_DISCOVERY_TIMEOUT_S)
@@ -447,7 +467,10 @@
         else:
             self._apply_leader_record(found)
         if self.leadership.may_take_over() and not self.kernel.draining:
-            await self._write_leader_record()
+            # The result of the write is recorded also if the caller is cancelled.
+            await asyncio.shield(
+                self.kernel.spawn(self._write_leader_record(), name="takeover")
+            )
 
     async def _write_leader_record(self) -> None:
         """Acquire or renew the leader lease by a conditional write."""
--- /dev/null
+++ b/tests/test_leader_loss.py
@@ -0,0 +1,93 @@
+"""The seconds after a VM has lost its connection to the leader."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+
+from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.kernel.error import ErrorCode, StoreError
+from ebonyladder.kernel.step import Step
+from ebonyladder.sessions.leadership import LeaderRecord, Leadership
+from ebonyladder.sessions.objects import Revision
+from ebonyladder.sessions.plugins.fleet import RECORD_POLL_INTERVAL_S, FleetPlugin
+from ebonyladder.types import Address, Incarnation, VmId
+from tests.fleet import run_virtual
+from tests.session_fakes import cluster
+
+LEADER, STANDBY = VmId("vm-2"), VmId("vm-3")
+ADDRESS = Address("127.0.0.1:1")
+RECORD = LeaderRecord(
+    holder=LEADER, incarnation=Incarnation(1), address=ADDRESS, token=1
+)
+LEADER_CONNECTION_S = 1.2
+STORE_TIMEOUT_S = 1.5
+
+
+class UnresponsiveStore:
+    """Store that answers no call before its timeout."""
+
+    async def get(self, kind, name):
+        """Fail after the timeout."""
+        await asyncio.sleep(STORE_TIMEOUT_S)
+        raise StoreError(code=ErrorCode.STORE_UNAVAILABLE, step=Step.STORE_READ)
+
+
+class RecordingFollower:
+    """Records when this VM reports to which VM."""
+
+    def __init__(self, clock: ManualClock, view) -> None:
+        self.clock = clock
+        self.cluster = view
+        self.has_valid_leader = False
+        self.started: dict[VmId, float] = {}
+        self.ended: dict[VmId, float] = {}
+
+    async def report_to(self, vm, address) -> None:
+        """Report for some time; the leader names a standby in that time."""
+        self.started[vm] = self.clock.now_s()
+        self.has_valid_leader = vm == LEADER
+        if vm == LEADER:
+            self.cluster.standbys = {STANDBY: ADDRESS}
+        await asyncio.sleep(LEADER_CONNECTION_S)
+        self.has_valid_leader = False
+        self.ended[vm] = self.clock.now_s()
+
+
+class TestLeaderLoss:
+    """Guards against seconds without permits while the store doesn't answer either.
+
+    A VM that had connected to the leader before it named standbys once read the leader
+    record from the store first, which took 1.9 s in a partition from both.
+    """
+
+    @pytest.fixture(autouse=True)
+    def fleet(self):
+        self.clock = ManualClock()
+        view = cluster(self.clock)
+        self.plugin = FleetPlugin.__new__(FleetPlugin)
+        self.plugin.kernel = SimpleNamespace(
+            spawn=lambda run, name: asyncio.create_task(run),
+            clock=self.clock,
+            draining=False,
+        )
+        self.plugin.cluster = view
+        self.plugin.store = UnresponsiveStore()
+        self.plugin.lost_leader_token = 0
+        self.plugin.leader = SimpleNamespace(fencing_token=None)
+        self.plugin.leadership = Leadership(
+            vm=view.vm, incarnation=Incarnation(1), clock=self.clock
+        )
+        self.plugin.leadership.apply_record(RECORD, Revision(1))
+        self.follower = RecordingFollower(self.clock, view)
+        self.plugin.follower = self.follower
+
+    def test_standby_is_reported_to_immediately(self):
+        run_virtual(self.plugin._report_to_any(RECORD), self.clock)
+        wait_s = self.follower.started[STANDBY] - self.follower.ended[LEADER]
+        assert wait_s < RECORD_POLL_INTERVAL_S / 10
+
+    def test_store_that_hangs_does_not_delay_the_next_attempt(self):
+        # The standby's connection ends while the record is being read.
+        run_virtual(self.plugin._report_to_any(RECORD), self.clock)
+        assert self.clock.now_s() - self.follower.ended[STANDBY] < 0.1
