Return to the leader as soon as it answers after a partition

Causes: (1) VMs that report to a standby stayed there until it stopped granting permits. (2) A VM that was removed from the list and reports again got its group states confirmed before it was registered again, and a failover didn't wait for it.

Changes: (1) while it reports to a standby, a VM asks the leader every 0.5 s, 1 s in large fleets, whether it grants permits, and returns to it then. (2) The barrier of a group state waits for every VM that reported within the timeout.

Result: tests for both, which fail before.

--- a/src/ebonyladder/plugins/promotion.py
+++ b/src/ebonyladder/plugins/promotion.py
@@ -240,8 +240,8 @@
         policy = PromotionPolicy(view=view, vm=self.vm, clock=self.kernel.clock)
         controller = GroupController(view=view, policy=policy, plugin=self)
         self.controllers[view.group] = controller
-        self.tasks[view.group] = self.kernel.supervise(
-            controller.run, name=f"promotion {view.group}"
+        self.tasks[view.group] = self.kernel.spawn(
+            controller.run(), name=f"promotion {view.group}"
         )
 
     def _stop_controller(self, group: GroupId) -> None:
--- a/src/ebonyladder/sessions/failure_detector.py
+++ b/src/ebonyladder/sessions/failure_detector.py
@@ -54,6 +54,11 @@
         found = self.reports.get(vm)
         return found[1] if found else float("-inf")
 
+    def reported_within(self, duration_s: float) -> list[VmId]:
+        """Return the VMs whose last report came within this time, in seconds."""
+        oldest_s = self.clock.now_s() - duration_s
+        return [vm for vm, (_, at_s) in self.reports.items() if at_s >= oldest_s]
+
     def record_attempt(self, service: ServiceId, *, is_replaced: bool) -> None:
         """Record that an attempt at a failover has ended."""
         backoff_s = FAILOVER_COOLDOWN_S if is_replaced else FAILOVER_BACKOFF_S
--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
 from absl import logging
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import WebSocketException
@@ -26,6 +27,7 @@
     ConfigurationVersion,
     EndpointId,
     Incarnation,
+    OrganisationId,
     VmId,
 )
 
@@ -41,6 +43,9 @@
 # Longest time to connect or to send a report, in seconds: several round trips between
 # regions.
 CONNECT_TIMEOUT_S = 1.0
+# Longest time to get the answer of a VM that may be unreachable, in seconds: a
+# connection and a report between regions.
+PROBE_TIMEOUT_S = 0.4
 # A connection without updates for this long is closed, in seconds: the report interval
 # in large fleets and several round trips. Standbys grant permits meanwhile, so closing
 # a connection that was only slow costs little.
@@ -119,19 +124,16 @@
         """Whether the leader or a standby has recently sent an update."""
         return self.clock.now_s() - self.last_update_at_s < STANDBY_TIMEOUT_S
 
+    @property
+    def report_interval_factor(self) -> int:
+        """Factor by which a large fleet reports less often."""
+        return 2 if self.cluster.vm_count > LARGE_FLEET else 1
+
     async def report_to(self, vm: VmId, address: Address) -> None:
         """Report to a VM until the connection ends or the VM grants no permits."""
         self._reset()
         try:
-            async with connect(
-                f"ws://{address}{REPORT_PATH}",
-                compression=None,
-                max_size=MAX_MESSAGE_BYTES,
-                open_timeout=CONNECT_TIMEOUT_S,
-                close_timeout=0.2,
-                ping_interval=None,
-                proxy=None,
-            ) as connection:
+            async with self._connect(address, CONNECT_TIMEOUT_S) as connection:
                 logging.info(
                     "[follower] Connection to a leader or standby is open. vm=%s", vm
                 )
@@ -151,14 +153,45 @@
             self.last_update_at_s = float("-inf")
             self.quota.mark_leader_lost()
 
+    async def does_grant(self, address: Address) -> bool:
+        """Tell whether a VM is reachable and grants permits.
+
+        Its answer to one report is read, since a VM that was restarted or has a new
+        leader accepts the connection too. The report requests nothing.
+        """
+        probe = msgspec.structs.replace(
+            self.report(requests={}), shares=self.quota.shares or {}
+        )
+        try:
+            async with (
+                asyncio.timeout(PROBE_TIMEOUT_S),
+                self._connect(address, PROBE_TIMEOUT_S) as connection,
+            ):
+                await connection.send(encode(probe))
+                update = decode(await connection.recv(), LeaderUpdate)
+        except (WebSocketException, OSError, TimeoutError, ValueError):
+            return False
+        return update.is_leader or update.grants_permits
+
+    @staticmethod
+    def _connect(address: Address, timeout_s: float) -> connect:
+        return connect(
+            f"ws://{address}{REPORT_PATH}",
+            compression=None,
+            max_size=MAX_MESSAGE_BYTES,
+            open_timeout=timeout_s,
+            close_timeout=0.2,
+            ping_interval=None,
+            proxy=None,
+        )
+
     async def _send_reports(self, connection: ClientConnection) -> None:
         while True:
             self.group_changed.clear()
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await connection.send(encode(self.report()))
             await asyncio.sleep(MIN_REPORT_INTERVAL_S)
-            is_large = self.cluster.vm_count > LARGE_FLEET
-            interval_s = REPORT_INTERVAL_S * (2 if is_large else 1)
+            interval_s = REPORT_INTERVAL_S * self.report_interval_factor
             changed = asyncio.ensure_future(self.group_changed.wait())
             needed = asyncio.ensure_future(self.quota.permits_needed.wait())
             try:
@@ -239,8 +272,14 @@
         elif is_up_to_date:
             self.watch_manager.stop_watching()
 
-    def report(self) -> Report:
-        """Return a report of this VM's state and its requested permits."""
+    def report(self, requests: dict[OrganisationId, int] | None = None) -> Report:
+        """Return a report of this VM's state.
+
+        Parameters
+        ----------
+        requests : dict of OrganisationId to int, optional
+            Permits to request; by default those that operations need.
+        """
         unresponsive, stalled = self.suspect_endpoints()
         is_newer = 0 < self.leader_version < self.cluster.version
         return Report(
@@ -250,7 +289,7 @@
             version=self.cluster.version,
             acknowledged_at_s=self.last_update_made_at_s,
             endpoints_version=self.endpoints_version,
-            requests=self.quota.take_requests(),
+            requests=self.quota.take_requests() if requests is None else requests,
             shares=(self.quota.shares or {})
             if self.last_update_made_at_s is None
             else None,
--- a/src/ebonyladder/sessions/leader.py
+++ b/src/ebonyladder/sessions/leader.py
@@ -292,13 +292,18 @@
         )
 
     async def wait_applied(self, group: GroupState, timeout_s: float) -> None:
-        """Return once all VMs have applied a group state, or after ``timeout_s``."""
+        """Return once all VMs have applied a group state, or after ``timeout_s``.
+
+        VMs that reported within ``timeout_s`` may still use the former state, also
+        those that aren't registered again after they were removed.
+        """
         deadline_s = self.clock.now_s() + timeout_s
         while True:
             self.epoch_acknowledged.clear()
+            reported = self.failure_detector.reported_within(timeout_s)
             missing = [
                 vm
-                for vm in self.vms()
+                for vm in {*self.vms(), *reported}
                 if vm != self.cluster.vm
                 and self.applied_epochs.get((vm, group.service), 0) < group.epoch
             ]
--- a/src/ebonyladder/sessions/leadership.py
+++ b/src/ebonyladder/sessions/leadership.py
@@ -114,12 +114,7 @@
             # Another writer has put an earlier record back.
             self.apply_unreadable_record(revision)
             return
-        self.record = record
-        self.is_unreadable = False
-        if record is not None:
-            self.highest_token = record.token
-        self.revision = revision
-        self.record_changed_at_s = self.clock.now_s()
+        self._set_record(record, revision)
 
     def apply_unreadable_record(self, revision: Revision) -> None:
         """Apply a record that another writer has made invalid.
@@ -145,9 +140,17 @@
         """Record that a call sent at ``sent_at_s`` wrote this VM's own record."""
         if not self.is_holder:
             self.acquired_at_s = sent_at_s
-        self.apply_record(record, revision)
+        self._set_record(record, revision)
         self.renewed_at_s = sent_at_s
 
+    def _set_record(self, record: LeaderRecord | None, revision: Revision) -> None:
+        self.record = record
+        self.is_unreadable = False
+        if record is not None:
+            self.highest_token = record.token
+        self.revision = revision
+        self.record_changed_at_s = self.clock.now_s()
+
     def record_leader_contact(self) -> None:
         """Record an update from a leader with a valid leader lease."""
         self.leader_contact_at_s = self.clock.now_s()
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from enum import Enum
 from functools import partial
 
 import msgspec
@@ -41,6 +42,9 @@
 LEADER_CHECK_INTERVAL_S = 0.1
 # Interval between reads of the leader record, in seconds.
 RECORD_POLL_INTERVAL_S = 0.5
+# Interval between attempts to reach the leader while this VM reports to a standby, in
+# seconds.
+LEADER_PROBE_INTERVAL_S = 0.5
 # A VM watches the store itself if no leader sends updates within this time after the
 # VM's start, in seconds: a new leader's first reads of the store, and two attempts to
 # connect to it.
@@ -54,6 +58,14 @@
 SAMPLE_INTERVAL_S = 0.3
 
 
+class ReportEnd(Enum):
+    """Why this VM stopped reporting to a VM."""
+
+    CONNECTION_ENDED = "the connection ended"
+    LEADER_CHANGED = "the store names another leader"
+    LEADER_REACHABLE = "the leader answers again"
+
+
 @register
 class FleetPlugin(Plugin, FailoverCoordination):
     """Finds the leader and reports to it, or is the leader."""
@@ -399,13 +411,17 @@
                 return False
             vm = remaining[0]
             tried.add(vm)
-            if await self._report_to(vm, targets[vm], record):
-                return True
+            match await self._report_to(vm, targets[vm], record):
+                case ReportEnd.LEADER_CHANGED:
+                    return True
+                case ReportEnd.LEADER_REACHABLE:
+                    self.lost_leader_token = 0
+                    tried.clear()
 
     async def _report_to(
         self, vm: VmId, address: Address, record: LeaderRecord
-    ) -> bool:
-        """Report until the connection ends; True once the leader has changed.
+    ) -> ReportEnd:
+        """Report until the connection ends or another VM should be reported to.
 
         ``record`` is the leader record at the start.
         """
@@ -416,18 +432,39 @@
         polling = self.kernel.spawn(
             self._wait_for_other_leader(record), name="leader-record"
         )
-        try:
-            await asyncio.wait(
-                {reporting, polling}, return_when=asyncio.FIRST_COMPLETED
+        tasks = {reporting, polling}
+        if vm != record.holder:
+            probing = self.kernel.spawn(
+                self._wait_for_reachable_leader(record), name="leader-probe"
             )
-            return polling.done() and not polling.cancelled()
+            tasks.add(probing)
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if polling in done:
+                return ReportEnd.LEADER_CHANGED
+            if reporting in done:
+                return ReportEnd.CONNECTION_ENDED
+            return ReportEnd.LEADER_REACHABLE
         finally:
-            reporting.cancel()
-            polling.cancel()
-            await asyncio.wait({reporting, polling})
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks)
             if vm == record.holder:
                 self.lost_leader_token = record.token
 
+    async def _wait_for_reachable_leader(self, record: LeaderRecord) -> None:
+        """Return once the leader of ``record`` answers again.
+
+        After a partition heals, only the leader confirms group states and endpoints;
+        the standbys would go on granting permits.
+        """
+        while True:
+            interval_s = LEADER_PROBE_INTERVAL_S * random.uniform(0.8, 1.2)
+            await asyncio.sleep(interval_s * self.follower.report_interval_factor)
+            if await self.follower.does_grant(record.address):
+                logging.info("[fleet] Leader is reachable again. vm=%s", record.holder)
+                return
+
     async def _wait_for_other_leader(self, record: LeaderRecord) -> None:
         """Return once the store names another leader than ``record``.
 
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -230,3 +230,14 @@
         del world.vms[OTHER]
         world.leader.record_removed(OTHER)
         assert self.measure_barrier(world, 0.3) >= 0.29
+
+    def test_barrier_waits_for_a_vm_that_reports_but_is_not_registered_again(self):
+        # Guards against stale reads at a VM that has returned from a partition: it
+        # confirms its group states with each report.
+        world = World(SystemClock())
+        del world.vms[OTHER]
+        world.lead()
+        world.leader.answer(report())
+        assert self.measure_barrier(world, 0.3) >= 0.29
+        world.leader.answer(report(epochs={SERVICE: 1}))
+        assert self.measure_barrier(world, 30.0) < 30.0
--- a/tests/test_leader_loss.py
+++ b/tests/test_leader_loss.py
@@ -10,7 +10,11 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.leadership import LeaderRecord, Leadership
 from ebonyladder.sessions.objects import Revision
-from ebonyladder.sessions.plugins.fleet import RECORD_POLL_INTERVAL_S, FleetPlugin
+from ebonyladder.sessions.plugins.fleet import (
+    LEADER_PROBE_INTERVAL_S,
+    RECORD_POLL_INTERVAL_S,
+    FleetPlugin,
+)
 from ebonyladder.types import Address, Incarnation, VmId
 from tests.fleet import run_virtual
 from tests.session_fakes import cluster
@@ -21,6 +25,7 @@
     holder=LEADER, incarnation=Incarnation(1), address=ADDRESS, token=1
 )
 LEADER_CONNECTION_S = 1.2
+STANDBY_CONNECTION_S = 20.0
 STORE_TIMEOUT_S = 1.5
 
 
@@ -40,16 +45,23 @@
         self.clock = clock
         self.cluster = view
         self.has_valid_leader = False
+        self.report_interval_factor = 1
+        self.leader_returns_at_s = float("inf")
         self.started: dict[VmId, float] = {}
         self.ended: dict[VmId, float] = {}
 
+    async def does_grant(self, address) -> bool:
+        """Tell whether the leader has returned."""
+        return self.clock.now_s() >= self.leader_returns_at_s
+
     async def report_to(self, vm, address) -> None:
         """Report for some time; the leader names a standby in that time."""
         self.started[vm] = self.clock.now_s()
         self.has_valid_leader = vm == LEADER
         if vm == LEADER:
             self.cluster.standbys = {STANDBY: ADDRESS}
-        await asyncio.sleep(LEADER_CONNECTION_S)
+        duration_s = LEADER_CONNECTION_S if vm == LEADER else STANDBY_CONNECTION_S
+        await asyncio.sleep(duration_s)
         self.has_valid_leader = False
         self.ended[vm] = self.clock.now_s()
 
@@ -62,7 +74,7 @@
     """
 
     @pytest.fixture(autouse=True)
-    def fleet(self):
+    def plugin_of_a_vm(self):
         self.clock = ManualClock()
         view = cluster(self.clock)
         self.plugin = FleetPlugin.__new__(FleetPlugin)
@@ -91,3 +103,23 @@
         # The standby's connection ends while the record is being read.
         run_virtual(self.plugin._report_to_any(RECORD), self.clock)
         assert self.clock.now_s() - self.follower.ended[STANDBY] < 0.1
+
+
+class TestLeaderReturn(TestLeaderLoss):
+    """Guards against VMs that stay at a standby after a partition has healed.
+
+    Only the leader confirms group states, so they once refused for 3 s more.
+    """
+
+    def test_vm_reports_to_the_leader_as_soon_as_it_answers(self):
+        returns_at_s = self.clock.now_s() + 10.0
+        self.follower.leader_returns_at_s = returns_at_s
+
+        async def scenario() -> None:
+            reporting = asyncio.create_task(self.plugin._report_to_any(RECORD))
+            await asyncio.sleep(11.0)
+            reporting.cancel()
+
+        run_virtual(scenario(), self.clock)
+        wait_s = self.follower.started[LEADER] - returns_at_s
+        assert 0 <= wait_s <= 1.2 * LEADER_PROBE_INTERVAL_S + 0.01
