Send changes of the configuration, and let four VMs watch for a leader

(2) Every VM with a newer configuration sent all of it to the leader with every report, and the leader sent all of it to every VM at each change. Its link was full, its updates were late, and from second 26 VMs went from standby to standby.

Changes: (1) StoreRelays: four VMs, the standbys first, watch the store for the leader and report what they list; if none of them works within a second, all VMs watch as before. (2) CatalogChange: a VM of a known version gets what has changed since; the leader asks one VM at a time for a newer configuration; an encoded catalog is kept for VMs that need all of it. VMs of the build before get what they got.

--- a/src/ebonyladder/sessions/follower.py
+++ b/src/ebonyladder/sessions/follower.py
@@ -9,6 +9,7 @@
 from websockets.exceptions import WebSocketException
 
 from ebonyladder.kernel.clock import Clock
+from ebonyladder.sessions.catalog import Catalog
 from ebonyladder.sessions.cluster_view import ClusterView
 from ebonyladder.sessions.leadership import Leadership
 from ebonyladder.sessions.messages import (
@@ -16,6 +17,7 @@
     ClusterSnapshot,
     LeaderUpdate,
     Report,
+    StoreListing,
     decode,
     encode,
 )
@@ -50,6 +52,9 @@
 # in large fleets and several round trips. Standbys grant permits meanwhile, so closing
 # a connection that was only slow costs little.
 UPDATE_TIMEOUT_S = 1.4
+# A VM with a newer configuration than the leader sends it without a request after this
+# time, in seconds: the leader had time to ask several VMs.
+UNREQUESTED_CATALOG_DELAY_S = 2.5
 # A standby grants permits after this long without updates, in seconds: before the other
 # VMs close their connections to the leader and report to it.
 STANDBY_TIMEOUT_S = 1.1
@@ -110,6 +115,7 @@
         self.clock = clock
         self.on_unregistered = on_unregistered
         self.group_changed = asyncio.Event()
+        cluster.listeners.append(self._report_listing)
         self._reset()
 
     def _reset(self) -> None:
@@ -118,6 +124,9 @@
         self.last_update_at_s = float("-inf")
         self.leader_version = ConfigurationVersion(0)
         self.endpoints_version = -1
+        self.is_relay = False
+        self.is_catalog_wanted = False
+        self.catalog_sent_at_s = self.clock.now_s()
 
     @property
     def is_connected(self) -> bool:
@@ -214,12 +223,18 @@
 
     def apply_update(self, update: LeaderUpdate) -> bool:
         """Apply an update; False if its sender neither leads nor grants permits."""
+        if self.leader_version >= self.cluster.version:
+            self.catalog_sent_at_s = self.clock.now_s()
         self.leader_version = update.version
-        if update.catalog is not None and self.cluster.apply_catalog(update.catalog):
+        catalog = self._catalog_of(update)
+        if catalog is not None and self.cluster.apply_catalog(catalog):
             logging.info(
-                "[follower] Configuration is active. version=%d",
-                update.catalog.version,
+                "[follower] Configuration is active. version=%d", catalog.version
             )
+        self.is_relay = update.should_watch
+        self.is_catalog_wanted = update.wants_catalog
+        if update.wants_catalog:
+            self.group_changed.set()
         if update.requested_at_s is not None:
             self.has_valid_leader = update.is_leader
         if not update.is_leader:
@@ -233,7 +248,8 @@
         if changed or update.version > self.cluster.version:
             self.group_changed.set()
         if update.snapshot is not None:
-            self._apply_snapshot(update.snapshot, update.has_working_watches)
+            is_up_to_date = update.has_working_watches and not update.should_watch
+            self._apply_snapshot(update.snapshot, is_up_to_date)
         self.leadership.record_leader_contact()
         self.last_update_made_at_s = update.made_at_s
         if update.requested_at_s is not None:
@@ -265,7 +281,9 @@
         is_up_to_date = self.endpoints_version >= 0 and (
             self.cluster.version >= update.version
         )
-        if not update.has_working_watches:
+        if update.should_watch:
+            self.watch_manager.start_watching_if_decided("it relays for the leader")
+        elif not update.has_working_watches:
             self.watch_manager.start_watching_if_decided(
                 "the leader's watches don't work"
             )
@@ -281,7 +299,7 @@
             Permits to request; by default those that operations need.
         """
         unresponsive, stalled = self.suspect_endpoints()
-        is_newer = 0 < self.leader_version < self.cluster.version
+        has_working_watches = self.watch_manager.has_working_watches
         return Report(
             vm=self.cluster.vm,
             incarnation=self.incarnation,
@@ -296,9 +314,47 @@
             unresponsive=tuple(unresponsive),
             stalled=tuple(stalled),
             epochs={g.service: g.epoch for g in self.cluster.groups.values()},
-            catalog=self.cluster.catalog if is_newer else None,
+            catalog=self._catalog_to_send(),
+            accepts_changes=True,
+            has_working_watches=has_working_watches,
+            listing=self._listing() if self.is_relay and has_working_watches else None,
         )
 
+    def _catalog_of(self, update: LeaderUpdate) -> Catalog | None:
+        """Return the catalog in an update, None if it has none for this VM."""
+        if update.catalog_data is not None:
+            return decode(update.catalog_data, Catalog)
+        change = update.catalog_change
+        if change is not None and change.base == self.cluster.version:
+            return change.apply(self.cluster.catalog)
+        return update.catalog
+
+    def _catalog_to_send(self) -> Catalog | None:
+        """Return this VM's catalog if the leader lacks it.
+
+        The leader asks one VM for it. If all VMs sent theirs, it would need seconds to
+        receive them. A VM that isn't asked for some time sends its own anyway.
+        """
+        is_newer = 0 < self.leader_version < self.cluster.version
+        now_s = self.clock.now_s()
+        is_due = now_s - self.catalog_sent_at_s >= UNREQUESTED_CATALOG_DELAY_S
+        if not is_newer or not (self.is_catalog_wanted or is_due):
+            return None
+        self.is_catalog_wanted = False
+        self.catalog_sent_at_s = now_s
+        return self.cluster.catalog
+
+    def _listing(self) -> StoreListing:
+        return StoreListing(
+            endpoints=tuple(self.cluster.endpoints.values()),
+            closed_zones=tuple(sorted(self.cluster.closed_zones)),
+        )
+
+    def _report_listing(self) -> None:
+        """Report a change of the store's objects immediately as a relay."""
+        if self.is_relay:
+            self.group_changed.set()
+
     def suspect_endpoints(self) -> tuple[list[EndpointId], list[EndpointId]]:
         """Return the unresponsive endpoints, and those at which commits stall."""
         pools = [(e, p) for e, p in self.pools.pools.items() if p.is_local]
--- a/src/ebonyladder/sessions/leader.py
+++ b/src/ebonyladder/sessions/leader.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from absl import logging
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import WebSocketException
 
 from ebonyladder.kernel.clock import Clock
+from ebonyladder.sessions.catalog_change import CatalogHistory
 from ebonyladder.sessions.cluster_view import (
     ClusterView,
     GroupState,
@@ -27,11 +29,20 @@
 from ebonyladder.sessions.quota import PermitAllocator, PermitGrant
 from ebonyladder.sessions.shares import RateShares
 from ebonyladder.sessions.standbys import choose_standbys
+from ebonyladder.sessions.store_relays import StoreRelays
 from ebonyladder.sessions.watch_manager import WatchManager
-from ebonyladder.types import EndpointId, OrganisationId, ServiceId, VmId
+from ebonyladder.types import (
+    ConfigurationVersion,
+    EndpointId,
+    OrganisationId,
+    ServiceId,
+    VmId,
+)
 
 # Longest time to send an update, in seconds.
 SEND_TIMEOUT_S = 1.0
+# A VM that was asked for its catalog is given this time to send it, in seconds.
+CATALOG_REQUEST_TIMEOUT_S = 1.0
 # Longest interval between checks of the VMs that a barrier waits for, in seconds.
 BARRIER_POLL_INTERVAL_S = 0.2
 # A VM that has not reported for this long is removed from the list, in seconds. A
@@ -84,6 +95,11 @@
         self.vms = vms
         self.clock = clock
         self.shares = RateShares(clock=clock)
+        self.relays = StoreRelays(clock=clock)
+        self.catalogs = CatalogHistory()
+        self.catalog_requested_at_s = float("-inf")
+        # Encoded catalog of a version, for VMs that need all of it.
+        self.encoded_catalog: tuple[ConfigurationVersion, bytes] | None = None
         self.connections: dict[VmId, ServerConnection] = {}
         self.is_active_standby = False
         self.applied_epochs: dict[tuple[VmId, ServiceId], int] = {}
@@ -172,12 +188,14 @@
                 report.catalog.version,
                 report.vm,
             )
+            self.catalog_requested_at_s = float("-inf")
         for service, epoch in report.epochs.items():
             self.applied_epochs[report.vm, service] = epoch
         self.epoch_acknowledged.set()
         if report.acknowledged_at_s is not None:
             self.leadership.record_acknowledgement(report.vm, report.acknowledged_at_s)
         self.failure_detector.record_report(report)
+        self._apply_listing(report)
         self.shares.record_report(
             report.vm,
             requests=report.requests,
@@ -194,7 +212,6 @@
                 grants_permits=self.grants_permits,
                 grants=grants,
             )
-        is_behind = report.version < self.cluster.version
         snapshot = self.snapshot
         if snapshot is not None and snapshot.version == report.endpoints_version:
             snapshot = None
@@ -207,8 +224,50 @@
             groups=self._newer_groups(report),
             grants=self.grant_permits(report.requests, has_valid_lease=True),
             snapshot=snapshot,
-            catalog=self.cluster.catalog if is_behind else None,
+            wants_catalog=self._wants_catalog(report),
+            should_watch=self.relays.should_watch(report.vm),
+            **self._catalog_fields(report),
+        )
+
+    def _catalog_fields(self, report: Report) -> dict[str, Any]:
+        """Return the fields that bring the sender of a report to this version."""
+        catalog = self.cluster.catalog
+        if catalog is None or report.version >= catalog.version:
+            return {}
+        if not report.accepts_changes:
+            return {"catalog": catalog}
+        self.catalogs.record(catalog)
+        change = self.catalogs.change_since(report.version)
+        if change is not None:
+            return {"catalog_change": change}
+        if self.encoded_catalog is None or self.encoded_catalog[0] != catalog.version:
+            self.encoded_catalog = (catalog.version, encode(catalog))
+        return {"catalog_data": self.encoded_catalog[1]}
+
+    def _wants_catalog(self, report: Report) -> bool:
+        """Tell whether the sender of a report should send its newer catalog."""
+        now_s = self.clock.now_s()
+        is_requested = now_s - self.catalog_requested_at_s < CATALOG_REQUEST_TIMEOUT_S
+        if report.version <= self.cluster.version or is_requested:
+            return False
+        self.catalog_requested_at_s = now_s
+        return True
+
+    def _apply_listing(self, report: Report) -> None:
+        """Apply what a relay lists in the store, while this VM can't read it."""
+        is_accepted = self.relays.accept(
+            report.vm, is_watching=report.has_working_watches
         )
+        if is_accepted and report.listing is not None:
+            self.cluster.apply_endpoints(
+                {e.id: e for e in report.listing.endpoints},
+                frozenset(report.listing.closed_zones),
+            )
+
+    @property
+    def has_store(self) -> bool:
+        """Whether this VM's own watches work, or those of a relay."""
+        return self.watch_manager.has_working_watches or self.relays.is_current
 
     def grant_permits(
         self, requests: dict[OrganisationId, int], *, has_valid_lease: bool
@@ -251,6 +310,13 @@
         vms = self.vms()
         reporting = self.refresh_shares()
         reporting_vms = {vm: entry for vm, entry in vms.items() if vm in reporting}
+        if self.cluster.catalog is not None:
+            self.catalogs.record(self.cluster.catalog)
+        self.relays.update(
+            is_leader_watching=self.watch_manager.has_working_watches,
+            candidates=self._relay_candidates(reporting_vms),
+            fleet_size=len(vms),
+        )
         owners = assign_owners(
             cluster=self.cluster,
             vms=reporting_vms,
@@ -277,11 +343,20 @@
         if self.snapshot != ClusterSnapshot(version=version, **content):
             self.snapshot = ClusterSnapshot(version=version + 1, **content)
 
+    def _relay_candidates(self, vms: dict[VmId, VmEntry]) -> list[VmId]:
+        """Return the standbys, then the other VMs, those with most cores first."""
+        others = sorted(vms.values(), key=lambda entry: (-entry.cores, entry.vm))
+        standbys = [vm for vm in self.cluster.standbys if vm in vms]
+        rest = [
+            e.vm for e in others if e.vm not in standbys and e.vm != self.cluster.vm
+        ]
+        return [*standbys, *rest]
+
     async def push(self) -> None:
         """Push the groups and the version of the configuration to all VMs."""
         update = LeaderUpdate(
             is_leader=self.fencing_token is not None,
-            has_working_watches=self.watch_manager.has_working_watches,
+            has_working_watches=self.has_store,
             made_at_s=self.clock.now_s(),
             version=self.cluster.version,
             groups=tuple(self.cluster.groups.values()),
@@ -359,7 +434,7 @@
     ) -> LeaderUpdate:
         return LeaderUpdate(
             is_leader=is_leader,
-            has_working_watches=self.watch_manager.has_working_watches,
+            has_working_watches=self.has_store,
             made_at_s=self.clock.now_s() if made_at_s is None else made_at_s,
             version=self.cluster.version,
             requested_at_s=report.sent_at_s,
--- a/src/ebonyladder/sessions/messages.py
+++ b/src/ebonyladder/sessions/messages.py
@@ -9,6 +9,7 @@
 from ebonyladder.kernel.error import EndpointError, Outcome, error_code
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.catalog import Catalog
+from ebonyladder.sessions.catalog_change import CatalogChange
 from ebonyladder.sessions.cluster_view import EndpointEntry, GroupState, Owner
 from ebonyladder.sessions.command import Answer, Command, Prepared
 from ebonyladder.sessions.connection import ReadBound
@@ -36,6 +37,13 @@
 PLAIN, COMPRESSED = b"\0", b"\1"
 
 
+class StoreListing(msgspec.Struct, frozen=True, kw_only=True):
+    """Endpoints and closed zones as the store lists them."""
+
+    endpoints: tuple[EndpointEntry, ...]
+    closed_zones: tuple[ZoneId, ...]
+
+
 class Report(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Report of a VM to the leader or a standby.
 
@@ -60,7 +68,13 @@
     epochs : dict of ServiceId to int
         Epoch of each group state that the sender has applied.
     catalog : Catalog or None
-        The sender's catalog, if the leader's is older.
+        The sender's catalog, if the leader's is older and lacks it.
+    accepts_changes : bool
+        Whether the sender reads ``catalog_change`` and ``catalog_data`` of updates.
+    has_working_watches : bool
+        Whether the sender's own watches of the store are working.
+    listing : StoreListing or None
+        What the sender's watches list, if the leader asked for it.
     """
 
     vm: VmId
@@ -75,6 +89,9 @@
     stalled: tuple[EndpointId, ...] = ()
     epochs: dict[ServiceId, int] = {}
     catalog: Catalog | None = None
+    accepts_changes: bool = False
+    has_working_watches: bool = False
+    listing: StoreListing | None = None
 
 
 class ClusterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
@@ -126,6 +143,16 @@
     grants_permits : bool
         Whether a sender without a valid leader lease still grants permits. It then
         grants only from the fractions of rates of the VMs that report to it.
+    catalog : Catalog or None
+        The sender's catalog, for a VM that doesn't accept changes.
+    catalog_data : bytes or None
+        The sender's encoded catalog, for a VM whose version is unknown.
+    catalog_change : CatalogChange or None
+        What has changed since the VM's version.
+    wants_catalog : bool
+        Whether the VM should send its catalog, which is newer.
+    should_watch : bool
+        Whether the VM should watch the store for the leader.
     """
 
     is_leader: bool
@@ -140,6 +167,10 @@
     grants_permits: bool = msgspec.field(default=False, name="lends")
     snapshot: ClusterSnapshot | None = msgspec.field(default=None, name="state")
     catalog: Catalog | None = None
+    catalog_data: bytes | None = None
+    catalog_change: CatalogChange | None = None
+    wants_catalog: bool = False
+    should_watch: bool = False
 
 
 class ForwardedStatement(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -253,7 +284,7 @@
 
 def encode(message: msgspec.Struct) -> bytes:
     """Return a message as CBOR, compressed if it is large."""
-    data = cbor2.dumps(msgspec.to_builtins(message))
+    data = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
     if len(data) <= COMPRESSION_THRESHOLD_BYTES:
         return PLAIN + data
     return COMPRESSED + zlib.compress(data, 1)
@@ -269,7 +300,7 @@
     """
     try:
         body = _decompress(data[1:]) if data[:1] == COMPRESSED else data[1:]
-        return msgspec.convert(cbor2.loads(body), kind)
+        return msgspec.convert(cbor2.loads(body), kind, builtin_types=(bytes,))
     except Exception as error:
         # The decoders raise errors of many types for invalid data, among them
         # ``RecursionError``, ``OverflowError`` and ``TypeError``.
