Probe an unreachable store with one watch, and renew at an interval

Causes: in an outage of the store each of the five watches of a VM retried on its own; a leader that the store turned away tried to renew its record ten times a second.

Change: StoreGate lets one watch of a VM probe the store; the others go on with its first success. Renewals are attempted every 0.4 s.

--- a/src/ebonyladder/sessions/leadership.py
+++ b/src/ebonyladder/sessions/leadership.py
@@ -26,6 +26,9 @@
 LEADER_LEASE_S = 2.4
 # Interval of renewals in the store while some VM doesn't report, in seconds.
 LEASE_RENEWAL_INTERVAL_S = 1.2
+# Interval of attempts while the store refuses them, in seconds: refused calls are
+# billed too.
+RENEWAL_RETRY_INTERVAL_S = 0.4
 # A VM with fewer cores than this waits this much longer before a takeover, in seconds:
 # the leader answers the whole fleet, and half a core is too slow for the reports of 72
 # VMs.
@@ -100,6 +103,7 @@
         self.record_changed_at_s = clock.now_s()
         self.leader_contact_at_s = float("-inf")
         self.renewed_at_s = float("-inf")
+        self.renewal_attempt_at_s = float("-inf")
         self.acquired_at_s = clock.now_s()
         self.acknowledged_at_s: dict[VmId, float] = {}
 
@@ -190,11 +194,17 @@
             return LeadershipState.LEADER
         return LeadershipState.LEASE_EXPIRED
 
+    def record_renewal_attempt(self) -> None:
+        """Record that this VM tries to renew its record now."""
+        self.renewal_attempt_at_s = self.clock.now_s()
+
     def needs_renewal(self, vms: Iterable[VmId]) -> bool:
         """Tell whether the holder has to renew its record in the store."""
         now_s = self.clock.now_s()
         if not self.is_holder or now_s - self.renewed_at_s < LEASE_RENEWAL_INTERVAL_S:
             return False
+        if now_s - self.renewal_attempt_at_s < RENEWAL_RETRY_INTERVAL_S:
+            return False
         never_s = float("-inf")
         return any(
             now_s - self.acknowledged_at_s.get(vm, never_s) >= LEASE_RENEWAL_INTERVAL_S
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -267,6 +267,7 @@
             if not is_renewing and self.leadership.needs_renewal(
                 self.vm_watcher.entries
             ):
+                self.leadership.record_renewal_attempt()
                 self.renewal = self.kernel.spawn(
                     self._write_leader_record(), name="renewal"
                 )
--- a/src/ebonyladder/sessions/watch_manager.py
+++ b/src/ebonyladder/sessions/watch_manager.py
@@ -5,7 +5,7 @@
 
 from absl import logging
 
-from ebonyladder.sessions.watcher import KindWatcher
+from ebonyladder.sessions.watcher import KindWatcher, StoreGate
 
 
 class WatchManager:
@@ -34,9 +34,11 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.is_watching = False
         self.is_decided = False
+        self.gate = StoreGate()
 
     def add(self, watcher: KindWatcher) -> None:
         """Add a watch; start it if this VM watches the store."""
+        watcher.gate = self.gate
         self.watchers.append(watcher)
         if self.is_watching:
             self._start_watcher(watcher)
--- a/src/ebonyladder/sessions/watcher.py
+++ b/src/ebonyladder/sessions/watcher.py
@@ -27,6 +27,8 @@
 MIN_BACKOFF_S = 0.2
 INITIAL_MAX_BACKOFF_S = 0.6
 MAX_BACKOFF_S = 1.6
+# A watch waits this long for another one that probes the store, in seconds.
+MAX_GATE_WAIT_S = 2 * MAX_BACKOFF_S
 
 
 def backoff_s(failures: int) -> float:
@@ -35,6 +37,39 @@
     return random.uniform(MIN_BACKOFF_S, min(upper_bound_s, MAX_BACKOFF_S))
 
 
+class StoreGate:
+    """Lets one watch at a time probe a store that doesn't answer.
+
+    Designed for an outage of the store while all VMs watch it: each VM has five
+    watches, and refused calls are billed too.
+    """
+
+    def __init__(self) -> None:
+        self.prober: KindWatcher | None = None
+        self.opened = asyncio.Event()
+
+    async def wait_after_failure(self, watcher: "KindWatcher") -> None:
+        """Wait until a watch whose call failed should call again."""
+        if self.prober is None:
+            self.prober = watcher
+            self.opened.clear()
+        if self.prober is watcher:
+            await asyncio.sleep(backoff_s(watcher.failures))
+            return
+        try:
+            # The prober may fail for a reason of its own, such as an invalid answer.
+            async with asyncio.timeout(MAX_GATE_WAIT_S):
+                await self.opened.wait()
+        except TimeoutError:
+            return
+
+    def open(self, watcher: "KindWatcher") -> None:
+        """Let the other watches call after a success, or the end of the prober."""
+        if self.prober is watcher:
+            self.prober = None
+            self.opened.set()
+
+
 def convert_content(found: StoreObject, kind: type[T]) -> T | None:
     """Return the content as ``kind``, None with a log line if it doesn't match.
 
@@ -74,6 +109,8 @@
         self.objects: dict[str, StoreObject] = {}
         self.is_listed = asyncio.Event()
         self.failures = 0
+        # Shared by the watches of this VM once a watch manager runs them.
+        self.gate = StoreGate()
 
     @property
     def is_connected(self) -> bool:
@@ -87,6 +124,7 @@
     def mark_stale(self) -> None:
         """Mark the objects as stale, since this VM stops watching them."""
         self.is_listed.clear()
+        self.gate.open(self)
 
     async def run(self) -> None:
         """List and watch the objects until cancelled."""
@@ -100,7 +138,7 @@
                 await self._watch_changes(list_result.as_of)
             except StoreError as error:
                 self._record_failure(error)
-                await asyncio.sleep(backoff_s(self.failures))
+                await self.gate.wait_after_failure(self)
 
     async def _watch_changes(self, as_of: int) -> None:
         while True:
@@ -111,7 +149,7 @@
                 if error.code is ErrorCode.NOT_FOUND:
                     # The history is compacted, so the objects must be listed again.
                     return
-                await asyncio.sleep(backoff_s(self.failures))
+                await self.gate.wait_after_failure(self)
                 continue
             self._record_connected()
             as_of = found.as_of
@@ -132,3 +170,4 @@
         if not self.is_connected:
             logging.info("[watch] Watch works again. kind=%s", self.kind)
         self.failures = 0
+        self.gate.open(self)
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -165,6 +165,21 @@
         assert found.is_holder
 
 
+class TestRenewalAttempts:
+    def test_refused_renewals_are_not_repeated_at_once(self):
+        # Guards against ten billed calls a second of a leader that is turned away.
+        clock = ManualClock()
+        found = leader(clock)
+        clock.advance(LEASE_RENEWAL_INTERVAL_S)
+        attempts = 0
+        for _ in range(10):
+            if found.needs_renewal(FLEET):
+                attempts += 1
+                found.record_renewal_attempt()
+            clock.advance(0.1)
+        assert attempts == 3
+
+
 class TestUnreadableRecord:
     """Guards against a leader record that another writer has made invalid."""
 
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -18,6 +18,7 @@
     Revision,
     StoreObject,
 )
+from ebonyladder.sessions.watch_manager import WatchManager
 from ebonyladder.sessions.watcher import MAX_BACKOFF_S, backoff_s
 from tests.fleet import run_virtual
 from tests.session_fakes import cluster
@@ -129,6 +130,58 @@
             counts.append(len(store.calls))
         assert sum(counts) / len(counts) <= 10.0 * self.MAX_CALLS_PER_S
 
+    def test_one_watch_at_a_time_probes_an_unreachable_store(self):
+        # Guards against five times the calls: each VM watches five kinds.
+        clock, store = ManualClock(), CountingStore()
+        store.is_down = True
+        calls_of_one, calls_of_five = (
+            self.count_calls(clock, store, watchers) for watchers in (1, 5)
+        )
+        assert calls_of_five <= 2 * calls_of_one + 5
+
+    def count_calls(self, clock: ManualClock, store: CountingStore, count: int) -> int:
+        """Return the calls of some watches of one VM in 30 s of an outage."""
+        random.seed(1)
+        store.calls.clear()
+
+        async def run() -> None:
+            manager = WatchManager(
+                supervise=lambda run, name: asyncio.create_task(run())
+            )
+            for _ in range(count):
+                manager.add(VmWatcher(store=store, cluster=cluster(clock)))
+            manager.start_watching("test")
+            await asyncio.sleep(30.0)
+            manager.stop_watching()
+
+        run_virtual(run(), clock)
+        return len(store.calls)
+
+    def test_all_watches_work_soon_after_the_outage(self):
+        # Guards against a watch that waits for another one that was stopped.
+        clock, store = ManualClock(), CountingStore()
+        store.is_down = True
+        watchers = [VmWatcher(store=store, cluster=cluster(clock)) for _ in range(5)]
+
+        async def run() -> list[bool]:
+            manager = WatchManager(
+                supervise=lambda run, name: asyncio.create_task(run())
+            )
+            for watcher in watchers:
+                manager.add(watcher)
+            manager.start_watching("test")
+            await asyncio.sleep(5.0)
+            manager.stop_watching()
+            manager.start_watching("test")
+            await asyncio.sleep(5.0)
+            store.is_down = False
+            await asyncio.sleep(MAX_BACKOFF_S + 0.1)
+            working = [w.is_listed.is_set() for w in watchers]
+            manager.stop_watching()
+            return working
+
+        assert all(run_virtual(run(), clock))
+
     def test_backoff_is_bounded(self):
         # Guards against a change that becomes active too late after an outage.
         assert all(backoff_s(n) <= MAX_BACKOFF_S for n in range(1, 100))
