--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -264,9 +264,11 @@
             await asyncio.sleep(0.05)
 
     async def stop(self) -> None:
-        """Close the listener."""
+        """Close the listener and what is still open after the drain."""
         if self.server is not None:
             self.server.close()
+        for connection in list(self.connections):
+            connection.writer.close()
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
         reader = CallerReader(limit=MAX_LINE_BYTES)
--- a/src/ebonyladder/sessions/plugins/sessions.py
+++ b/src/ebonyladder/sessions/plugins/sessions.py
@@ -83,7 +83,8 @@
         self.kernel.supervise(self._maintain_pools, name="pool-maintenance")
 
     async def stop(self) -> None:
-        """Close the channels to owners."""
+        """Close the connections to endpoints and the channels to owners."""
+        self.pools.close()
         self.channels.close()
 
     def open(self, database: DatabaseName, key: CallerKey) -> Session | Answer:
--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -362,6 +362,11 @@
             logging.info("[pool] Endpoint is no longer listed. endpoint=%s", endpoint)
             self.pools.pop(endpoint).close()
 
+    def close(self) -> None:
+        """Close all pools."""
+        for pool in self.pools.values():
+            pool.close()
+
     def _update_entry(self, entry: EndpointEntry) -> None:
         owner = self.cluster.owners.get(entry.id)
         if owner is not None and owner.vm == self.cluster.vm:
--- a/standins/statement_client.py
+++ b/standins/statement_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from typing import ClassVar
 
 from standins.platform import KEY
 
@@ -26,8 +27,10 @@
     """
 
     numbers = itertools.count(1)
+    opened: ClassVar[set["StatementClient"]] = set()
 
     def __init__(self, *, reader, writer, timeout_s: float) -> None:
+        self.opened.add(self)
         self.reader = reader
         self.writer = writer
         self.timeout_s = timeout_s
@@ -51,6 +54,16 @@
         await client.start(database, key)
         return client
 
+    @classmethod
+    async def close_all(cls) -> None:
+        """Close all connections before their event loop ends.
+
+        A stream that is finalized later raises an error at any place of the program.
+        """
+        while cls.opened:
+            cls.opened.pop().writer.close()
+        await asyncio.sleep(0)
+
     async def start(self, database: str, key: str = KEY) -> str:
         """Start a session and return the greeting."""
         self.writer.write(f"STARTUP {database} {key}\r\n".encode())
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -14,6 +14,7 @@
 from ebonyladder.types import Address, VmId, ZoneId
 from standins.address import free_addresses
 from standins.platform import ZONES, Platform
+from standins.statement_client import StatementClient
 
 ADAPTER = "ebonyladder.platform"
 # Generous, since the machine that runs the tests may be busy.
@@ -100,6 +101,7 @@
         await until(fleet.has_leader, "a leader that all VMs are in contact with")
         yield fleet
     finally:
+        await StatementClient.close_all()
         for kernel in fleet.kernels:
             await kernel.stop()
         await platform.stop()
