Try one connection at a time at an endpoint that has too many

Cause: after all VMs have lost power, their former connections count at the endpoints for 3 s. Every waiting statement then tried to connect every 0.1 s, and each attempt takes a slot for 12 ms, so the attempts that would have succeeded timed out.

Change: ConnectionCap learns from refusals how many connections the endpoint accepts. One more is tried after 0.1 to 0.4 s, and two more after each that was accepted beyond that. The other statements wait for a connection that is released.

--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -13,6 +13,7 @@
 from ebonyladder.sessions.catalog import OPEN_ORGANISATION, Service
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry, Owner
 from ebonyladder.sessions.connection import EndpointConnector, PooledConnection
+from ebonyladder.sessions.connection_cap import ConnectionCap
 from ebonyladder.sessions.health import EndpointHealth
 from ebonyladder.types import EndpointId, OrganisationId, Role
 
@@ -29,8 +30,6 @@
 # Time to open a connection before the endpoint counts as unreachable: two
 # round trips between regions, the 12 ms of a new connection, and a queue.
 OPEN_TIMEOUT_S = 0.5
-# Backoff after an endpoint refused a connection because it has too many.
-REFUSED_BACKOFF_S = 0.1
 # An idle connection is closed after this time, so that another one may be opened.
 IDLE_TIMEOUT_S = 20.0
 
@@ -138,6 +137,15 @@
         Clock of idle times and deadlines.
     limit : int
         Maximum number of connections.
+
+    Attributes
+    ----------
+    cap : ConnectionCap
+        Connections that the endpoint accepts at present, up to the limit.
+    used : int
+        Connections that are open or being opened.
+    opening : int
+        Connections that are being opened.
     """
 
     def __init__(
@@ -151,12 +159,14 @@
         self.entry = entry
         self.connector = connector
         self.clock = clock
-        self.limit = limit
+        self.cap = ConnectionCap(clock=clock, limit=limit)
         self.health = EndpointHealth(clock=clock)
         self.idle: deque[tuple[PooledConnection, float]] = deque()
         self.waiting: deque[ConnectionWaiter] = deque()
         self.used = 0
+        self.opening = 0
         self.running = 0
+        self.growth: asyncio.TimerHandle | None = None
         self.is_closed = False
         self.is_local = True
 
@@ -173,24 +183,44 @@
         Raises
         ------
         EndpointError
-            CONNECT_FAILED, not run, if none became available by ``deadline_s``.
+            CONNECT_FAILED or OVERLOADED, not run, if none became available by
+            ``deadline_s``.
         """
-        connection = self._acquire_idle(organisation, values)
-        if connection is not None:
-            return connection
-        if self._reserve():
-            return await self._open(organisation, deadline_s)
+        was_refused = False
+        while True:
+            connection = self._acquire_idle(organisation, values)
+            if connection is not None:
+                return connection
+            if not self._reserve():
+                connection = await self._wait(
+                    organisation, deadline_s, is_first=was_refused
+                )
+                if connection is not None:
+                    return connection
+            try:
+                return await self._open(organisation, deadline_s)
+            except EndpointError as error:
+                if error.code is not ErrorCode.OVERLOADED:
+                    raise
+                was_refused = True
+
+    async def _wait(
+        self, organisation: OrganisationId, deadline_s: float, *, is_first: bool
+    ) -> PooledConnection | None:
+        """Return a released connection, or None with a reservation to open one."""
         waiter = ConnectionWaiter(organisation=organisation)
-        self.waiting.append(waiter)
+        if is_first:
+            self.waiting.appendleft(waiter)
+        else:
+            self.waiting.append(waiter)
         try:
             async with asyncio.timeout(max(deadline_s - self.clock.now_s(), 0)):
-                connection = await waiter.ready
+                return await waiter.ready
         except BaseException as error:
             self._cancel_wait(waiter)
             if isinstance(error, TimeoutError):
                 raise self._failed("no connection became free in time") from None
             raise
-        return connection or await self._open(organisation, deadline_s)
 
     def release(self, connection: PooledConnection) -> None:
         """Return a connection; one that is closed ends its reservation."""
@@ -228,7 +258,9 @@
     def trim(self) -> None:
         """Close connections that exceed the idle timeout or the limit."""
         idle_since_s = self.clock.now_s() - IDLE_TIMEOUT_S
-        while self.idle and (self.idle[0][1] < idle_since_s or self.used > self.limit):
+        while self.idle and (
+            self.idle[0][1] < idle_since_s or self.used > self.cap.limit
+        ):
             self._close_oldest()
 
     def close(self) -> None:
@@ -254,9 +286,10 @@
         return self._acquire_idle(organisation, values)
 
     def _reserve(self) -> bool:
-        if self.used >= self.limit and self.idle:
+        limit = self.cap.current
+        if self.used >= limit and self.idle:
             self._close_oldest()
-        if self.used >= self.limit:
+        if self.used >= limit:
             return False
         self.used += 1
         return True
@@ -267,12 +300,28 @@
         self.used -= 1
 
     def _release_reservation(self) -> None:
-        while self.waiting:
+        self.used -= 1
+        self._grant_reservations()
+
+    def _grant_reservations(self) -> None:
+        """Let waiting statements open connections as far as the cap allows."""
+        while self.waiting and self.used < self.cap.current:
             waiter = self.waiting.popleft()
             if not waiter.ready.done():
+                self.used += 1
                 waiter.ready.set_result(None)
-                return
-        self.used -= 1
+
+    def _grow(self) -> None:
+        """Try more connections at an interval while the endpoint refuses them."""
+        self._grant_reservations()
+        if self.waiting and self.cap.is_reduced and not self.is_closed:
+            self._schedule_growth()
+        else:
+            self.growth = None
+
+    def _schedule_growth(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.growth = loop.call_later(self.cap.growth_interval_s, self._grow)
 
     def _cancel_wait(self, waiter: ConnectionWaiter) -> None:
         if waiter in self.waiting:
@@ -287,29 +336,38 @@
     async def _open(
         self, organisation: OrganisationId, deadline_s: float
     ) -> PooledConnection:
+        """Open a connection for a reservation; an error releases the reservation."""
+        remaining_s = deadline_s - self.clock.now_s()
+        self.opening += 1
         try:
-            while True:
-                remaining_s = deadline_s - self.clock.now_s()
-                try:
-                    async with asyncio.timeout(min(remaining_s, OPEN_TIMEOUT_S)):
-                        connection = await self.connector.open(self.entry, organisation)
-                except TimeoutError:
-                    if remaining_s >= OPEN_TIMEOUT_S:
-                        self.health.mark_unreachable()
-                    raise self._failed("the connection did not open in time") from None
-                except EndpointError as error:
-                    if error.code is not ErrorCode.OVERLOADED:
-                        self.health.mark_unreachable()
-                        raise
-                    if remaining_s < 2 * REFUSED_BACKOFF_S:
-                        raise
-                    await asyncio.sleep(REFUSED_BACKOFF_S)
-                else:
-                    self.health.mark_reachable()
-                    return connection
-        except BaseException:
+            async with asyncio.timeout(min(remaining_s, OPEN_TIMEOUT_S)):
+                connection = await self.connector.open(self.entry, organisation)
+        except BaseException as error:
+            self.opening -= 1
+            self._record_open_failure(error, remaining_s)
             self._release_reservation()
+            if isinstance(error, TimeoutError):
+                raise self._failed("the connection did not open in time") from None
             raise
+        self.opening -= 1
+        self.health.mark_reachable()
+        self.cap.record_opened(self.used - self.opening)
+        self._grant_reservations()
+        return connection
+
+    def _record_open_failure(self, error: BaseException, remaining_s: float) -> None:
+        is_refused = (
+            isinstance(error, EndpointError) and error.code is ErrorCode.OVERLOADED
+        )
+        if is_refused:
+            # The reservation of this attempt isn't released yet.
+            self.cap.record_refused(self.used - self.opening - 1)
+            if self.growth is None:
+                self._schedule_growth()
+        elif isinstance(error, EndpointError) or (
+            isinstance(error, TimeoutError) and remaining_s >= OPEN_TIMEOUT_S
+        ):
+            self.health.mark_unreachable()
 
     def _failed(self, message: str) -> EndpointError:
         return EndpointError(
@@ -384,7 +442,7 @@
         catalog = self.cluster.catalog
         service = catalog.services.get(entry.service) if catalog else None
         if service is not None and isinstance(pool, DirectPool):
-            pool.limit = connection_limit(self.cluster, service, entry)
+            pool.cap.limit = connection_limit(self.cluster, service, entry)
 
     def _open(
         self, entry: EndpointEntry, owner: Owner | None
--- /dev/null
+++ b/tests/test_connection_cap.py
@@ -0,0 +1,211 @@
+"""Connections to an endpoint that is still full of those of failed VMs."""
+
+import asyncio
+import random
+
+import pytest
+
+from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.step import Step
+from ebonyladder.sessions.connection import EndpointConnector, PooledConnection
+from ebonyladder.sessions.connection_cap import GROWTH_INTERVAL_S, ConnectionCap
+from ebonyladder.sessions.pool import DirectPool
+from ebonyladder.types import OrganisationId
+from tests.fleet import run_virtual
+from tests.session_fakes import entry
+
+# Connections that the endpoint accepts, of which those of the failed VMs stand for
+# some seconds after these have lost power.
+CAP, STALE = 32, 28
+STALE_S = 3.0
+LIMIT = 28
+HANDSHAKE_S = 0.012
+WORK_S = 0.03
+STATEMENTS_PER_S = 60
+ORGANISATIONS = 8
+DEADLINE_S = 1.0
+
+
+class OpenConnection(PooledConnection):
+    """Connection that counts at the endpoint until it is closed."""
+
+    def __init__(self, endpoint: "FullEndpoint", organisation: OrganisationId) -> None:
+        self.full_endpoint = endpoint
+        self.organisation = organisation
+        self.values: dict[str, str] = {}
+        self.is_open = True
+
+    def set_variables(self, values, deadline_s) -> None:
+        """Not used here."""
+
+    async def begin(self, command, *, min_position=None):
+        """Not used here."""
+
+    async def run(self, command, *, min_position=None, prepared=None):
+        """Not used here."""
+
+    def close(self) -> None:
+        """Leave the endpoint."""
+        if self.is_open:
+            self.is_open = False
+            self.full_endpoint.open -= 1
+
+
+class FullEndpoint:
+    """Endpoint that refuses connections over its cap."""
+
+    def __init__(self, clock: ManualClock, stale: int) -> None:
+        self.clock = clock
+        self.stale = stale
+        self.stale_until_s = clock.now_s() + STALE_S
+        self.open = 0
+        self.attempts = 0
+        self.refused = 0
+
+    async def open_connection(self, organisation: OrganisationId) -> OpenConnection:
+        """Accept or refuse a connection after the handshake."""
+        self.attempts += 1
+        await asyncio.sleep(HANDSHAKE_S)
+        stale = self.stale if self.clock.now_s() < self.stale_until_s else 0
+        if self.open + stale >= CAP:
+            self.refused += 1
+            raise EndpointError(
+                code=ErrorCode.OVERLOADED, step=Step.CONNECT, outcome=Outcome.NOT_RUN
+            )
+        self.open += 1
+        return OpenConnection(self, organisation)
+
+
+class Connector(EndpointConnector):
+    """Connects to the one endpoint."""
+
+    def __init__(self, endpoint: FullEndpoint) -> None:
+        self.endpoint = endpoint
+
+    async def open(self, entry, organisation):
+        """Open a connection."""
+        return await self.endpoint.open_connection(organisation)
+
+
+class Run:
+    """Statements of some organisations over one pool, and what they got."""
+
+    def __init__(self, duration_s: float, stale: int = STALE) -> None:
+        self.clock = ManualClock()
+        self.random = random.Random(7)
+        self.endpoint = FullEndpoint(self.clock, stale)
+        self.pool = DirectPool(
+            entry=entry("primary"),
+            connector=Connector(self.endpoint),
+            clock=self.clock,
+            limit=LIMIT,
+        )
+        self.started_at_s = self.clock.now_s()
+        # Time of each statement since the start, and whether it was served.
+        self.results: list[tuple[float, bool]] = []
+        run_virtual(self.play(duration_s), self.clock)
+
+    async def play(self, duration_s: float) -> None:
+        """Send statements at a rate."""
+        tasks = []
+        for _ in range(int(duration_s * STATEMENTS_PER_S)):
+            await asyncio.sleep(1 / STATEMENTS_PER_S)
+            tasks.append(asyncio.create_task(self.run_statement()))
+        await asyncio.gather(*tasks)
+
+    async def run_statement(self) -> None:
+        """Run one statement of a random organisation."""
+        number = self.random.randrange(ORGANISATIONS)
+        organisation = OrganisationId(f"organisation-{number}")
+        sent_at_s = self.clock.now_s()
+        try:
+            connection = await self.pool.acquire(
+                organisation, {}, sent_at_s + DEADLINE_S
+            )
+        except EndpointError as error:
+            assert error.outcome is Outcome.NOT_RUN
+            self.results.append((sent_at_s - self.started_at_s, False))
+            return
+        await asyncio.sleep(WORK_S)
+        self.pool.release(connection)
+        self.results.append((sent_at_s - self.started_at_s, True))
+
+    def served(self, from_s: float, to_s: float) -> float:
+        """Return the share of statements in a time that were served."""
+        results = [ok for at_s, ok in self.results if from_s <= at_s < to_s]
+        return sum(results) / len(results)
+
+
+class TestFullEndpoint:
+    """Guards against attempts to connect that take the slots of statements.
+
+    After a loss of power, 9 endpoints once refused 585 connections in two seconds, and
+    the slots that these took made other attempts time out.
+    """
+
+    @pytest.fixture(scope="class")
+    def run(self) -> Run:
+        return Run(STALE_S + 3.0)
+
+    def test_few_connections_are_refused(self, run):
+        # Each waiting statement once tried again every 0.1 s. Now the first statements
+        # try at once, up to the limit, and then one at a time.
+        assert run.endpoint.refused <= LIMIT + STALE_S / GROWTH_INTERVAL_S
+
+    def test_statements_are_served_by_the_few_connections(self, run):
+        assert run.served(0.5, STALE_S - DEADLINE_S) > 0.5
+
+    def test_all_are_served_once_the_stale_connections_are_gone(self, run):
+        assert run.served(STALE_S + 0.3, STALE_S + 3.0) == 1.0
+
+    def test_pool_without_connections_does_not_spin(self):
+        # Each refusal once released the reservation to the next waiting statement.
+        run = Run(1.0, stale=CAP)
+        assert run.endpoint.refused <= LIMIT + 1.0 / GROWTH_INTERVAL_S
+
+    def test_limit_holds(self, run):
+        assert run.pool.used <= LIMIT
+        assert run.endpoint.open <= CAP
+
+
+class TestCap:
+    @pytest.fixture(autouse=True)
+    def cap(self):
+        self.clock = ManualClock()
+        self.cap = ConnectionCap(clock=self.clock, limit=LIMIT)
+
+    def test_refusal_limits_the_connections_to_those_that_are_open(self):
+        self.cap.record_refused(4)
+        assert (self.cap.current, self.cap.is_reduced) == (4, True)
+
+    def test_endpoint_without_a_connection_is_tried_again_after_an_interval(self):
+        # Guards against an endpoint that is never tried again, and against one that is
+        # tried again as soon as it has refused.
+        self.cap.record_refused(0)
+        assert self.cap.current == 0
+        self.clock.advance(1.01 * GROWTH_INTERVAL_S)
+        assert self.cap.current == 1
+
+    def test_interval_grows_with_refusals_and_is_bounded(self):
+        intervals = []
+        for _ in range(5):
+            self.cap.record_refused(0)
+            intervals.append(self.cap.growth_interval_s)
+        assert intervals == [0.1, 0.2, 0.4, 0.4, 0.4]
+        self.cap.record_opened(1)
+        assert self.cap.growth_interval_s == GROWTH_INTERVAL_S
+
+    def test_cap_grows_with_time_and_faster_with_success(self):
+        self.cap.record_refused(4)
+        self.clock.advance(2.5 * GROWTH_INTERVAL_S)
+        assert self.cap.current == 6
+        for opened in range(5, LIMIT):
+            self.cap.record_opened(opened)
+        assert (self.cap.current, self.cap.is_reduced) == (LIMIT, False)
+
+    def test_lower_limit_takes_effect_immediately(self):
+        # Guards against too many connections after VMs were added.
+        self.cap.record_refused(10)
+        self.cap.limit = 3
+        assert self.cap.current == 3
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -154,7 +154,7 @@
     def test_statement_that_got_no_connection_in_time_was_not_run(self, world):
         # Guards against an answer that keeps callers from retrying a statement that
         # timed out in a queue.
-        world.pools.get(EndpointId("primary")).limit = 0
+        world.pools.get(EndpointId("primary")).cap.limit = 0
         answers = run_commands(world.session(), "WRITE a b", "READ a")
         assert [a.code for a in answers] == [AnswerCode.OVERLOADED] * 2
         assert world.primary.ran == []
