--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -36,11 +36,6 @@
         found = PLATFORM_NAMES.findall(path.read_text())
         assert found == []
 
-    @pytest.mark.xfail(
-        raises=SystemError,
-        strict=False,
-        reason="KNOWN-RED.txt: ast.parse interrupted by a finalizer on CPython 3.11",
-    )
     @pytest.mark.parametrize("path", sorted(ADAPTER.glob("*.py")), ids=lambda p: p.stem)
     def test_adapter_imports_no_decision_module(self, path):
         # Guards against decisions in the adapter, which another front end couldn't use.
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -92,11 +92,6 @@
 class TestViews:
     """Guards against views that cover only the VM that answers."""
 
-    @pytest.mark.xfail(
-        raises=SystemError,
-        strict=False,
-        reason="KNOWN-RED.txt: ast.parse interrupted by a finalizer on CPython 3.11",
-    )
     def test_any_vm_shows_the_whole_deployment(self, capsys, monkeypatch):
         monkeypatch.setenv("EBONYLADDER_OPERATOR_KEY", OPERATOR_KEY)
 
