--- a/src/ebonyladder/sessions/catalog_change.py
+++ b/src/ebonyladder/sessions/catalog_change.py
@@ -1,8 +1,8 @@
 """What has changed between two versions of the configuration.
 
-A configuration of 1,500 routes takes 40 KB compressed, and most changes concern one
-route. A leader that sends the whole of it to 195 VMs uses its network link for seconds,
-in which its other updates are late.
+A configuration of 1,500 routes takes 26 KB compressed, and most changes concern one
+route, which takes 0.2 KB. A leader on a link of 20 Mbit/s needs two seconds to send the
+whole of it to 195 VMs, in which its other updates are late.
 """
 
 from collections import OrderedDict
