Close the clients of the demonstration before their loop ends

Cause: the demonstration on the platform's stand-ins ended with two tracebacks of streams that were finalized after their loop had ended. The set of open clients also kept clients that were closed.

Change: the demonstration closes its clients; a closed client leaves the set.

Result: make demo-platform ends without a traceback.

--- a/scripts/demo_platform.py
+++ b/scripts/demo_platform.py
@@ -63,6 +63,7 @@
         print(f"   promotions (endpoint, token): {fleet.platform.service.promotions}")
         await query(first, "READ pitch")
     finally:
+        await StatementClient.close_all()
         await fleet.stop()
 
 
--- a/standins/statement_client.py
+++ b/standins/statement_client.py
@@ -88,4 +88,5 @@
 
     def close(self) -> None:
         """Close the connection without a TERMINATE message."""
+        self.opened.discard(self)
         self.writer.close()
