Retry a full endpoint for a lone statement, and keep relays through pushed updates

Causes, both found by reading the change: (1) If nobody waited when the first interval of a connection cap ended and a second refusal had made the interval longer, no timer was left; the next statement waited for its deadline. (2) Updates that the leader pushes don't name relays, so a relay that got one stopped its watches and listed five kinds again.

Changes: (1) every statement that the cap keeps waiting has a timer. (2) Only the answer to a report says whether this VM is a relay or should send its configuration.

Result: a test for each fails before.

--- a/src/ebonyladder/sessions/fleet/follower.py
+++ b/src/ebonyladder/sessions/fleet/follower.py
@@ -232,12 +232,13 @@
             logging.info(
                 "[follower] Configuration is active. version=%d", catalog.version
             )
-        self.is_relay = update.should_watch
-        self.is_catalog_wanted = update.wants_catalog
-        if update.wants_catalog:
-            self.group_changed.set()
         if update.requested_at_s is not None:
+            # Only the answer to a report says what is wanted of this VM.
             self.has_valid_leader = update.is_leader
+            self.is_relay = update.should_watch
+            self.is_catalog_wanted = update.wants_catalog
+        if update.wants_catalog:
+            self.group_changed.set()
         if not update.is_leader:
             self.watch_manager.start_watching_if_decided(
                 "the leader has no valid leader lease"
@@ -249,7 +250,7 @@
         if changed or update.version > self.cluster.version:
             self.group_changed.set()
         if update.snapshot is not None:
-            is_up_to_date = update.has_working_watches and not update.should_watch
+            is_up_to_date = update.has_working_watches and not self.is_relay
             self._apply_snapshot(update.snapshot, is_up_to_date)
         self.leadership.record_leader_contact()
         self.last_update_made_at_s = update.made_at_s
@@ -282,7 +283,7 @@
         is_up_to_date = self.endpoints_version >= 0 and (
             self.cluster.version >= update.version
         )
-        if update.should_watch:
+        if self.is_relay:
             self.watch_manager.start_watching_if_decided("it relays for the leader")
         elif not update.has_working_watches:
             self.watch_manager.start_watching_if_decided(
--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -213,6 +213,7 @@
             self.waiting.appendleft(waiter)
         else:
             self.waiting.append(waiter)
+        self._ensure_growth()
         try:
             async with asyncio.timeout(max(deadline_s - self.clock.now_s(), 0)):
                 return await waiter.ready
@@ -313,15 +314,16 @@
 
     def _grow(self) -> None:
         """Try more connections at an interval while the endpoint refuses them."""
+        self.growth = None
         self._grant_reservations()
-        if self.waiting and self.cap.is_reduced and not self.is_closed:
-            self._schedule_growth()
-        else:
-            self.growth = None
+        self._ensure_growth()
 
-    def _schedule_growth(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.growth = loop.call_later(self.cap.growth_interval_s, self._grow)
+    def _ensure_growth(self) -> None:
+        """Have the cap checked again while it keeps statements waiting."""
+        is_needed = self.waiting and self.cap.is_reduced and not self.is_closed
+        if is_needed and self.growth is None:
+            loop = asyncio.get_running_loop()
+            self.growth = loop.call_later(self.cap.growth_interval_s, self._grow)
 
     def _cancel_wait(self, waiter: ConnectionWaiter) -> None:
         if waiter in self.waiting:
@@ -362,8 +364,7 @@
         if is_refused:
             # The reservation of this attempt isn't released yet.
             self.cap.record_refused(self.used - self.opening - 1)
-            if self.growth is None:
-                self._schedule_growth()
+            self._ensure_growth()
         elif isinstance(error, EndpointError) or (
             isinstance(error, TimeoutError) and remaining_s >= OPEN_TIMEOUT_S
         ):
--- a/tests/test_connection_cap.py
+++ b/tests/test_connection_cap.py
@@ -9,7 +9,11 @@
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.connection import EndpointConnector, PooledConnection
-from ebonyladder.sessions.connection_cap import GROWTH_INTERVAL_S, ConnectionCap
+from ebonyladder.sessions.connection_cap import (
+    GROWTH_INTERVAL_S,
+    MAX_GROWTH_INTERVAL_S,
+    ConnectionCap,
+)
 from ebonyladder.sessions.pool import DirectPool
 from ebonyladder.types import OrganisationId
 from tests.fleet import run_virtual
@@ -164,6 +168,30 @@
         run = Run(1.0, stale=CAP)
         assert run.endpoint.refused <= LIMIT + 1.0 / GROWTH_INTERVAL_S
 
+    def test_lone_statement_is_served_when_its_endpoint_has_room(self):
+        # Guards against a statement that waits for its deadline: after refusals without
+        # any connection, nothing else would let it try.
+        run = Run(0.0, stale=CAP)
+
+        async def refuse_and_wait() -> float:
+            organisation = OrganisationId("a")
+            started_at_s = run.clock.now_s()
+            deadline_s = started_at_s + 0.8 * GROWTH_INTERVAL_S
+            errors = await asyncio.gather(
+                *(run.pool.acquire(organisation, {}, deadline_s) for _ in range(2)),
+                return_exceptions=True,
+            )
+            assert all(isinstance(error, EndpointError) for error in errors)
+            # Nobody waits when the first interval ends; the second is longer.
+            await asyncio.sleep(0.7 * GROWTH_INTERVAL_S)
+            run.endpoint.stale_until_s = run.clock.now_s()
+            started_at_s = run.clock.now_s()
+            await run.pool.acquire(organisation, {}, started_at_s + DEADLINE_S)
+            return run.clock.now_s() - started_at_s
+
+        wait_s = run_virtual(refuse_and_wait(), run.clock)
+        assert wait_s <= MAX_GROWTH_INTERVAL_S + 2 * HANDSHAKE_S
+
     def test_limit_holds(self, run):
         assert run.pool.used <= LIMIT
         assert run.endpoint.open <= CAP
--- a/tests/test_store_relays.py
+++ b/tests/test_store_relays.py
@@ -10,9 +10,10 @@
     RELAY_TIMEOUT_S,
     StoreRelays,
 )
-from ebonyladder.sessions.messages import StoreListing
-from ebonyladder.types import Address, Incarnation, VmId, ZoneId
+from ebonyladder.sessions.messages import LeaderUpdate, StoreListing
+from ebonyladder.types import Address, ConfigurationVersion, Incarnation, VmId, ZoneId
 from tests.session_fakes import entry
+from tests.test_follower import World as FollowerWorld
 from tests.test_leader import World, report
 
 FLEET = 195
@@ -122,3 +123,19 @@
         listing = StoreListing(endpoints=(), closed_zones=())
         world.leader.answer(report(has_working_watches=True, listing=listing))
         assert world.cluster.endpoints
+
+
+class TestRelay:
+    def test_pushed_update_does_not_end_the_watches_of_a_relay(self):
+        # Guards against lists of five kinds after each change that the leader pushes.
+        world = FollowerWorld(ManualClock())
+        world.watch_manager.stop_watching()
+        world.follower.endpoints_version = 1
+        world.follower.apply_update(world.update(is_leader=True, should_watch=True))
+        assert world.watch_manager.is_watching
+        pushed = LeaderUpdate(
+            is_leader=True, made_at_s=1.0, version=ConfigurationVersion(1)
+        )
+        world.follower.apply_update(pushed)
+        assert world.follower.is_relay
+        assert world.watch_manager.is_watching
