Pass each byte of an unreadable entry once, without a loop in Python

Five entries of another writer, nested deeply and of the largest size, kept the leader's event loop busy for about eleven seconds.

Cause: a list page that the decoder rejects was split by a regular expression whose matches a Python loop counted, four times for each entry: the page, its items, the entry's fields and the field's content.

The bounds of readable values now come from the JSON decoder, and only what it can't read is skipped by its brackets, with iterators that run in C. An entry's other fields aren't read once name and content are found.

TestLargestEntries counts the passed bytes; on the former source it fails, since that source has no such counter.

--- a/src/ebonyladder/platform/_store_answers.py
+++ b/src/ebonyladder/platform/_store_answers.py
@@ -5,7 +5,7 @@
 import msgspec
 from absl import logging
 
-from ebonyladder.platform._json_parts import members, split_container
+from ebonyladder.platform._json_parts import members, members_and_elements
 from ebonyladder.sessions.objects import (
     UNREADABLE,
     Change,
@@ -108,7 +108,7 @@
     try:
         encoded = msgspec.json.decode(body, type=_Object)
     except DECODE_ERRORS:
-        parts = members(body)
+        parts = members(body, ("meta", "spec"), with_unreadable=False)
         encoded = _Object(
             meta=_decode(parts.get("meta", b""), _Meta),
             spec=msgspec.Raw(parts.get("spec", b"")),
@@ -116,18 +116,18 @@
     return StoreObject(
         name=encoded.meta.name,
         revision=Revision(encoded.meta.revision),
-        content=_decode_content(encoded.meta.name, bytes(encoded.spec)),
+        content=_decode_content(encoded.meta.name, bytes(encoded.spec), len(body)),
     )
 
 
-def _decode_content(name: str, encoded: bytes) -> Any:
+def _decode_content(name: str, encoded: bytes, entry_bytes: int) -> Any:
     try:
         return msgspec.json.decode(encoded)
     except DECODE_ERRORS as error:
         logging.warning(
             "[platform] Entry can't be read. name=%s bytes=%d error=%r",
             name,
-            len(encoded),
+            entry_bytes,
             error,
         )
         return UNREADABLE
@@ -145,7 +145,7 @@
     try:
         event = msgspec.json.decode(encoded, type=_Event)
     except DECODE_ERRORS:
-        parts = members(encoded)
+        parts = members(encoded, ("object", "removed"), with_unreadable=True)
         event = _Event(
             object=msgspec.Raw(parts.get("object", b"")),
             removed=parts.get("removed", b"").strip() == b"true",
@@ -159,17 +159,16 @@
     try:
         return msgspec.json.decode(body, type=body_type)
     except DECODE_ERRORS:
-        parts = members(body)
+        others, elements = members_and_elements(body, key)
         fields = {
             name: _decode(value, Any)
-            for name, value in parts.items()
-            if name in body_type.__struct_fields__ and name != key
+            for name, value in others.items()
+            if name in body_type.__struct_fields__
         }
     try:
         answer = msgspec.convert({**fields, key: []}, body_type)
     except msgspec.ValidationError as error:
         raise StoreAnswerError(str(error)) from error
-    elements = split_container(parts.get(key, b""))
     setattr(answer, key, [msgspec.Raw(element) for element in elements])
     return answer
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,6 +9,7 @@
 
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.kernel.error import EndpointError, ErrorCode
+from ebonyladder.platform import _json_parts
 from ebonyladder.platform._store_answers import (
     StoreAnswerError,
     decode_changes,
@@ -28,7 +29,7 @@
     VmId,
     ZoneId,
 )
-from standins.object_store import dump
+from standins.object_store import RawContent, dump
 from standins.platform import ZONES, configuration
 from tests.odd_contents import DEEP, ENDPOINT, ODD_CONTENTS
 from tests.platform_fleet import running_fleet, until
@@ -61,6 +62,38 @@
     return dump({"items": list(objects), "has_more": has_more, "as_of": 7}).encode()
 
 
+class TestLargestEntries:
+    """Guards against an event loop that one entry keeps busy for seconds (review/4)."""
+
+    VALUE_BYTES = 1_048_576
+
+    @pytest.mark.parametrize(
+        "content",
+        [
+            "[" * (VALUE_BYTES // 2) + "]" * (VALUE_BYTES // 2),
+            '{"a":' * (VALUE_BYTES // 6) + "0" + "}" * (VALUE_BYTES // 6),
+            "[0," * (VALUE_BYTES // 4) + "0" + "]" * (VALUE_BYTES // 4),
+        ],
+        ids=["arrays", "objects", "lists"],
+    )
+    def test_each_byte_is_passed_once(self, content, monkeypatch):
+        passed = 0
+        accumulate = _json_parts.accumulate
+
+        def count(values):
+            nonlocal passed
+            for value in accumulate(values):
+                passed += 1
+                yield value
+
+        monkeypatch.setattr(_json_parts, "accumulate", count)
+        odd = stored("odd", RawContent(content))
+        page = decode_page(page_of(stored("a", 1), odd, stored("b", 2)))
+        assert [o.name for o in page.result.objects] == ["a", "odd", "b"]
+        assert page.result.objects[1].content is UNREADABLE
+        assert len(content) <= passed <= len(content) + 100
+
+
 class TestStoreAnswers:
     """Guards against one entry that makes all others of its kind unreadable."""
 
