Derive fencing tokens from the store's revision

A VM that has just started and finds the leader record missing, or an old record that another writer has put back, counted tokens on from what it knew: from 0, or from the old record. The platform then saw a lower token after a higher one, or a token of two holders.

A token is now above the revision of the record that was read, or of the store if there is none. Each token is at most the revision of the write that stores it, so a new one is above all earlier ones. After an unreadable record this replaces the time of day, which can be stepped back.

Also here: the time for which the leader lease stays valid, for calls that must end with it.

--- a/src/ebonyladder/sessions/fleet/leader_record.py
+++ b/src/ebonyladder/sessions/fleet/leader_record.py
@@ -8,7 +8,12 @@
 
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import ErrorCode, StoreError
-from ebonyladder.sessions.fleet.leadership import LEADER_NAME, LeaderRecord, Leadership
+from ebonyladder.sessions.fleet.leadership import (
+    LEADER_NAME,
+    NO_REVISION,
+    LeaderRecord,
+    Leadership,
+)
 from ebonyladder.sessions.objects import LEADERS, ObjectStore, StoreObject
 from ebonyladder.sessions.watcher import convert_content
 from ebonyladder.types import Address
@@ -98,10 +103,15 @@
 
     async def _write(self) -> None:
         """Acquire or renew the leader lease by a conditional write."""
-        record = self.leadership.next_record(self.address)
-        sent_at_s = self.clock.now_s()
-        content = msgspec.to_builtins(record)
         try:
+            store_revision = NO_REVISION
+            if not self.leadership.is_stored:
+                store_revision = (await self.store.list(LEADERS)).as_of
+            record = self.leadership.next_record(
+                self.address, store_revision=store_revision
+            )
+            sent_at_s = self.clock.now_s()
+            content = msgspec.to_builtins(record)
             if not self.leadership.is_stored:
                 found = await self.store.create(LEADERS, LEADER_NAME, content)
             else:
--- a/src/ebonyladder/sessions/fleet/leadership.py
+++ b/src/ebonyladder/sessions/fleet/leadership.py
@@ -7,7 +7,6 @@
 leadership.
 """
 
-import time
 from collections.abc import Iterable
 from enum import Enum
 
@@ -35,6 +34,7 @@
 SMALL_VM_CORES = 1.0
 SMALL_VM_DELAY_S = 1.0
 LEADER_NAME = "leader"
+NO_REVISION = Revision(0)
 
 
 class LeaderRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,7 +99,7 @@
         self.is_unreadable = False
         # Highest fencing token of a valid record.
         self.highest_token = 0
-        self.revision = Revision(0)
+        self.revision = NO_REVISION
         self.record_changed_at_s = clock.now_s()
         self.leader_contact_at_s = float("-inf")
         self.renewed_at_s = float("-inf")
@@ -182,18 +182,20 @@
         """Return the leader state; only ``LEADER`` may act as the leader."""
         if not self.is_holder:
             return LeadershipState.FOLLOWER
-        now_s = self.clock.now_s()
-        if now_s - self.renewed_at_s < LEADER_LEASE_S:
-            return LeadershipState.LEADER
-        others = [vm for vm in vms if vm != self.vm]
-        never_s = float("-inf")
-        if all(
-            now_s - self.acknowledged_at_s.get(vm, never_s) < LEADER_LEASE_S
-            for vm in others
-        ):
+        if self.lease_remaining_s(vms) > 0:
             return LeadershipState.LEADER
         return LeadershipState.LEASE_EXPIRED
 
+    def lease_remaining_s(self, vms: Iterable[VmId]) -> float:
+        """Return for how long the lease of the holder stays valid, in seconds."""
+        never_s = float("-inf")
+        oldest_s = min(
+            (self.acknowledged_at_s.get(vm, never_s) for vm in vms if vm != self.vm),
+            default=self.clock.now_s(),
+        )
+        last_proof_s = max(self.renewed_at_s, oldest_s)
+        return last_proof_s + LEADER_LEASE_S - self.clock.now_s()
+
     def record_renewal_attempt(self) -> None:
         """Record that this VM tries to renew its record now."""
         self.renewal_attempt_at_s = self.clock.now_s()
@@ -232,18 +234,27 @@
             and now_s - self.record_changed_at_s >= timeout_s
         )
 
-    def next_record(self, address: Address) -> LeaderRecord:
-        """Return the record with which this VM acquires or renews the leader lease."""
+    def next_record(
+        self, address: Address, *, store_revision: Revision = NO_REVISION
+    ) -> LeaderRecord:
+        """Return the record with which this VM acquires or renews the leader lease.
+
+        A token is at most the revision of the write that stores it, so one above the
+        revision of the record, or of the store if there is none, is above all earlier
+        ones, also if another writer has removed the record or put an old one back.
+
+        Parameters
+        ----------
+        store_revision : Revision
+            Revision at which the store had no record.
+        """
         if self.is_holder:
             return msgspec.structs.replace(
                 self.record, renewals=self.record.renewals + 1
             )
-        # After an invalid record the last token isn't known. The time is above any
-        # count of leaders.
-        lowest = int(time.time()) if self.is_unreadable else 0
         return LeaderRecord(
             holder=self.vm,
             incarnation=self.incarnation,
             address=address,
-            token=max(self.highest_token, lowest) + 1,
+            token=max(self.highest_token, self.revision, store_revision) + 1,
         )
