Report a commit as a success only if the next primary will have it

A replica that had just started in the partitioned zone of the primary acknowledged them; the leader, outside of the zone, couldn't know it.

Cause: "no replica acknowledges a commit of a replaced primary" was taken for a fact. A replica that joins it does, also commits that had been waiting.

An acknowledged commit is now reported if the group states were confirmed within the last second, or are confirmed after the answer, or if a replica that was listed at the last confirmation holds the commit: a failover counts its log. After a failover the position that the new primary inherited decides. Otherwise the caller is told that the outcome is in doubt. A transaction isn't committed at a primary that was replaced since it began; the caller is told that nothing was kept.

Also: an answer to a statement whose endpoint has left the list meanwhile no longer ends the caller's connection with a KeyError.

--- a/src/ebonyladder/sessions/cluster_view.py
+++ b/src/ebonyladder/sessions/cluster_view.py
@@ -12,8 +12,10 @@
     Address,
     ConfigurationVersion,
     EndpointId,
+    EndpointProcess,
     EndpointState,
     Incarnation,
+    Position,
     RegionId,
     Role,
     ServiceId,
@@ -43,6 +45,11 @@
     role: Role
     process_started_at_ms: int = msgspec.field(default=0, name="born_ms")
 
+    @property
+    def process(self) -> EndpointProcess:
+        """Process of the endpoint; one that starts again has lost its log."""
+        return EndpointProcess(f"{self.id}@{self.process_started_at_ms}")
+
 
 class VmEntry(msgspec.Struct, frozen=True, kw_only=True):
     """Entry of a VM, which the VM registers in the store.
@@ -92,6 +99,12 @@
         Current primary while STABLE, former primary while MOVING.
     term : Term
         Term of that primary; 0 before the first failover.
+    successor : EndpointProcess or None
+        Endpoint whose promotion was requested while MOVING. The request may still
+        take effect, so no other endpoint is promoted while that one is listed.
+    inherited : Position or None
+        Last position in the primary's log when it was promoted. Commits of earlier
+        terms after this position are not in its log. None if it isn't known.
     """
 
     service: ServiceId
@@ -99,6 +112,8 @@
     phase: GroupPhase
     primary: EndpointId
     term: Term = Term(0)
+    successor: EndpointProcess | None = None
+    inherited: Position | None = None
 
 
 class ClusterView:
@@ -137,8 +152,14 @@
         self.standbys: dict[VmId, Address] = {}
         self.endpoints_version = 0
         self.groups: dict[ServiceId, GroupState] = {}
+        # Highest position with which a commit was acknowledged to a caller of this VM.
+        self.acknowledged: dict[ServiceId, Position] = {}
+        # Last time at which each service's primary ceased to be usable.
+        self.moving_since_s: dict[ServiceId, float] = {}
         # Last time at which the group states were confirmed to be the latest ones.
         self.groups_confirmed_at_s = float("-inf")
+        # Endpoints that were listed at that time.
+        self.endpoints_when_confirmed = self.endpoints
         self.listeners: list[Callable[[], None]] = []
 
     @property
@@ -159,6 +180,9 @@
         known = self.groups.get(group.service)
         if known is not None and known.epoch >= group.epoch:
             return False
+        was_stable = known is None or known.phase is GroupPhase.STABLE
+        if group.phase is GroupPhase.MOVING and was_stable:
+            self.moving_since_s[group.service] = self.clock.now_s()
         self.groups[group.service] = group
         self.notify()
         return True
@@ -187,6 +211,11 @@
         self.owners = owners
         self.notify()
 
+    def record_acknowledged(self, service: ServiceId, position: Position) -> None:
+        """Record that a caller of this VM gets a success for a commit."""
+        known = self.acknowledged.get(service)
+        self.acknowledged[service] = position if known is None else max(known, position)
+
     def set_standbys(self, standbys: dict[VmId, Address]) -> None:
         """Replace the VMs that grant permits while the leader is unreachable."""
         self.standbys = standbys
@@ -198,7 +227,9 @@
 
     def record_groups_confirmed(self, at_s: float) -> None:
         """Record that the group states were confirmed as current at ``at_s``."""
-        self.groups_confirmed_at_s = max(self.groups_confirmed_at_s, at_s)
+        if at_s >= self.groups_confirmed_at_s:
+            self.groups_confirmed_at_s = at_s
+            self.endpoints_when_confirmed = self.endpoints
 
     def notify(self) -> None:
         """Notify the listeners of a change."""
--- /dev/null
+++ b/src/ebonyladder/sessions/commit_confirmation.py
@@ -0,0 +1,140 @@
+"""Whether a commit that an endpoint has acknowledged is in the service's log for good.
+
+A primary that has been replaced goes on for a while. If a replica joins it that the
+failover didn't know, it acknowledges commits that the next primary lacks.
+"""
+
+import asyncio
+from enum import Enum
+
+import msgspec
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry, GroupPhase
+from ebonyladder.sessions.replica_check import ReplicaCheck
+from ebonyladder.types import EndpointId, Position, ServiceId, Term
+
+# A commit is confirmed by group states that were confirmed within this time before its
+# answer, in seconds: the interval of a large fleet's reports, and a round trip. A
+# replica that joins a primary in a partitioned zone acknowledges commits that no other
+# database has, so older group states don't suffice.
+CONFIRMATION_TTL_S = 1.0
+# An answer is from before a promotion for this long after this VM applied the group
+# state of the failover, in seconds: the platform takes some hundred milliseconds to
+# promote an endpoint.
+ANSWER_GRACE_S = 0.25
+POLL_INTERVAL_S = 0.05
+
+
+class CommitStatus(Enum):
+    """What this VM knows of an acknowledged commit."""
+
+    DURABLE = "durable"
+    UNCONFIRMED = "unconfirmed"
+    IN_DOUBT = "in-doubt"
+
+
+class SentCommit(msgspec.Struct, frozen=True, kw_only=True):
+    """Group state under which a commit was sent.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the group; 0 if it has no state.
+    """
+
+    service: ServiceId
+    endpoint: EndpointId
+    epoch: int
+    term: Term
+
+
+class CommitConfirmation:
+    """Decides from group states whether acknowledged commits are durable.
+
+    Answers the load of a failover: commits that wait at the former primary for a
+    replica while another endpoint is promoted.
+
+    Parameters
+    ----------
+    cluster : ClusterView
+        Groups, and the time at which they were confirmed last.
+    replica_check : ReplicaCheck
+        Asks replicas for commits that the group states don't confirm.
+    clock : Clock
+        Clock of these times.
+    """
+
+    def __init__(
+        self, *, cluster: ClusterView, replica_check: ReplicaCheck, clock: Clock
+    ) -> None:
+        self.cluster = cluster
+        self.replica_check = replica_check
+        self.clock = clock
+        self.cluster_changed = asyncio.Event()
+        cluster.listeners.append(self.cluster_changed.set)
+
+    def sent(self, entry: EndpointEntry) -> SentCommit:
+        """Return the present group state for a commit that is sent now."""
+        group = self.cluster.groups.get(entry.service)
+        return SentCommit(
+            service=entry.service,
+            endpoint=entry.id,
+            epoch=group.epoch if group else 0,
+            term=group.term if group else Term(0),
+        )
+
+    async def wait(
+        self, sent: SentCommit, position: Position | None, deadline_s: float
+    ) -> bool:
+        """Wait until a commit answered now is durable; False if that stays unknown.
+
+        Parameters
+        ----------
+        position : Position or None
+            Position of the endpoint's log in its answer, at or after the commit.
+        deadline_s : float
+            Deadline on the clock, in seconds.
+        """
+        answered_at_s = self.clock.now_s()
+        while True:
+            self.cluster_changed.clear()
+            status = self.status(sent, position, answered_at_s)
+            remaining_s = deadline_s - self.clock.now_s()
+            if status is CommitStatus.UNCONFIRMED and remaining_s > 0:
+                wait_s = min(remaining_s, POLL_INTERVAL_S)
+                if await self.replica_check.holds(sent.endpoint, position, wait_s):
+                    status = CommitStatus.DURABLE
+            if status is CommitStatus.DURABLE and position is not None:
+                self.cluster.record_acknowledged(sent.service, position)
+            if status is not CommitStatus.UNCONFIRMED or remaining_s <= 0:
+                return status is CommitStatus.DURABLE
+            try:
+                async with asyncio.timeout(min(remaining_s, POLL_INTERVAL_S)):
+                    await self.cluster_changed.wait()
+            except TimeoutError:
+                continue
+
+    def status(
+        self, sent: SentCommit, position: Position | None, answered_at_s: float
+    ) -> CommitStatus:
+        """Return the status of a commit whose answer arrived at ``answered_at_s``."""
+        group = self.cluster.groups.get(sent.service)
+        if group is None or group.epoch == sent.epoch:
+            age_s = answered_at_s - self.cluster.groups_confirmed_at_s
+            is_confirmed = age_s < CONFIRMATION_TTL_S
+            return CommitStatus.DURABLE if is_confirmed else CommitStatus.UNCONFIRMED
+        moving_since_s = self.cluster.moving_since_s.get(sent.service, float("-inf"))
+        if answered_at_s - moving_since_s < ANSWER_GRACE_S:
+            return CommitStatus.DURABLE
+        if group.phase is GroupPhase.MOVING:
+            return CommitStatus.UNCONFIRMED
+        if (group.primary, group.term) == (sent.endpoint, sent.term):
+            # The failover was given up.
+            return CommitStatus.DURABLE
+        is_inherited = (
+            position is not None
+            and group.inherited is not None
+            and position <= group.inherited
+        )
+        return CommitStatus.DURABLE if is_inherited else CommitStatus.IN_DOUBT
--- a/src/ebonyladder/sessions/endpoint_selector.py
+++ b/src/ebonyladder/sessions/endpoint_selector.py
@@ -106,11 +106,15 @@
             return NoTarget.NO_PRIMARY
         catalog = self.cluster.catalog
         service = catalog.services.get(route.service) if catalog else None
-        # No replica acknowledges a commit of a replaced primary, so with synchronous
-        # replicas a single write may rely on older group states. A transaction may not,
-        # since it may also read.
-        is_fenced = service is not None and service.sync_replicas > 0
-        if not self.has_current_groups() and (has_reads or not is_fenced):
+        # With synchronous replicas a single write may rely on older group states, since
+        # this VM can ask the replicas whether one of them has the commit. A transaction
+        # may not, since it may also read.
+        can_ask_replicas = (
+            service is not None
+            and service.sync_replicas > 0
+            and self.pools.get(entry.id).is_local
+        )
+        if not self.has_current_groups() and (has_reads or not can_ask_replicas):
             return NoTarget.STALE_GROUPS
         if self.pools.get(entry.id).health.is_suspect:
             return NoTarget.PRIMARY_SUSPECT
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -11,7 +11,7 @@
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.catalog import Route
-from ebonyladder.sessions.cluster_view import ClusterView
+from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry
 from ebonyladder.sessions.command import (
     INTERNAL_COMMAND_ID,
     Answer,
@@ -21,10 +21,12 @@
     TransactionState,
     refusal,
 )
+from ebonyladder.sessions.commit_confirmation import CommitConfirmation, SentCommit
 from ebonyladder.sessions.connection import PooledConnection
 from ebonyladder.sessions.endpoint_selector import EndpointSelector, NoTarget, Target
 from ebonyladder.sessions.pool import EndpointConnectionPool, PoolSet
 from ebonyladder.sessions.primary_positions import PositionSample, PrimaryPositions
+from ebonyladder.sessions.replica_check import ReplicaCheck
 from ebonyladder.sessions.statement_request import PinnedConnection, StatementRequest
 from ebonyladder.types import EndpointId, RequestKind
 
@@ -61,6 +63,8 @@
         Connections to them.
     positions : PrimaryPositions
         Receives the positions of primaries.
+    replica_check : ReplicaCheck
+        Asks replicas for commits that can't be confirmed otherwise.
     clock : Clock
         Clock of the deadlines.
     """
@@ -72,12 +76,16 @@
         selector: EndpointSelector,
         pools: PoolSet,
         positions: PrimaryPositions,
+        replica_check: ReplicaCheck,
         clock: Clock,
     ) -> None:
         self.cluster = cluster
         self.selector = selector
         self.pools = pools
         self.positions = positions
+        self.confirmation = CommitConfirmation(
+            cluster=cluster, replica_check=replica_check, clock=clock
+        )
         self.clock = clock
         self.cluster_changed = asyncio.Event()
         cluster.listeners.append(self._notify_changed)
@@ -135,8 +143,17 @@
     async def run_pinned(
         self, request: StatementRequest, pinned: PinnedConnection
     ) -> Answer:
-        """Run a statement of an open transaction."""
+        """Run a statement of an open transaction.
+
+        The access of a COMMIT is WRITE if the transaction has written.
+        """
         is_commit = request.command.kind is CommandKind.COMMIT
+        is_write_commit = is_commit and request.access is RequestKind.WRITE
+        entry = pinned.target.entry
+        sent = self.confirmation.sent(entry)
+        if is_write_commit and not self._is_current_primary(entry):
+            pinned.connection.close()
+            return refusal(AnswerCode.ABORTED, "the primary changed")
         while True:
             try:
                 with self._track(
@@ -170,8 +187,11 @@
                 and self._remaining_s(request) > RETRY_BACKOFF_S
             )
             if not may_retry:
-                return answer
+                break
             await asyncio.sleep(RETRY_BACKOFF_S)
+        if is_write_commit and answer.code is None:
+            return await self._confirm_commit(request, sent, answer)
+        return answer
 
     async def release_pinned(self, pinned: PinnedConnection) -> None:
         """Release a transaction's connection, rolling back what may be open."""
@@ -252,6 +272,7 @@
                 target = await self._choose_target(request, tried)
                 if isinstance(target, NoTarget):
                     return self._refuse(request, target.value)
+                sent = self.confirmation.sent(target.entry)
                 async with asyncio.timeout(max(self._remaining_s(request), 0)):
                     answer = await self._send(request, target, tried)
             except TimeoutError:
@@ -263,10 +284,32 @@
                     return self._refuse(request, error.message)
                 continue
             if answer.code is None:
-                return answer
+                return await self._confirm_commit(request, sent, answer)
             if not await self._backoff_after_refusal(request, tried, target, answer):
                 return answer
 
+    async def _confirm_commit(
+        self, request: StatementRequest, sent: SentCommit, answer: Answer
+    ) -> Answer:
+        """Return the answer to a commit once it is known to be durable."""
+        if await self.confirmation.wait(sent, answer.position, request.deadline_s):
+            return answer
+        logging.info(
+            "[executor] Acknowledged commit is in doubt. request=%s endpoint=%s "
+            "epoch=%d position=%s",
+            request.command.id,
+            sent.endpoint,
+            sent.epoch,
+            answer.position,
+        )
+        return refusal(AnswerCode.IN_DOUBT, "the primary was replaced")
+
+    def _is_current_primary(self, entry: EndpointEntry) -> bool:
+        """Tell whether an endpoint may still commit."""
+        primary = self.cluster.primary(entry.service)
+        is_primary = primary is not None and primary.id == entry.id
+        return is_primary and self.selector.has_current_groups()
+
     async def _send(
         self, request: StatementRequest, target: Target, tried: set[EndpointId]
     ) -> Answer:
@@ -417,8 +460,9 @@
         """Record the primary's position in an answer as a sample."""
         if not target.is_primary or answer.position is None or sent_at_s is None:
             return
-        if not self.pools.get(target.entry.id).is_local:
-            # The endpoint's owner records the samples.
+        pool = self.pools.pools.get(target.entry.id)
+        if pool is None or not pool.is_local:
+            # The endpoint has left meanwhile, or its owner records the samples.
             return
         group = self.cluster.groups.get(target.entry.service)
         if group is not None and answer.position.term < group.term:
--- a/src/ebonyladder/sessions/plugins/sessions.py
+++ b/src/ebonyladder/sessions/plugins/sessions.py
@@ -19,6 +19,7 @@
 from ebonyladder.sessions.primary_positions import PrimaryPositions
 from ebonyladder.sessions.quota import Quota
 from ebonyladder.sessions.registry import register
+from ebonyladder.sessions.replica_check import ReplicaCheck
 from ebonyladder.sessions.session import Session, SessionId, authorize
 
 # Interval at which suspected endpoints are probed and idle connections trimmed, in
@@ -71,6 +72,13 @@
             clock=clock,
             make_forwarding_pool=self._make_forwarding_pool,
         )
+        self.replica_check = ReplicaCheck(
+            cluster=self.cluster,
+            connector=self.connector,
+            is_local=lambda endpoint: (
+                endpoint in self.pools.pools and self.pools.get(endpoint).is_local
+            ),
+        )
         self.executor = Executor(
             cluster=self.cluster,
             selector=EndpointSelector(
@@ -78,12 +86,14 @@
             ),
             pools=self.pools,
             positions=positions,
+            replica_check=self.replica_check,
             clock=clock,
         )
         self.kernel.supervise(self._maintain_pools, name="pool-maintenance")
 
     async def stop(self) -> None:
         """Close the connections to endpoints and the channels to owners."""
+        self.replica_check.close()
         self.pools.close()
         self.channels.close()
 
--- /dev/null
+++ b/src/ebonyladder/sessions/replica_check.py
@@ -0,0 +1,120 @@
+"""Asks replicas whether they hold a commit."""
+
+import asyncio
+from collections.abc import Callable
+
+from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry
+from ebonyladder.sessions.connection import EndpointConnector, EndpointStatus
+from ebonyladder.sessions.endpoint_control import EndpointControl
+from ebonyladder.types import EndpointId, EndpointProcess, Position, Role
+
+# Connections to replicas are closed after this time without a question, in seconds.
+IDLE_TIMEOUT_S = 2.0
+
+Question = asyncio.Task[EndpointStatus | None]
+
+
+class ReplicaCheck:
+    """Asks replicas whether they hold commits, with one question for all that wait.
+
+    A failover counts the logs of all replicas that were listed when this VM confirmed
+    its group states last, so a commit that one of them holds isn't lost by it.
+
+    Parameters
+    ----------
+    cluster : ClusterView
+        Endpoints that were listed at that time.
+    connector : EndpointConnector
+        Opens connections to replicas.
+    is_local : callable
+        Tells whether this VM itself connects to an endpoint. Endpoints that other VMs
+        own have no connections to spare for every VM.
+    """
+
+    def __init__(
+        self,
+        *,
+        cluster: ClusterView,
+        connector: EndpointConnector,
+        is_local: Callable[[EndpointId], bool],
+    ) -> None:
+        self.cluster = cluster
+        self.is_local = is_local
+        self.control = EndpointControl(connector=connector)
+        self.questions: dict[EndpointProcess, Question] = {}
+        self.closing: asyncio.TimerHandle | None = None
+
+    async def holds(
+        self, primary: EndpointId, position: Position | None, timeout_s: float
+    ) -> bool:
+        """Tell whether a replica holds a position in the log of a primary.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for an answer, in seconds.
+        """
+        listed = self.cluster.endpoints_when_confirmed
+        entry = listed.get(primary)
+        if entry is None or position is None or not self.is_local(primary):
+            return False
+        questions = {
+            self._ask(e)
+            for e in listed.values()
+            if e.service == entry.service and e.id != primary
+        }
+        loop = asyncio.get_running_loop()
+        end_at_s = loop.time() + timeout_s
+        while questions:
+            answered, questions = await asyncio.wait(
+                questions,
+                timeout=max(end_at_s - loop.time(), 0),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if any(self._has(q.result(), position) for q in answered):
+                return True
+            if not answered:
+                return False
+        return False
+
+    def close(self) -> None:
+        """Close all connections."""
+        if self.closing is not None:
+            self.closing.cancel()
+        for question in self.questions.values():
+            question.cancel()
+        self.control.close()
+
+    @staticmethod
+    def _has(status: EndpointStatus | None, position: Position) -> bool:
+        # A log that has entries of a newer term may lack the end of the older one.
+        return (
+            status is not None
+            and status.role is Role.REPLICA
+            and status.received.term == position.term
+            and status.received >= position
+        )
+
+    def _ask(self, entry: EndpointEntry) -> Question:
+        """Return the question to a replica that is under way, or a new one."""
+        question = self.questions.get(entry.process)
+        if question is None or question.done():
+            question = asyncio.create_task(self._status(entry))
+            self.questions[entry.process] = question
+        return question
+
+    async def _status(self, entry: EndpointEntry) -> EndpointStatus | None:
+        if self.closing is not None:
+            self.closing.cancel()
+        loop = asyncio.get_running_loop()
+        self.closing = loop.call_later(IDLE_TIMEOUT_S, self._close_idle)
+        self.control.discard_closed()
+        if entry.process not in self.control.endpoints:
+            await self.control.probe([entry])
+            found = self.control.endpoints.get(entry.process)
+            return found.status if found is not None else None
+        return await self.control.status(entry.process)
+
+    def _close_idle(self) -> None:
+        self.control.close()
+        self.questions.clear()
--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -291,6 +291,8 @@
         request = self._request(command, transaction.route, transaction.organisation)
         if request is None:
             return refusal(AnswerCode.NOT_PREPARED, command.name, state=self.state)
+        if transaction.has_written and command.kind is CommandKind.COMMIT:
+            request.access = RequestKind.WRITE
         answer = await self._run_in_transaction(request, transaction)
         if is_end:
             return await self._finish_commit(answer, transaction)
--- a/tests/session_fakes.py
+++ b/tests/session_fakes.py
@@ -235,9 +235,9 @@
     async def open(
         self, entry: EndpointEntry, organisation: OrganisationId
     ) -> FakeConnection:
-        """Open a connection, unless the endpoint is down."""
-        peer = self.endpoints[entry.id]
-        if peer.is_down:
+        """Open a connection, unless the endpoint is down or has left."""
+        peer = self.endpoints.get(entry.id)
+        if peer is None or peer.is_down:
             raise EndpointError(
                 code=ErrorCode.CONNECT_FAILED,
                 step=Step.CONNECT,
--- /dev/null
+++ b/tests/test_commit_confirmation.py
@@ -0,0 +1,278 @@
+"""Acknowledged commits: when this VM may report a success to the caller."""
+
+import asyncio
+
+import pytest
+
+from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.sessions.cluster_view import GroupPhase, GroupState
+from ebonyladder.sessions.command import AnswerCode
+from ebonyladder.sessions.commit_confirmation import (
+    ANSWER_GRACE_S,
+    CONFIRMATION_TTL_S,
+    CommitConfirmation,
+    CommitStatus,
+)
+from ebonyladder.sessions.replica_check import ReplicaCheck
+from ebonyladder.types import EndpointId, Role, Term
+from tests.session_fakes import (
+    SERVICE,
+    FakeConnection,
+    FakeConnector,
+    cluster,
+    command,
+    entry,
+    position,
+)
+from tests.test_session import World as SessionWorld
+
+PRIMARY, NEAR = EndpointId("primary"), EndpointId("near")
+COMMIT = position(1, 12)
+
+
+def group(epoch: int, phase: GroupPhase, primary=PRIMARY, **fields) -> GroupState:
+    """Return a group state of the service."""
+    return GroupState(
+        service=SERVICE, epoch=epoch, phase=phase, primary=primary, **fields
+    )
+
+
+class World:
+    """Confirmation over a cluster view whose groups the test changes."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.cluster = cluster(self.clock)
+        self.cluster.apply_group(group(4, GroupPhase.STABLE, term=Term(1)))
+        self.confirmation = CommitConfirmation(
+            cluster=self.cluster,
+            replica_check=ReplicaCheck(
+                cluster=self.cluster,
+                connector=FakeConnector(),
+                is_local=lambda endpoint: True,
+            ),
+            clock=self.clock,
+        )
+        self.sent = self.confirmation.sent(entry("primary"))
+
+    def move(self) -> None:
+        """Apply the group state of a failover, long before the answer."""
+        self.cluster.apply_group(group(5, GroupPhase.MOVING, term=Term(1)))
+        self.clock.advance(ANSWER_GRACE_S + 0.01)
+
+    def status(self) -> CommitStatus:
+        """Return the status of a commit that is answered now."""
+        return self.confirmation.status(self.sent, COMMIT, self.clock.now_s())
+
+
+class TestStatus:
+    """Guards against reporting a commit that the next primary lacks (review/2)."""
+
+    @pytest.fixture
+    def world(self) -> World:
+        return World()
+
+    def test_commit_under_current_group_states_is_durable(self, world):
+        assert world.status() is CommitStatus.DURABLE
+
+    def test_commit_under_older_group_states_waits(self, world):
+        # A replica that joined in the partitioned zone has acknowledged it.
+        world.clock.advance(CONFIRMATION_TTL_S + 0.01)
+        assert world.status() is CommitStatus.UNCONFIRMED
+
+    def test_later_confirmation_of_the_same_group_makes_it_durable(self, world):
+        world.clock.advance(CONFIRMATION_TTL_S + 0.01)
+        answered_at_s = world.clock.now_s()
+        world.cluster.record_groups_confirmed(answered_at_s)
+        found = world.confirmation.status(world.sent, COMMIT, answered_at_s)
+        assert found is CommitStatus.DURABLE
+
+    def test_answer_from_before_the_promotion_is_delivered(self, world):
+        # Guards against doubt about the commits that a planned change overtakes.
+        world.cluster.apply_group(group(5, GroupPhase.MOVING, term=Term(1)))
+        assert world.status() is CommitStatus.DURABLE
+
+    def test_late_answer_during_a_failover_waits(self, world):
+        world.move()
+        assert world.status() is CommitStatus.UNCONFIRMED
+
+    @pytest.mark.parametrize(
+        ("inherited", "expected"),
+        [
+            (position(1, 12), CommitStatus.DURABLE),
+            (position(1, 11), CommitStatus.IN_DOUBT),
+            (None, CommitStatus.IN_DOUBT),
+        ],
+    )
+    def test_log_of_the_new_primary_decides(self, world, inherited, expected):
+        world.move()
+        world.cluster.apply_group(
+            group(6, GroupPhase.STABLE, NEAR, term=Term(2), inherited=inherited)
+        )
+        assert world.status() is expected
+
+    def test_failover_that_was_given_up_makes_it_durable(self, world):
+        world.move()
+        world.cluster.apply_group(group(6, GroupPhase.STABLE, term=Term(1)))
+        assert world.status() is CommitStatus.DURABLE
+
+    def test_primary_that_was_promoted_again_has_what_it_inherited(self, world):
+        # Guards against trusting the id of the primary alone.
+        world.move()
+        world.cluster.apply_group(
+            group(6, GroupPhase.STABLE, term=Term(2), inherited=position(1, 11))
+        )
+        assert world.status() is CommitStatus.IN_DOUBT
+
+
+class TestSession:
+    """Guards against a success for the caller of a commit that is in doubt."""
+
+    def run_with_failover(
+        self, *texts: str, inherited
+    ) -> tuple[AnswerCode | None, ...]:
+        """Return the codes of commands; a failover overtakes the last one."""
+
+        async def scenario():
+            world = SessionWorld()
+            world.cluster.apply_group(group(1, GroupPhase.STABLE, term=Term(1)))
+            session = world.session()
+            codes = [(await session.handle(command(t))).code for t in texts[:-1]]
+            run = FakeConnection.run
+
+            async def run_slowly(connection, *args, **kwargs):
+                answer = await run(connection, *args, **kwargs)
+                # The replicas haven't received the commit.
+                for replica in (world.near, world.far):
+                    replica.set_received(position(1, 8))
+                world.cluster.apply_group(group(2, GroupPhase.MOVING, term=Term(1)))
+                world.cluster.moving_since_s[SERVICE] -= ANSWER_GRACE_S
+                return answer
+
+            async def promote():
+                await asyncio.sleep(0.1)
+                world.cluster.apply_group(
+                    group(
+                        3,
+                        GroupPhase.STABLE,
+                        NEAR,
+                        term=Term(2),
+                        inherited=inherited,
+                    )
+                )
+
+            with pytest.MonkeyPatch.context() as patch:
+                patch.setattr(FakeConnection, "run", run_slowly)
+                promotion = asyncio.create_task(promote())
+                codes.append((await session.handle(command(texts[-1]))).code)
+                await promotion
+            await session.close()
+            return tuple(codes)
+
+        return asyncio.run(scenario())
+
+    def test_single_write_that_the_new_primary_lacks_is_in_doubt(self):
+        codes = self.run_with_failover("WRITE a 1", inherited=position(1, 9))
+        assert codes == (AnswerCode.IN_DOUBT,)
+
+    def test_single_write_that_the_new_primary_has_succeeds(self):
+        codes = self.run_with_failover("WRITE a 1", inherited=position(1, 10))
+        assert codes == (None,)
+
+    def test_transaction_that_the_new_primary_lacks_is_in_doubt(self):
+        codes = self.run_with_failover(
+            "BEGIN", "WRITE a 1", "COMMIT", inherited=position(1, 9)
+        )
+        assert codes == (None, None, AnswerCode.IN_DOUBT)
+
+    def test_transaction_that_only_read_needs_no_confirmation(self):
+        codes = self.run_with_failover("BEGIN", "READ a", "COMMIT", inherited=None)
+        assert codes == (None, None, None)
+
+    def test_commit_is_not_sent_to_a_replaced_primary(self):
+        # The caller may repeat the transaction, since nothing of it is kept.
+        async def scenario():
+            world = SessionWorld()
+            session = world.session()
+            for text in ("BEGIN", "WRITE a 1"):
+                await session.handle(command(text))
+            world.cluster.apply_group(group(1, GroupPhase.MOVING))
+            answer = await session.handle(command("COMMIT"))
+            await session.close()
+            return answer.code, world.primary.ran
+
+        code, ran = asyncio.run(scenario())
+        assert code is AnswerCode.ABORTED
+        assert "COMMIT" not in ran
+
+
+class TestReplicas:
+    """Guards against lost commits, and against doubt about commits that are safe."""
+
+    def ask(self, change=lambda world: None, *, confirmed=True) -> bool:
+        """Return whether a replica holds the last commit of the primary."""
+
+        async def scenario():
+            world = SessionWorld()
+            world.cluster.apply_endpoints(
+                {**world.cluster.endpoints, EndpointId("new"): entry("new")}
+            )
+            if confirmed:
+                world.cluster.record_groups_confirmed(world.clock.now_s())
+            change(world)
+            check = world.executor.confirmation.replica_check
+            try:
+                return await check.holds(PRIMARY, position(1, 10), timeout_s=1.0)
+            finally:
+                check.close()
+
+        return asyncio.run(scenario())
+
+    def behind(self, world: SessionWorld) -> None:
+        """Let the known replicas lack the commit."""
+        for replica in (world.near, world.far):
+            replica.set_received(position(1, 9))
+
+    def test_commit_that_a_replica_has_is_safe(self):
+        # A caller at a VM without a leader and without the store is served.
+        assert self.ask()
+
+    def test_commit_that_no_known_replica_has_is_in_doubt(self):
+        assert not self.ask(self.behind)
+
+    def test_replica_that_joined_later_does_not_count(self):
+        # review/2: it acknowledged commits of the replaced primary.
+        def join(world):
+            self.behind(world)
+            new = type(world.near)("new", role=Role.REPLICA)
+            world.connector.endpoints[EndpointId("new")] = new
+
+        assert not self.ask(join, confirmed=False)
+        assert self.ask(join)
+
+    def test_replica_of_a_newer_term_does_not_count(self):
+        # Its log may lack the end of the older term.
+        def follow(world):
+            self.behind(world)
+            world.near.set_received(position(2, 30))
+
+        assert not self.ask(follow)
+
+    def test_unresponsive_replica_does_not_delay_the_answer_of_another(self):
+        def silence(world):
+            world.near.is_unresponsive = True
+
+        assert self.ask(silence)
+
+    def test_write_under_old_group_states_succeeds_if_a_replica_has_it(self):
+        async def scenario(change):
+            world = SessionWorld()
+            change(world)
+            world.cluster.groups_confirmed_at_s -= 60.0
+            session = world.session()
+            answer = await session.handle(command("WRITE a 1"))
+            world.executor.confirmation.replica_check.close()
+            return answer.code
+
+        assert asyncio.run(scenario(lambda world: None)) is None
+        assert asyncio.run(scenario(self.behind)) is AnswerCode.IN_DOUBT
--- a/tests/test_endpoint_selector.py
+++ b/tests/test_endpoint_selector.py
@@ -85,8 +85,8 @@
         assert found is NoTarget.STALE_GROUPS
 
     def test_single_write_with_stale_groups_runs_with_synchronous_replicas(self, world):
-        # Guards against refusing writes during a store outage; replicas don't
-        # acknowledge commits of a replaced primary.
+        # Guards against refusing writes during a store outage; a replica is asked
+        # whether it has the commit.
         world.clock.advance(GROUP_STATE_TTL_S + 0.01)
         assert world.choose(Consistency.PRIMARY, WRITE) == "primary"
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -13,11 +13,13 @@
 from ebonyladder.sessions.pool import PoolSet
 from ebonyladder.sessions.primary_positions import PositionSample, PrimaryPositions
 from ebonyladder.sessions.quota import Quota
+from ebonyladder.sessions.replica_check import ReplicaCheck
 from ebonyladder.sessions.session import Session, SessionId
 from ebonyladder.types import EndpointId
 from tests.session_fakes import (
     KEY,
     SERVICE,
+    FakeConnection,
     FakeConnector,
     catalog,
     cluster,
@@ -62,6 +64,11 @@
             ),
             pools=self.pools,
             positions=self.positions,
+            replica_check=ReplicaCheck(
+                cluster=self.cluster,
+                connector=self.connector,
+                is_local=lambda endpoint: True,
+            ),
             clock=self.clock,
         )
         self.cluster.notify()
@@ -269,3 +276,20 @@
             connection for connection, _ in world.pools.get(EndpointId("primary")).idle
         ]
         assert [connection.values for connection in connections] == [{}]
+
+
+class TestDepartedEndpoint:
+    def test_answer_arrives_although_the_endpoint_left_the_list(self, world):
+        # Guards against an error that ended the caller's connection without the answer.
+        run = FakeConnection.run
+
+        async def run_and_leave(connection, *args, **kwargs):
+            answer = await run(connection, *args, **kwargs)
+            del world.cluster.endpoints[connection.endpoint]
+            world.cluster.notify()
+            return answer
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(FakeConnection, "run", run_and_leave)
+            (answer,) = run_commands(world.session(), "WRITE a b")
+        assert answer.code is None
