--- a/src/ebonyladder/platform/configuration.py
+++ b/src/ebonyladder/platform/configuration.py
@@ -20,7 +20,7 @@
     Service,
 )
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry
-from ebonyladder.sessions.endpoint_registry import EndpointRegistry
+from ebonyladder.sessions.endpoint_registry import EndpointDirectory, EndpointRegistry
 from ebonyladder.sessions.objects import Kind, ObjectStore, StoreObject
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.watch_manager import WatchManager
@@ -250,10 +250,11 @@
 
 
 @register
-class PlatformWatches(Plugin):
+class PlatformWatches(Plugin, EndpointDirectory):
     """Watches the objects that the operator and the endpoints write to the store."""
 
     name = "platform-watches"
+    provides = (EndpointDirectory,)
     requires = (ObjectStore, ClusterView, WatchManager)
 
     async def start(self) -> None:
@@ -269,6 +270,12 @@
             partial(self._expire_endpoints, endpoints), name="endpoint-list"
         )
 
+    async def read(self) -> list[EndpointEntry]:
+        """Read the valid entries of all endpoints from the store."""
+        found = await self.kernel.get(ObjectStore).list(SERVERS)
+        entries = [decode_endpoint(o.name, o.content) for o in found.objects]
+        return [entry for entry in entries if entry is not None]
+
     async def _expire_endpoints(self, endpoints: EndpointRegistry) -> None:
         watch_manager = self.kernel.get(WatchManager)
         while True:
--- a/src/ebonyladder/platform/promotion.py
+++ b/src/ebonyladder/platform/promotion.py
@@ -1,9 +1,20 @@
 """Client of the platform's call that promotes an endpoint."""
 
+import socket
+import struct
+from collections.abc import Callable
 from typing import ClassVar
 
+import msgspec
 from absl import logging
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import (
+    BytesPayload,
+    ClientError,
+    ClientSession,
+    ClientTimeout,
+    TCPConnector,
+)
+from aiohttp.abc import AbstractStreamWriter
 
 from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
 from ebonyladder.kernel.plugin import Plugin
@@ -13,7 +24,39 @@
 from ebonyladder.types import EndpointId, ServiceId, VmId
 
 PROMOTION_PEER = "promotion"
-CALL_TIMEOUT_S = 1.0
+
+
+class GuardedBody(BytesPayload):
+    """Body that is sent, together with the headers, only if ``may_send`` allows it.
+
+    Connecting may take long, and the VM may be paused meanwhile. Nothing is awaited
+    between this check and the write to the socket.
+    """
+
+    def __init__(self, content: object, *, may_send: Callable[[], bool]) -> None:
+        super().__init__(msgspec.json.encode(content), content_type="application/json")
+        self.may_send = may_send
+        self.is_rejected = False
+
+    async def write_with_length(
+        self, writer: AbstractStreamWriter, content_length: int | None
+    ) -> None:
+        """Write the body, or end the request."""
+        if not self.may_send():
+            self.is_rejected = True
+            raise ClientError("the request may not be sent any more")
+        await super().write_with_length(writer, content_length)
+
+
+def _make_socket(address_info: tuple) -> socket.socket:
+    """Return a socket that discards what wasn't transmitted when it is closed.
+
+    A call that has timed out must not reach the platform once a partition heals.
+    """
+    family, kind, protocol, _, _ = address_info
+    sock = socket.socket(family=family, type=kind, proto=protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    return sock
 
 
 @register
@@ -29,23 +72,34 @@
         return f"http://{self.kernel.settings.promotion}/promote"
 
     async def promote(
-        self, *, service: ServiceId, endpoint: EndpointId, holder: VmId, token: int
+        self,
+        *,
+        service: ServiceId,
+        endpoint: EndpointId,
+        holder: VmId,
+        token: int,
+        timeout_s: float,
+        may_send: Callable[[], bool],
     ) -> bool:
         """Promote an endpoint; False if it isn't running."""
         headers = {
             "X-Ebonyladder-Lease-Holder": holder,
             "X-Ebonyladder-Fencing-Token": str(token),
         }
+
+        content = {"service": service, "id": endpoint}
+        body = GuardedBody(content, may_send=may_send)
+        timeout = ClientTimeout(total=timeout_s)
+        connector = TCPConnector(socket_factory=_make_socket)
         try:
             async with (
-                ClientSession(timeout=ClientTimeout(total=CALL_TIMEOUT_S)) as session,
-                session.post(
-                    self.url, json={"service": service, "id": endpoint}, headers=headers
-                ) as response,
+                ClientSession(timeout=timeout, connector=connector) as session,
+                session.post(self.url, data=body, headers=headers) as response,
             ):
                 status = response.status
         except (ClientError, TimeoutError, OSError) as error:
-            raise self._error(f"no answer: {error!r}", Outcome.UNKNOWN) from error
+            outcome = Outcome.NOT_RUN if body.is_rejected else Outcome.UNKNOWN
+            raise self._error(f"no answer: {error!r}", outcome) from error
         logging.info(
             "[platform] Promotion requested. service=%s endpoint=%s token=%d status=%d",
             service,
--- a/src/ebonyladder/sessions/connection.py
+++ b/src/ebonyladder/sessions/connection.py
@@ -1,6 +1,7 @@
 """Interfaces to endpoints: connections, and the calls that change roles."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 import msgspec
 
@@ -146,12 +147,28 @@
 
     @abstractmethod
     async def promote(
-        self, *, service: ServiceId, endpoint: EndpointId, holder: VmId, token: int
+        self,
+        *,
+        service: ServiceId,
+        endpoint: EndpointId,
+        holder: VmId,
+        token: int,
+        timeout_s: float,
+        may_send: Callable[[], bool],
     ) -> bool:
         """Promote an endpoint; False if it isn't running.
 
+        Parameters
+        ----------
+        timeout_s : float
+            Time after which the call ends and what wasn't transmitted is discarded,
+            in seconds.
+        may_send : callable
+            Called once the connection is open, immediately before the request is sent.
+
         Raises
         ------
         StoreError
-            STORE_UNAVAILABLE if no answer arrived; the promotion may still happen.
+            STORE_UNAVAILABLE if no answer arrived; the promotion may still happen,
+            unless the outcome is NOT_RUN.
         """
--- a/src/ebonyladder/sessions/endpoint_registry.py
+++ b/src/ebonyladder/sessions/endpoint_registry.py
@@ -1,5 +1,7 @@
 """Endpoints registered in the store, kept while their entries are briefly absent."""
 
+from abc import ABC, abstractmethod
+
 from absl import logging
 
 from ebonyladder.kernel.clock import Clock
@@ -11,6 +13,20 @@
 ABSENCE_TIMEOUT_S = 2.5
 
 
+class EndpointDirectory(ABC):
+    """List of the endpoints in the store."""
+
+    @abstractmethod
+    async def read(self) -> list[EndpointEntry]:
+        """Read the valid entries of all endpoints from the store.
+
+        Raises
+        ------
+        StoreError
+            STORE_UNAVAILABLE if the store doesn't answer.
+        """
+
+
 class EndpointRegistry:
     """Applies the listed endpoints to the cluster view.
 
--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -2,12 +2,11 @@
 
 A commit is acknowledged once one replica has received it. Before a promotion no
 more commits can be acknowledged at the old primary, either because it has stepped
-down or because all its replicas are paused. The replica with the newest log then
-holds all acknowledged commits.
+down or because all its replicas are paused. ``LogSurvey`` decides which log then holds
+all acknowledged commits.
 """
 
 import asyncio
-from collections.abc import Awaitable
 
 import msgspec
 from absl import logging
@@ -15,12 +14,10 @@
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import (
     EbonyladderError,
-    EndpointError,
     ErrorCode,
+    Outcome,
     StoreError,
 )
-from ebonyladder.kernel.step import Step
-from ebonyladder.sessions.catalog import OPEN_ORGANISATION
 from ebonyladder.sessions.cause import FailoverCause
 from ebonyladder.sessions.cluster_view import (
     ClusterView,
@@ -28,48 +25,29 @@
     GroupPhase,
     GroupState,
 )
-from ebonyladder.sessions.connection import (
-    ControlConnection,
-    EndpointConnector,
-    EndpointStatus,
-    PromotionClient,
-)
+from ebonyladder.sessions.connection import EndpointConnector, PromotionClient
+from ebonyladder.sessions.endpoint_control import EndpointControl, ProbedEndpoint
 from ebonyladder.sessions.endpoint_selector import GROUP_STATE_TTL_S
-from ebonyladder.sessions.failover_coordination import FailoverCoordination
-from ebonyladder.types import (
-    EndpointId,
-    EndpointState,
-    Position,
-    Role,
-    ServiceId,
-    Term,
+from ebonyladder.sessions.failover_attempt import (
+    EndpointNotRunningError,
+    FailoverAbortedError,
+    FailoverAttempt,
+    aborted,
 )
+from ebonyladder.sessions.failover_coordination import FailoverCoordination
+from ebonyladder.sessions.successor import SuccessorChooser
+from ebonyladder.types import EndpointProcess, Role, ServiceId, Term
 
-# Timeout of one call to an endpoint: a round trip between regions, a new
-# connection, and the wait for a slot.
-CALL_TIMEOUT_S = 0.6
-# Time for a replica to receive the log of a primary that has stepped down.
-CATCH_UP_TIMEOUT_S = 0.4
 # Time until a promoted endpoint must be primary; the platform takes up to 1 s.
 PROMOTE_TIMEOUT_S = 4.0
+# Longest time for the platform to answer a promotion call, in seconds.
+PROMOTION_CALL_TIMEOUT_S = 1.0
 POLL_INTERVAL_S = 0.05
 # VMs that don't respond stop using the old primary when their group states expire; the
 # rest covers differing clock rates and statements in flight.
 BARRIER_TIMEOUT_S = GROUP_STATE_TTL_S + 0.5
 
 
-class FailoverAbortedError(EbonyladderError):
-    """A failover can't be made safely now."""
-
-
-class ProbedEndpoint(msgspec.Struct, frozen=True, kw_only=True):
-    """Endpoint that answered a status call, with its connection and status."""
-
-    entry: EndpointEntry
-    connection: ControlConnection
-    status: EndpointStatus
-
-
 class Failover:
     """Changes the primary of one service at a time.
 
@@ -90,6 +68,8 @@
     ----------
     has_no_calls : asyncio.Event
         Set while no call to the platform is in flight.
+    unanswered_at_s : float
+        Time at which the last call ended without an answer.
     """
 
     def __init__(
@@ -106,15 +86,19 @@
         self.promoter = promoter
         self.coordination = coordination
         self.clock = clock
+        self.chooser = SuccessorChooser(
+            cluster=cluster, coordination=coordination, clock=clock
+        )
+        self.unanswered_at_s = float("-inf")
         self.calls_in_flight = 0
         self.has_no_calls = asyncio.Event()
         self.has_no_calls.set()
 
     async def replace_primary(self, service: ServiceId, cause: FailoverCause) -> bool:
         """Replace the primary; return whether there is a new one."""
-        probes: dict[EndpointId, ProbedEndpoint] = {}
+        control = EndpointControl(connector=self.connector)
         try:
-            return await self._replace_primary(service, cause, probes)
+            return await self._replace_primary(service, cause, control)
         except EbonyladderError as error:
             logging.warning(
                 "[failover] Failover failed. service=%s cause=%s error=%s",
@@ -124,265 +108,278 @@
             )
             return False
         finally:
-            for probe in probes.values():
-                probe.connection.close()
+            control.close()
 
     async def _replace_primary(
-        self,
-        service: ServiceId,
-        cause: FailoverCause,
-        probes: dict[EndpointId, ProbedEndpoint],
+        self, service: ServiceId, cause: FailoverCause, control: EndpointControl
     ) -> bool:
-        members = self.cluster.members(service)
-        probes.update(await self._probe(members))
-        old_primary = self._former_primary(service, members)
-        if not self._is_needed(cause, probes.get(old_primary), probes):
+        token = self.coordination.fencing_token()
+        if token is None:
+            raise aborted(service, "this VM holds no valid leader lease")
+        holders = self.coordination.log_holders(service)
+        attempt = FailoverAttempt(
+            service=service,
+            token=token,
+            control=control,
+            holders=holders,
+            lost=self.coordination.lost_log_holders(service),
+        )
+        await control.probe(holders.latest)
+        attempt.primary = self._former_primary(attempt)
+        if not self._is_needed(cause, attempt):
             logging.info(
                 "[failover] Primary is kept. service=%s cause=%s", service, cause.value
             )
             if cause is FailoverCause.UNRESPONSIVE:
-                self.coordination.record_reachable(old_primary)
+                self.coordination.record_reachable(
+                    attempt.by_process[attempt.primary].id
+                )
             return False
-        if not any(self._is_candidate(p) for p in probes.values()):
-            raise self._aborted(service, "no endpoint can take over")
-        moving = await self._begin(service, cause, old_primary or members[0].id)
-        promoted = self._find_promoted(moving, probes)
+        if not control.endpoints:
+            raise aborted(service, "no endpoint can take over")
+        moving = await self._begin(attempt, cause)
+        attempt.primary = self._former_primary(attempt)
+        if attempt.earlier_successor is None and not self._is_needed(cause, attempt):
+            logging.info("[failover] Primary answers again. service=%s", service)
+            await self._give_up(attempt, moving)
+            return False
+        promoted = self._find_promoted(moving, attempt)
         if promoted is not None:
-            await self._store_stable(moving, promoted.entry.id, promoted.status.term)
+            if promoted.entry.process != moving.successor:
+                moving = msgspec.structs.replace(moving, inherited=None)
+            term = promoted.status.term
+            await self._store_stable(attempt, moving, promoted.entry, term)
             return True
-        try:
-            chosen = await self._choose_successor(service, old_primary, members, probes)
-            await self._call_platform(service, chosen.entry.id)
-        except FailoverAbortedError:
-            # Nothing was promoted, so the group keeps its former primary.
-            await self._resume(probes, old_primary)
-            await self._store_stable(moving, moving.primary, moving.term)
-            raise
+        chosen, moving = await self._request_promotion(attempt, moving)
         # From here on a failure leaves the group in phase MOVING: the promotion may
         # still take effect, so the former primary must not be used again.
-        term = await self._wait_promoted(service, chosen)
-        await self._store_stable(moving, chosen.entry.id, term)
-        await self._resume(probes, chosen.entry.id)
+        term = await self._wait_promoted(attempt, chosen)
+        await self._store_stable(attempt, moving, chosen, term)
+        await self._resume(attempt, except_for=chosen.process)
         return True
 
+    async def _request_promotion(
+        self, attempt: FailoverAttempt, moving: GroupState
+    ) -> tuple[EndpointEntry, GroupState]:
+        """Choose the successor and call the platform; return the stored group state."""
+        begun = moving
+        try:
+            chosen = self._earlier_successor(attempt)
+            if chosen is None:
+                chosen, inherited = await self.chooser.choose(attempt)
+                moving = msgspec.structs.replace(
+                    moving, successor=chosen.process, inherited=inherited
+                )
+        except FailoverAbortedError:
+            await self._give_up(attempt, moving)
+            raise
+        # The successor is stored before the call: another leader then promotes no
+        # other endpoint while this call may still take effect.
+        moving = msgspec.structs.replace(moving, epoch=moving.epoch + 1)
+        called_at_s = self.clock.now_s()
+        await self.coordination.store_successor(moving)
+        try:
+            await self._call_platform(attempt, chosen, called_at_s)
+        except EndpointNotRunningError:
+            begun = msgspec.structs.replace(begun, epoch=moving.epoch)
+            await self._give_up(attempt, begun)
+            raise
+        return chosen, moving
+
     async def _begin(
-        self, service: ServiceId, cause: FailoverCause, old_primary: EndpointId
+        self, attempt: FailoverAttempt, cause: FailoverCause
     ) -> GroupState:
-        known = self.cluster.groups.get(service)
-        moving = GroupState(
-            service=service,
-            epoch=(known.epoch if known else 0) + 1,
-            phase=GroupPhase.MOVING,
-            primary=old_primary,
-            term=known.term if known else Term(0),
-        )
+        known = self.cluster.groups.get(attempt.service)
+        if known is not None:
+            attempt.earlier_successor = known.successor
+            moving = msgspec.structs.replace(
+                known, epoch=known.epoch + 1, phase=GroupPhase.MOVING
+            )
+        else:
+            former = attempt.by_process.get(
+                attempt.primary, attempt.holders.endpoints[0]
+            )
+            moving = GroupState(
+                service=attempt.service,
+                epoch=1,
+                phase=GroupPhase.MOVING,
+                primary=former.id,
+            )
         await self.coordination.write_group(moving)
         logging.info(
-            "[failover] Failover begins. service=%s cause=%s epoch=%d old=%s",
-            service,
+            "[failover] Failover begins. service=%s cause=%s epoch=%d old=%s token=%d",
+            attempt.service,
             cause.value,
             moving.epoch,
-            old_primary,
+            attempt.primary,
+            attempt.token,
         )
-        await self.coordination.wait_applied(moving, BARRIER_TIMEOUT_S)
+        probing = asyncio.create_task(self._probe_again(attempt))
+        try:
+            await self.coordination.wait_applied(moving, BARRIER_TIMEOUT_S)
+        finally:
+            probing.cancel()
+            await asyncio.wait([probing])
         return moving
 
+    @staticmethod
+    async def _probe_again(attempt: FailoverAttempt) -> None:
+        """Probe the endpoints that haven't answered yet, as a partition may heal."""
+        control = attempt.control
+        while True:
+            await asyncio.sleep(2 * POLL_INTERVAL_S)
+            await control.probe(
+                entry
+                for entry in attempt.holders.latest
+                if entry.process not in control.endpoints
+            )
+
     def _find_promoted(
-        self, moving: GroupState, probes: dict[EndpointId, ProbedEndpoint]
+        self, moving: GroupState, attempt: FailoverAttempt
     ) -> ProbedEndpoint | None:
         """Return an endpoint that an interrupted failover has promoted."""
         promoted = [
             p
-            for p in probes.values()
+            for p in attempt.control.endpoints.values()
             if p.status.role is Role.PRIMARY
             and p.entry.id != moving.primary
             and p.status.term > moving.term
         ]
         return max(promoted, key=lambda p: p.status.term, default=None)
 
-    def _former_primary(
-        self, service: ServiceId, members: list[EndpointEntry]
-    ) -> EndpointId | None:
-        group = self.cluster.groups.get(service)
-        if group is not None:
-            return group.primary
-        return next((m.id for m in members if m.role is Role.PRIMARY), None)
+    def _earlier_successor(self, attempt: FailoverAttempt) -> EndpointEntry | None:
+        """Return the successor of an interrupted attempt if it may take over.
+
+        Its log still holds every acknowledged commit, since no VM has used a primary
+        since then.
+        """
+        successor = attempt.earlier_successor
+        if successor in attempt.control.endpoints:
+            return attempt.by_process[successor]
+        listed = {e.process for e in self.cluster.members(attempt.service)}
+        if successor in listed:
+            raise aborted(
+                attempt.service,
+                f"{successor}, whose promotion may take effect, doesn't answer",
+            )
+        return None
 
-    async def _probe(
-        self, members: list[EndpointEntry]
-    ) -> dict[EndpointId, ProbedEndpoint]:
-        found = await asyncio.gather(*(self._probe_one(m) for m in members))
-        return {probe.entry.id: probe for probe in found if probe is not None}
+    def _former_primary(self, attempt: FailoverAttempt) -> EndpointProcess | None:
+        """Return the process of the former primary.
 
-    async def _probe_one(self, entry: EndpointEntry) -> ProbedEndpoint | None:
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                connection = await self.connector.open(entry, OPEN_ORGANISATION)
-                status = await connection.status()
-        except (EndpointError, TimeoutError) as error:
-            logging.info(
-                "[failover] Status call failed. endpoint=%s error=%r",
-                entry.id,
-                error,
-            )
+        An endpoint that was started again is the former primary only if it still has
+        its role, since a new process knows nothing of the log.
+        """
+        group = self.cluster.groups.get(attempt.service)
+        if group is not None:
+            entries = [e for e in attempt.holders.endpoints if e.id == group.primary]
+        else:
+            entries = [e for e in attempt.holders.endpoints if e.role is Role.PRIMARY]
+        entries.sort(key=lambda e: e.process_started_at_ms)
+        if not entries:
             return None
-        return ProbedEndpoint(entry=entry, connection=connection, status=status)
+        newest = attempt.control.endpoints.get(entries[-1].process)
+        if newest is not None and newest.status.role is Role.PRIMARY:
+            return newest.entry.process
+        return entries[0].process
 
-    def _is_needed(
-        self,
-        cause: FailoverCause,
-        primary_probe: ProbedEndpoint | None,
-        probes: dict[EndpointId, ProbedEndpoint],
-    ) -> bool:
+    def _is_needed(self, cause: FailoverCause, attempt: FailoverAttempt) -> bool:
         """Return whether the primary must be replaced; False if it is only slow."""
-        if primary_probe is None or primary_probe.status.role is not Role.PRIMARY:
+        probes = attempt.control.endpoints
+        found = probes.get(attempt.primary)
+        if found is None or found.status.role is not Role.PRIMARY:
             return True
         if cause is FailoverCause.STALLED:
-            others = [p for p in probes.values() if p is not primary_probe]
-            return all(
-                p.status.received < primary_probe.status.received for p in others
+            others = [p for p in probes.values() if p is not found]
+            # Without an answer of every log holder, only the primary's own log is known
+            # to be complete, and none of these has it.
+            return len(others) == len(attempt.holders.endpoints) - 1 and all(
+                p.status.received < found.status.received for p in others
             )
         return cause not in (FailoverCause.UNRESPONSIVE, FailoverCause.DEMOTED)
 
-    def _is_candidate(self, probe: ProbedEndpoint | None) -> bool:
-        return (
-            probe is not None
-            and probe.entry.state is EndpointState.ACTIVE
-            and probe.entry.zone not in self.cluster.closed_zones
+    async def _call_platform(
+        self, attempt: FailoverAttempt, chosen: EndpointEntry, called_at_s: float
+    ) -> None:
+        """Request the promotion within this VM's leadership.
+
+        The call ends before another leader may request one for the service: that one
+        waits for the group state stored at ``called_at_s`` to be interrupted.
+        """
+        remaining_s = min(
+            called_at_s + PROMOTION_CALL_TIMEOUT_S - self.clock.now_s(),
+            self.coordination.lease_remaining_s(),
         )
-
-    async def _choose_successor(
-        self,
-        service: ServiceId,
-        old_primary: EndpointId | None,
-        members: list[EndpointEntry],
-        probes: dict[EndpointId, ProbedEndpoint],
-    ) -> ProbedEndpoint:
-        """Stop commits; return an endpoint that has every acknowledged one."""
-        term = Term(max(p.status.term for p in probes.values()) + 1)
-        primary_probe = probes.get(old_primary) if old_primary else None
-        if primary_probe is not None and primary_probe.status.role is Role.PRIMARY:
-            final_status = await self._step_down(primary_probe, term)
-            if final_status is not None:
-                return await self._choose_after_step_down(
-                    primary_probe, final_status, members, probes
-                )
-        replicas = [m for m in members if m.id != old_primary or m.id in probes]
-        missing = [r.id for r in replicas if r.id not in probes]
-        if missing:
-            # A commit may have been acknowledged by the missing replica only.
-            raise self._aborted(service, f"no status of {', '.join(missing)}")
-        received = {}
-        for replica in replicas:
-            status = await self._call(
-                service, probes[replica.id].connection.pause(term)
-            )
-            received[replica.id] = status.received
-        return self._choose_newest(service, received, probes)
-
-    async def _choose_after_step_down(
-        self,
-        primary_probe: ProbedEndpoint,
-        final_status: EndpointStatus,
-        members: list[EndpointEntry],
-        probes: dict[EndpointId, ProbedEndpoint],
-    ) -> ProbedEndpoint:
-        """Return the successor of a primary that has stepped down."""
-        service = primary_probe.entry.service
-        deadline_s = self.clock.now_s() + CATCH_UP_TIMEOUT_S
-        while True:
-            received = {}
-            for probe in probes.values():
-                if probe is not primary_probe and probe.connection.is_open:
-                    status = await self._call(service, probe.connection.status())
-                    received[probe.entry.id] = status.received
-            best = self._choose_newest(service, received, probes) if received else None
-            if best and received[best.entry.id] >= final_status.received:
-                return best
-            if self.clock.now_s() >= deadline_s:
-                break
-            await asyncio.sleep(POLL_INTERVAL_S)
-        if best and len(received) == len(members) - 1:
-            # What no replica has received was never acknowledged.
-            return best
-        if self._is_candidate(primary_probe):
-            return primary_probe
-        raise self._aborted(service, "no replica has the log of the old primary")
-
-    def _choose_newest(
-        self,
-        service: ServiceId,
-        received: dict[EndpointId, Position],
-        probes: dict[EndpointId, ProbedEndpoint],
-    ) -> ProbedEndpoint:
-        newest = max(received.values())
-        best = [
-            probes[endpoint]
-            for endpoint, position in received.items()
-            if position == newest and self._is_candidate(probes[endpoint])
-        ]
-        if not best:
-            raise self._aborted(service, "no candidate has the newest log")
-        return max(best, key=lambda p: (p.entry.zone == self.cluster.zone, p.entry.id))
-
-    async def _call(
-        self, service: ServiceId, call: Awaitable[EndpointStatus]
-    ) -> EndpointStatus:
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                return await call
-        except (EndpointError, TimeoutError) as error:
-            raise self._aborted(service, f"no answer: {error!r}") from error
-
-    async def _step_down(
-        self, primary_probe: ProbedEndpoint, term: Term
-    ) -> EndpointStatus | None:
-        try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
-                return await primary_probe.connection.step_down(term)
-        except (EndpointError, TimeoutError) as error:
-            logging.info(
-                "[failover] Primary did not step down. endpoint=%s error=%r",
-                primary_probe.entry.id,
-                error,
-            )
-            return None
-
-    async def _call_platform(self, service: ServiceId, chosen: EndpointId) -> None:
-        token = self.coordination.fencing_token()
-        if token is None:
-            raise self._aborted(service, "this VM holds no valid leader lease")
+        if remaining_s <= 0 or not self._is_leading(attempt):
+            raise aborted(attempt.service, "the leader lease has expired")
         self.calls_in_flight += 1
         self.has_no_calls.clear()
         try:
             is_running = await self.promoter.promote(
-                service=service, endpoint=chosen, holder=self.cluster.vm, token=token
+                service=attempt.service,
+                endpoint=chosen.id,
+                holder=self.cluster.vm,
+                token=attempt.token,
+                timeout_s=remaining_s,
+                may_send=lambda: (
+                    self._is_leading(attempt)
+                    and self.clock.now_s() < called_at_s + PROMOTION_CALL_TIMEOUT_S
+                ),
             )
+        except StoreError as error:
+            if error.outcome is Outcome.UNKNOWN:
+                self.unanswered_at_s = self.clock.now_s()
+            raise
         finally:
             self.calls_in_flight -= 1
             if not self.calls_in_flight:
                 self.has_no_calls.set()
         if not is_running:
-            raise self._aborted(service, f"{chosen} isn't running")
+            raise aborted(
+                attempt.service,
+                f"{chosen.process} isn't running",
+                error=EndpointNotRunningError,
+            )
 
-    async def _wait_promoted(self, service: ServiceId, probe: ProbedEndpoint) -> Term:
+    def _is_leading(self, attempt: FailoverAttempt) -> bool:
+        """Tell whether the leadership in which an attempt began still lasts."""
+        return self.coordination.fencing_token() == attempt.token
+
+    async def _give_up(self, attempt: FailoverAttempt, moving: GroupState) -> None:
+        """Return to the former primary, unless a promotion may still take effect."""
+        former = attempt.by_process.get(attempt.primary)
+        if attempt.earlier_successor is not None or former is None:
+            return
+        await self._resume(attempt, except_for=attempt.primary)
+        await self._store_stable(attempt, moving, former, moving.term)
+
+    async def _wait_promoted(
+        self, attempt: FailoverAttempt, chosen: EndpointEntry
+    ) -> Term:
         deadline_s = self.clock.now_s() + PROMOTE_TIMEOUT_S
         while self.clock.now_s() < deadline_s:
-            status = await self._call(service, probe.connection.status())
+            status = await attempt.control.status(chosen.process)
+            if status is None:
+                raise aborted(attempt.service, f"{chosen.process} has no status")
             if status.role is Role.PRIMARY:
                 return status.term
             await asyncio.sleep(POLL_INTERVAL_S)
-        raise self._aborted(service, f"{probe.entry.id} did not become primary")
+        raise aborted(attempt.service, f"{chosen.process} did not become primary")
 
     async def _store_stable(
-        self, moving: GroupState, primary: EndpointId, term: Term
+        self,
+        attempt: FailoverAttempt,
+        moving: GroupState,
+        primary: EndpointEntry,
+        term: Term,
     ) -> None:
         stable = msgspec.structs.replace(
             moving,
             epoch=moving.epoch + 1,
             phase=GroupPhase.STABLE,
-            primary=primary,
+            primary=primary.id,
             term=term,
+            successor=None,
         )
         while True:
             try:
@@ -391,38 +388,30 @@
                 logging.warning(
                     "[failover] Storing the group state failed. error=%s", error
                 )
+                if error.code is ErrorCode.STORE_CONFLICT:
+                    # Another leader has begun a failover of the service.
+                    raise
                 await asyncio.sleep(POLL_INTERVAL_S * 4)
-                if self.coordination.fencing_token() is None:
+                if not self._is_leading(attempt):
                     raise
             else:
                 logging.info(
                     "[failover] Group state is stored. service=%s primary=%s term=%d",
                     stable.service,
-                    primary,
+                    primary.id,
                     term,
                 )
                 return
 
     async def _resume(
-        self, probes: dict[EndpointId, ProbedEndpoint], primary: EndpointId | None
+        self, attempt: FailoverAttempt, *, except_for: EndpointProcess | None
     ) -> None:
-        for probe in probes.values():
-            if probe.entry.id == primary or not probe.connection.is_open:
-                continue
-            try:
-                async with asyncio.timeout(CALL_TIMEOUT_S):
-                    await probe.connection.resume()
-            except (EndpointError, TimeoutError) as error:
-                logging.warning(
-                    "[failover] Replica did not resume. endpoint=%s error=%r",
-                    probe.entry.id,
-                    error,
-                )
-
-    def _aborted(self, service: ServiceId, message: str) -> FailoverAbortedError:
-        return FailoverAbortedError(
-            code=ErrorCode.NO_PRIMARY,
-            step=Step.PROMOTE,
-            peer=service,
-            message=message,
+        """Let the replicas receive again, unless another leader may have paused them.
+
+        A failover of the next leader relies on its own pauses.
+        """
+        if not self._is_leading(attempt):
+            return
+        await attempt.control.resume(
+            p for p in attempt.control.endpoints if p != except_for
         )
--- a/src/ebonyladder/sessions/failover_coordination.py
+++ b/src/ebonyladder/sessions/failover_coordination.py
@@ -2,8 +2,9 @@
 
 from abc import ABC, abstractmethod
 
-from ebonyladder.sessions.cluster_view import GroupState
-from ebonyladder.types import EndpointId
+from ebonyladder.sessions.cluster_view import EndpointEntry, GroupState
+from ebonyladder.sessions.log_holders import LogHolders
+from ebonyladder.types import EndpointId, EndpointProcess, Position, ServiceId
 
 
 class FailoverCoordination(ABC):
@@ -13,6 +14,10 @@
     async def write_group(self, group: GroupState) -> None:
         """Store a newer group state; STORE_CONFLICT if another VM has stored one."""
 
+    @abstractmethod
+    async def store_successor(self, group: GroupState) -> None:
+        """Store the successor of a group that is MOVING; the VMs needn't know it."""
+
     @abstractmethod
     async def wait_applied(self, group: GroupState, timeout_s: float) -> None:
         """Return once all VMs have applied the group state, or after ``timeout_s``."""
@@ -24,3 +29,33 @@
     @abstractmethod
     def fencing_token(self) -> int | None:
         """Return the fencing token, None if this VM has no valid leader lease."""
+
+    @abstractmethod
+    def lease_remaining_s(self) -> float:
+        """Return for how long the leader lease stays valid, in seconds."""
+
+    @abstractmethod
+    def log_holders(self, service: ServiceId) -> LogHolders:
+        """Return the log holders that are stored or listed."""
+
+    @abstractmethod
+    def lost_log_holders(self, service: ServiceId) -> frozenset[EndpointProcess]:
+        """Return the log holders that are taken as gone for good."""
+
+    @abstractmethod
+    def acknowledged_position(self, group: GroupState) -> Position | None:
+        """Return a position that covers what callers were told of a group's commits.
+
+        None if a VM that may have served callers since a log holder departed hasn't
+        applied the group state.
+        """
+
+    @abstractmethod
+    async def read_members(self, service: ServiceId) -> list[EndpointEntry]:
+        """Read the listed endpoints of a service from the store.
+
+        Raises
+        ------
+        StoreError
+            STORE_UNAVAILABLE if the store doesn't answer.
+        """
--- a/src/ebonyladder/sessions/fleet/failure_detector.py
+++ b/src/ebonyladder/sessions/fleet/failure_detector.py
@@ -60,8 +60,15 @@
         return [vm for vm, (_, at_s) in self.reports.items() if at_s >= oldest_s]
 
     def record_attempt(self, service: ServiceId, *, is_replaced: bool) -> None:
-        """Record that an attempt at a failover has ended."""
-        backoff_s = FAILOVER_COOLDOWN_S if is_replaced else FAILOVER_BACKOFF_S
+        """Record that an attempt at a failover has ended.
+
+        A primary that leaves already, promoted since it alone had the newest log, is
+        replaced without the cooldown.
+        """
+        primary = self.cluster.primary(service)
+        is_leaving = primary is not None and primary.state is EndpointState.LEAVING
+        has_cooldown = is_replaced and not is_leaving
+        backoff_s = FAILOVER_COOLDOWN_S if has_cooldown else FAILOVER_BACKOFF_S
         self.next_attempt_at_s[service] = self.clock.now_s() + backoff_s
 
     def failover_cause(
--- a/src/ebonyladder/sessions/fleet/follower.py
+++ b/src/ebonyladder/sessions/fleet/follower.py
@@ -11,7 +11,7 @@
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.sessions.catalog import Catalog
 from ebonyladder.sessions.catalog_change import CatalogChange
-from ebonyladder.sessions.cluster_view import ClusterView
+from ebonyladder.sessions.cluster_view import ClusterView, GroupPhase
 from ebonyladder.sessions.fleet.leadership import Leadership
 from ebonyladder.sessions.messages import (
     MAX_MESSAGE_BYTES,
@@ -115,6 +115,7 @@
         self.incarnation = incarnation
         self.clock = clock
         self.on_unregistered = on_unregistered
+        self.started_at_s = clock.now_s()
         self.group_changed = asyncio.Event()
         cluster.listeners.append(self._report_listing)
         self._reset()
@@ -320,6 +321,12 @@
             accepts_changes=True,
             has_working_watches=has_working_watches,
             listing=self._listing() if self.is_relay and has_working_watches else None,
+            up_s=self.clock.now_s() - self.started_at_s,
+            acknowledged={
+                service: self.cluster.acknowledged.get(service)
+                for service, group in self.cluster.groups.items()
+                if group.phase is GroupPhase.MOVING
+            },
         )
 
     def _catalog_of(self, update: LeaderUpdate) -> Catalog | None:
--- /dev/null
+++ b/src/ebonyladder/sessions/fleet/group_barrier.py
@@ -0,0 +1,149 @@
+"""Which VMs have applied a group state, and what they had told their callers."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from absl import logging
+
+from ebonyladder.kernel.clock import Clock
+from ebonyladder.sessions.cluster_view import ClusterView, GroupState, VmEntry
+from ebonyladder.sessions.fleet.failure_detector import FailureDetector
+from ebonyladder.sessions.messages import Report
+from ebonyladder.types import LogPosition, Position, ServiceId, Term, VmId
+
+# Longest interval between checks of the VMs that a barrier waits for, in seconds.
+BARRIER_POLL_INTERVAL_S = 0.2
+# A VM that has not reported for this long is removed from the list, in seconds. A
+# failover waits for the VMs of the list.
+VM_REPORT_TIMEOUT_S = 6.0
+NO_POSITION = Position(term=Term(0), position=LogPosition(0))
+
+
+class AppliedReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What a VM reported about a service that is changing its primary.
+
+    Attributes
+    ----------
+    position : Position or None
+        Highest position acknowledged to the VM's callers.
+    started_at_s : float
+        Start of the VM's process, on the leader's clock.
+    """
+
+    epoch: int
+    position: Position | None
+    started_at_s: float
+
+
+class GroupBarrier:
+    """Waits until the VMs no longer use the former primary of a service.
+
+    Parameters
+    ----------
+    cluster : ClusterView
+        Names this VM, and what its own callers were told.
+    failure_detector : FailureDetector
+        Tells which VMs have reported lately.
+    vms : callable
+        Returns the registered VMs.
+    clock : Clock
+        Clock of the timeouts.
+    """
+
+    def __init__(
+        self,
+        *,
+        cluster: ClusterView,
+        failure_detector: FailureDetector,
+        vms: Callable[[], dict[VmId, VmEntry]],
+        clock: Clock,
+    ) -> None:
+        self.cluster = cluster
+        self.failure_detector = failure_detector
+        self.vms = vms
+        self.clock = clock
+        self.applied_epochs: dict[tuple[VmId, ServiceId], int] = {}
+        # Latest report of each VM about a service that is changing its primary.
+        self.applied_reports: dict[tuple[VmId, ServiceId], AppliedReport] = {}
+        self.epoch_acknowledged = asyncio.Event()
+        self.removed_at_s: dict[VmId, float] = {}
+
+    def record_report(self, report: Report) -> None:
+        """Record the group states that a VM has applied."""
+        for service, epoch in report.epochs.items():
+            self.applied_epochs[report.vm, service] = epoch
+        for service, position in report.acknowledged.items():
+            self.applied_reports[report.vm, service] = AppliedReport(
+                epoch=report.epochs.get(service, 0),
+                position=position,
+                started_at_s=self.clock.now_s() - report.up_s,
+            )
+        self.epoch_acknowledged.set()
+
+    def record_removed(self, vm: VmId) -> None:
+        """Record that a VM was removed from the list.
+
+        It may still use group states that it confirmed at the store before that.
+        """
+        self.removed_at_s[vm] = self.clock.now_s()
+
+    async def wait(self, group: GroupState, timeout_s: float) -> None:
+        """Return once all VMs have applied a group state, or after ``timeout_s``.
+
+        VMs that reported within ``timeout_s`` may still use the former state, also
+        those that aren't registered again after they were removed.
+        """
+        deadline_s = self.clock.now_s() + timeout_s
+        while True:
+            self.epoch_acknowledged.clear()
+            reported = self.failure_detector.reported_within(timeout_s)
+            missing = [
+                vm
+                for vm in {*self.vms(), *reported}
+                if vm != self.cluster.vm
+                and self.applied_epochs.get((vm, group.service), 0) < group.epoch
+            ]
+            missing += self._removed_within(timeout_s)
+            remaining_s = deadline_s - self.clock.now_s()
+            if not missing or remaining_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(min(remaining_s, BARRIER_POLL_INTERVAL_S)):
+                    await self.epoch_acknowledged.wait()
+            except TimeoutError:
+                continue
+        logging.info(
+            "[leader] Barrier of a group state ended. service=%s epoch=%d missing=%s",
+            group.service,
+            group.epoch,
+            ",".join(missing) or "-",
+        )
+
+    def acknowledged_position(
+        self, group: GroupState, *, since_s: float
+    ) -> Position | None:
+        """Return the highest position acknowledged to callers of all VMs.
+
+        None if a VM hasn't reported it under this group state, or has been started
+        after ``since_s`` and so may have forgotten some.
+        """
+        positions = [self.cluster.acknowledged.get(group.service)]
+        reported = self.failure_detector.reported_within(VM_REPORT_TIMEOUT_S)
+        for vm in {*self.vms(), *reported} - {self.cluster.vm}:
+            applied = self.applied_reports.get((vm, group.service))
+            if applied is None or applied.epoch < group.epoch:
+                return None
+            if applied.started_at_s >= since_s:
+                return None
+            positions.append(applied.position)
+        if self._removed_within(VM_REPORT_TIMEOUT_S):
+            return None
+        return max((p for p in positions if p is not None), default=NO_POSITION)
+
+    def _removed_within(self, timeout_s: float) -> list[VmId]:
+        oldest_s = self.clock.now_s() - timeout_s
+        self.removed_at_s = {
+            vm: s for vm, s in self.removed_at_s.items() if s > oldest_s
+        }
+        return list(self.removed_at_s)
--- a/src/ebonyladder/sessions/fleet/group_store.py
+++ b/src/ebonyladder/sessions/fleet/group_store.py
@@ -7,7 +7,8 @@
 from absl import logging
 
 from ebonyladder.kernel.clock import Clock
-from ebonyladder.kernel.error import ErrorCode, StoreError
+from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
+from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.cluster_view import ClusterView, GroupState
 from ebonyladder.sessions.fleet.watchers import GroupWatcher
 from ebonyladder.sessions.objects import GROUPS, ObjectStore
@@ -53,6 +54,15 @@
         StoreError
             STORE_CONFLICT if another leader has changed the state.
         """
+        latest = self.cluster.groups.get(group.service)
+        if latest is not None and latest != group and latest.epoch >= group.epoch:
+            raise StoreError(
+                code=ErrorCode.STORE_CONFLICT,
+                step=Step.STORE_WRITE,
+                peer=group.service,
+                message=f"epoch {latest.epoch} is stored",
+                outcome=Outcome.NOT_RUN,
+            )
         content = msgspec.to_builtins(group)
         known = self.watcher.objects.get(group.service)
         try:
--- a/src/ebonyladder/sessions/fleet/leader.py
+++ b/src/ebonyladder/sessions/fleet/leader.py
@@ -18,6 +18,7 @@
     zone_sizes,
 )
 from ebonyladder.sessions.fleet.failure_detector import FailureDetector
+from ebonyladder.sessions.fleet.group_barrier import VM_REPORT_TIMEOUT_S, GroupBarrier
 from ebonyladder.sessions.fleet.leadership import Leadership, LeadershipState
 from ebonyladder.sessions.fleet.shares import RateShares
 from ebonyladder.sessions.fleet.standbys import choose_standbys
@@ -37,7 +38,6 @@
     ConfigurationVersion,
     EndpointId,
     OrganisationId,
-    ServiceId,
     VmId,
 )
 
@@ -45,11 +45,6 @@
 SEND_TIMEOUT_S = 1.0
 # A VM that was asked for its catalog is given this time to send it, in seconds.
 CATALOG_REQUEST_TIMEOUT_S = 1.0
-# Longest interval between checks of the VMs that a barrier waits for, in seconds.
-BARRIER_POLL_INTERVAL_S = 0.2
-# A VM that has not reported for this long is removed from the list, in seconds. A
-# failover waits for the VMs of the list.
-VM_REPORT_TIMEOUT_S = 6.0
 
 
 class Leader:
@@ -106,12 +101,12 @@
         self.encoded_fields: dict[ConfigurationVersion | None, dict[str, bytes]] = {}
         self.connections: dict[VmId, ServerConnection] = {}
         self.is_active_standby = False
-        self.applied_epochs: dict[tuple[VmId, ServiceId], int] = {}
-        self.epoch_acknowledged = asyncio.Event()
+        self.barrier = GroupBarrier(
+            cluster=cluster, failure_detector=failure_detector, vms=vms, clock=clock
+        )
         self.snapshot: ClusterSnapshot | None = None
         # Fencing token under which the groups were read from the store; 0 for none.
         self.groups_loaded_token = 0
-        self.removed_at_s: dict[VmId, float] = {}
         # Endpoints that are reachable from this VM but not from their owners.
         self.reachable_here: set[EndpointId] = set()
 
@@ -147,13 +142,6 @@
         """Record that the groups were read from the store under a fencing token."""
         self.groups_loaded_token = token
 
-    def record_removed(self, vm: VmId) -> None:
-        """Record that a VM was removed from the list.
-
-        It may still use group states that it confirmed at the store before that.
-        """
-        self.removed_at_s[vm] = self.clock.now_s()
-
     def claim_ownership(self, endpoint: EndpointId) -> None:
         """Own an endpoint that is reachable from this VM but not from its owner.
 
@@ -193,9 +181,7 @@
                 report.vm,
             )
             self.catalog_requested_at_s = float("-inf")
-        for service, epoch in report.epochs.items():
-            self.applied_epochs[report.vm, service] = epoch
-        self.epoch_acknowledged.set()
+        self.barrier.record_report(report)
         if report.acknowledged_at_s is not None:
             self.leadership.record_acknowledgement(report.vm, report.acknowledged_at_s)
         self.failure_detector.record_report(report)
@@ -380,45 +366,6 @@
             *(self._send(vm, c, data) for vm, c in list(self.connections.items()))
         )
 
-    async def wait_applied(self, group: GroupState, timeout_s: float) -> None:
-        """Return once all VMs have applied a group state, or after ``timeout_s``.
-
-        VMs that reported within ``timeout_s`` may still use the former state, also
-        those that aren't registered again after they were removed.
-        """
-        deadline_s = self.clock.now_s() + timeout_s
-        while True:
-            self.epoch_acknowledged.clear()
-            reported = self.failure_detector.reported_within(timeout_s)
-            missing = [
-                vm
-                for vm in {*self.vms(), *reported}
-                if vm != self.cluster.vm
-                and self.applied_epochs.get((vm, group.service), 0) < group.epoch
-            ]
-            missing += self._removed_within(timeout_s)
-            remaining_s = deadline_s - self.clock.now_s()
-            if not missing or remaining_s <= 0:
-                break
-            try:
-                async with asyncio.timeout(min(remaining_s, BARRIER_POLL_INTERVAL_S)):
-                    await self.epoch_acknowledged.wait()
-            except TimeoutError:
-                continue
-        logging.info(
-            "[leader] Barrier of a group state ended. service=%s epoch=%d missing=%s",
-            group.service,
-            group.epoch,
-            ",".join(missing) or "-",
-        )
-
-    def _removed_within(self, timeout_s: float) -> list[VmId]:
-        oldest_s = self.clock.now_s() - timeout_s
-        self.removed_at_s = {
-            vm: s for vm, s in self.removed_at_s.items() if s > oldest_s
-        }
-        return list(self.removed_at_s)
-
     def expired_vms(self) -> list[VmId]:
         """Return the VMs whose reports timed out."""
         now_s = self.clock.now_s()
--- /dev/null
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -0,0 +1,86 @@
+"""What a failover must know before it promotes an endpoint.
+
+The log of the promoted endpoint must hold every acknowledged commit. That is known in
+three cases: it holds everything that the former primary held after its last
+acknowledgement, or everything that any log holder but the former primary has received,
+since a commit that none of them received was never acknowledged, or everything that
+callers were told.
+"""
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from ebonyladder.sessions.cluster_view import EndpointEntry
+from ebonyladder.types import EndpointProcess, Position
+
+
+class LogSurvey(msgspec.Struct, frozen=True, kw_only=True):
+    """Logs of a service's endpoints once no commit can be acknowledged.
+
+    Attributes
+    ----------
+    primary : EndpointProcess or None
+        Former primary.
+    holders : dict of EndpointProcess to EndpointEntry
+        Log holders, the former primary among them.
+    lost : frozenset of EndpointProcess
+        Log holders that are taken as gone for good.
+    acknowledged : Position or None
+        Position that covers what callers of all VMs were told; None if that isn't
+        known.
+    received : dict of EndpointProcess to Position
+        Last log positions of the endpoints that answered: the former primary only if
+        it acknowledges nothing more, and replicas that receive nothing more from it.
+    """
+
+    primary: EndpointProcess | None
+    holders: Mapping[EndpointProcess, EndpointEntry]
+    received: Mapping[EndpointProcess, Position]
+    lost: frozenset[EndpointProcess] = frozenset()
+    acknowledged: Position | None = None
+
+    @property
+    def missing(self) -> list[EndpointProcess]:
+        """Log holders other than the former primary that didn't answer."""
+        return sorted(
+            process
+            for process in self.holders
+            if process != self.primary and process not in self.received
+        )
+
+    def required_position(self) -> Position | None:
+        """Return a position that covers every acknowledged commit.
+
+        None means that none is known: some log holders didn't answer, and neither did
+        the former primary, and callers may have been told of commits that the logs
+        which were read lack. If all that didn't answer are lost, no other log can hold
+        more.
+        """
+        others = [
+            position
+            for process, position in self.received.items()
+            if process != self.primary
+        ]
+        is_nothing_left = {self.primary, *self.missing} <= self.lost
+        if others and (not self.missing or is_nothing_left):
+            return max(others)
+        if self.primary in self.received:
+            return self.received[self.primary]
+        has_acknowledged = (
+            self.acknowledged is not None
+            and bool(others)
+            and max(others) >= self.acknowledged
+        )
+        return max(others) if has_acknowledged else None
+
+    def successor(
+        self, cost: Callable[[EndpointEntry], object], *, required: Position
+    ) -> EndpointEntry | None:
+        """Return the endpoint of least cost whose log holds a position."""
+        eligible = [
+            self.holders[process]
+            for process, position in self.received.items()
+            if position >= required
+        ]
+        return min(eligible, key=cost, default=None)
--- a/src/ebonyladder/sessions/objects.py
+++ b/src/ebonyladder/sessions/objects.py
@@ -13,6 +13,7 @@
 GROUPS = Kind("ebonyladder-groups")
 VMS = Kind("ebonyladder-vms")
 LEADERS = Kind("ebonyladder-leaders")
+LOG_HOLDERS = Kind("ebonyladder-log-holders")
 
 
 class Unreadable(Enum):
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -11,8 +11,14 @@
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.sessions.cause import FailoverCause
-from ebonyladder.sessions.cluster_view import ClusterView, GroupState, VmEntry
+from ebonyladder.sessions.cluster_view import (
+    ClusterView,
+    EndpointEntry,
+    GroupState,
+    VmEntry,
+)
 from ebonyladder.sessions.connection import EndpointConnector, PromotionClient
+from ebonyladder.sessions.endpoint_registry import EndpointDirectory
 from ebonyladder.sessions.failover import Failover
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.fleet.failure_detector import FailureDetector
@@ -20,12 +26,14 @@
 from ebonyladder.sessions.fleet.group_store import GroupStore
 from ebonyladder.sessions.fleet.leader import Leader
 from ebonyladder.sessions.fleet.leader_record import LeaderRecordStore
-from ebonyladder.sessions.fleet.leadership import Leadership
+from ebonyladder.sessions.fleet.leadership import TAKEOVER_TIMEOUT_S, Leadership
+from ebonyladder.sessions.fleet.log_holder_keeper import LogHolderKeeper
 from ebonyladder.sessions.fleet.registration import Registration
 from ebonyladder.sessions.fleet.reporting import Reporting
 from ebonyladder.sessions.fleet.watchers import GroupWatcher, VmWatcher
 from ebonyladder.sessions.forwarding_pool import FORWARD_PATH
 from ebonyladder.sessions.forwarding_service import ForwardingService
+from ebonyladder.sessions.log_holders import LogHolders
 from ebonyladder.sessions.messages import MAX_MESSAGE_BYTES
 from ebonyladder.sessions.objects import VMS, ObjectStore
 from ebonyladder.sessions.plugins.sessions import SessionFactory
@@ -33,7 +41,13 @@
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.watch_manager import WatchManager
 from ebonyladder.settings import split_address
-from ebonyladder.types import EndpointId, Incarnation, ServiceId
+from ebonyladder.types import (
+    EndpointId,
+    EndpointProcess,
+    Incarnation,
+    Position,
+    ServiceId,
+)
 
 # Interval of the leader's checks, in seconds.
 LEADER_CHECK_INTERVAL_S = 0.1
@@ -56,6 +70,7 @@
         SessionFactory,
         GrantedQuota,
         PromotionClient,
+        EndpointDirectory,
         WatchManager,
     )
 
@@ -64,6 +79,7 @@
         self.incarnation = Incarnation(time.time_ns())
         self.started_at_s = kernel.clock.now_s()
         self.failing_over: set[ServiceId] = set()
+        self.updating_log_holders: set[ServiceId] = set()
         self.server: Server | None = None
         # Whether this VM is giving up the leadership, so that it promotes no endpoint.
         self.is_releasing = False
@@ -100,6 +116,12 @@
             watcher=self.group_watcher,
             clock=clock,
         )
+        self.log_holder_keeper = LogHolderKeeper(
+            cluster=self.cluster,
+            store=self.store,
+            connector=self.kernel.get(EndpointConnector),
+            clock=clock,
+        )
         self.leader_record = LeaderRecordStore(
             store=self.store,
             leadership=self.leadership,
@@ -185,7 +207,8 @@
         """Release the leadership, so that another VM takes over immediately.
 
         A call that promotes an endpoint ends before that: it could reach the platform
-        after the first call of the next leader.
+        after the first call of the next leader. After a call without an answer the
+        leader lease expires by itself, since a slow platform may still read the call.
         """
         self.is_releasing = True
         if not self.leadership.is_holder:
@@ -199,6 +222,14 @@
                 self.leadership.record.token,
             )
             return
+        unanswered_s = self.kernel.clock.now_s() - self.failover.unanswered_at_s
+        if unanswered_s < TAKEOVER_TIMEOUT_S:
+            logging.warning(
+                "[fleet] Leadership isn't released, a promotion call wasn't answered. "
+                "token=%d",
+                self.leadership.record.token,
+            )
+            return
         await self.leader_record.release()
 
     async def stop(self) -> None:
@@ -215,9 +246,37 @@
         await self.group_store.write(group)
         await self.leader.push()
 
+    async def store_successor(self, group: GroupState) -> None:
+        """Store a group state that only leaders need."""
+        await self.group_store.write(group)
+
+    def lease_remaining_s(self) -> float:
+        """Return for how long the leader lease stays valid, in seconds."""
+        return self.leadership.lease_remaining_s(self.vm_watcher.entries)
+
+    def log_holders(self, service: ServiceId) -> LogHolders:
+        """Return the log holders that are stored or listed."""
+        return self.log_holder_keeper.current(service)
+
+    def lost_log_holders(self, service: ServiceId) -> frozenset[EndpointProcess]:
+        """Return the log holders that are taken as gone for good."""
+        return self.log_holder_keeper.lost(service)
+
+    def acknowledged_position(self, group: GroupState) -> Position | None:
+        """Return a position that covers what callers were told of a group's commits."""
+        since_s = self.log_holder_keeper.departed_since_s(group.service)
+        if self.started_at_s >= since_s:
+            return None
+        return self.leader.barrier.acknowledged_position(group, since_s=since_s)
+
+    async def read_members(self, service: ServiceId) -> list[EndpointEntry]:
+        """Read the listed endpoints of a service from the store."""
+        entries = await self.kernel.get(EndpointDirectory).read()
+        return [entry for entry in entries if entry.service == service]
+
     async def wait_applied(self, group: GroupState, timeout_s: float) -> None:
         """Return once all VMs have applied the group state, or after ``timeout_s``."""
-        await self.leader.wait_applied(group, timeout_s)
+        await self.leader.barrier.wait(group, timeout_s)
 
     def record_reachable(self, endpoint: EndpointId) -> None:
         """Make this VM the owner of an endpoint that its owner can't reach."""
@@ -259,6 +318,7 @@
                 version = self.cluster.version
                 await self.leader.push()
             self._start_failovers()
+            self._start_log_holder_updates()
             await self._evict_vms()
 
     def _run_standby(self) -> None:
@@ -288,7 +348,7 @@
     async def _load_groups(self) -> None:
         """Read the groups from the store after this VM became the leader."""
         token = self.leadership.record.token
-        if await self.group_store.read_all():
+        if await self.log_holder_keeper.load() and await self.group_store.read_all():
             self.leader.record_groups_loaded(token)
             logging.info("[fleet] Groups are read by the new leader. token=%d", token)
 
@@ -319,6 +379,23 @@
                     self._replace_primary(service, cause), name=f"failover-{service}"
                 )
 
+    def _start_log_holder_updates(self) -> None:
+        busy = self.failing_over | self.updating_log_holders
+        for service in self.log_holder_keeper.due():
+            if service not in busy:
+                self.updating_log_holders.add(service)
+                self.kernel.spawn(
+                    self._update_log_holders(service), name=f"log-holders-{service}"
+                )
+
+    async def _update_log_holders(self, service: ServiceId) -> None:
+        try:
+            await self.log_holder_keeper.update(
+                service, may_remove=self.leader.has_store
+            )
+        finally:
+            self.updating_log_holders.discard(service)
+
     async def _replace_primary(self, service: ServiceId, cause: FailoverCause) -> None:
         is_replaced = False
         try:
@@ -339,7 +416,7 @@
                     "[fleet] VM could not be removed. vm=%s error=%s", vm, error
                 )
                 return
-            self.leader.record_removed(vm)
+            self.leader.barrier.record_removed(vm)
             logging.info("[fleet] VM is removed from the list. vm=%s", vm)
             self.vm_watcher.objects.pop(vm, None)
             self.vm_watcher.apply(self.vm_watcher.objects)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -1,17 +1,24 @@
 """Failover: which endpoint takes over, and when none may."""
 
 import asyncio
+from collections.abc import Callable
+from unittest.mock import patch
 
 from ebonyladder.kernel.clock import SystemClock
+from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
+from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.cause import FailoverCause
-from ebonyladder.sessions.cluster_view import GroupPhase, GroupState
+from ebonyladder.sessions.cluster_view import EndpointEntry, GroupPhase, GroupState
 from ebonyladder.sessions.connection import PromotionClient
 from ebonyladder.sessions.failover import Failover
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
-from ebonyladder.types import EndpointId, EndpointState, Role
+from ebonyladder.sessions.log_holders import LogHolders
+from ebonyladder.types import EndpointId, EndpointProcess, EndpointState, Position, Role
 from tests.session_fakes import (
     SERVICE,
+    FakeConnection,
     FakeConnector,
+    FakeEndpoint,
     cluster,
     entry,
     fake_endpoints,
@@ -28,15 +35,25 @@
         self.barriers: list[int] = []
         self.reachable: list[str] = []
         self.token: int | None = 7
+        self.departed: list[EndpointEntry] = []
+        self.lost: frozenset[EndpointProcess] = frozenset()
+        self.acknowledged: Position | None = None
+        self.joined: list[EndpointEntry] = []
+        self.during_barrier: Callable[[], None] = lambda: None
 
     async def write_group(self, group):
         """Record and apply the group state."""
         self.written.append(group)
         self.cluster.apply_group(group)
 
+    async def store_successor(self, group):
+        """Record and apply the group state."""
+        await self.write_group(group)
+
     async def wait_applied(self, group, timeout_s):
-        """Record the barrier."""
+        """Record the barrier, and let the test change the cluster."""
         self.barriers.append(group.epoch)
+        self.during_barrier()
 
     def record_reachable(self, endpoint):
         """Record the endpoint."""
@@ -46,6 +63,27 @@
         """Return the token that the test has set."""
         return self.token
 
+    def lease_remaining_s(self):
+        """Return a lease that outlasts every call."""
+        return 2.0
+
+    def log_holders(self, service):
+        """Return the listed endpoints, and those that the test has let depart."""
+        holders = LogHolders(service=service, endpoints=tuple(self.departed))
+        return holders.with_listed(self.cluster.members(service))
+
+    def acknowledged_position(self, group):
+        """Return the position that the test has set."""
+        return self.acknowledged
+
+    def lost_log_holders(self, service):
+        """Return the holders that the test has set."""
+        return self.lost
+
+    async def read_members(self, service):
+        """Return the listed endpoints, and those that the test has let join."""
+        return [*self.cluster.members(service), *self.joined]
+
 
 class FakePromoter(PromotionClient):
     """Platform that promotes immediately."""
@@ -54,10 +92,27 @@
         self.connector = connector
         self.calls: list[tuple[str, int]] = []
         self.is_refused = False
+        self.is_unanswered = False
+        self.before_send: Callable[[], None] = lambda: None
+
+    @staticmethod
+    def error(outcome: Outcome) -> StoreError:
+        """Return the error of a call without an answer."""
+        return StoreError(
+            code=ErrorCode.STORE_UNAVAILABLE,
+            step=Step.PROMOTE,
+            peer="promotion",
+            outcome=outcome,
+        )
 
-    async def promote(self, *, service, endpoint, holder, token):
+    async def promote(self, *, service, endpoint, holder, token, timeout_s, may_send):
         """Make the endpoint a primary of the next term."""
+        self.before_send()
+        if not may_send():
+            raise self.error(Outcome.NOT_RUN)
         self.calls.append((endpoint, token))
+        if self.is_unanswered:
+            raise self.error(Outcome.UNKNOWN)
         if self.is_refused:
             return False
         peer = self.connector.endpoints[endpoint]
@@ -194,6 +249,155 @@
         assert world.group.primary == "far"
 
 
+class TestDepartedReplica:
+    """Guards against lost commits that a replica which has left had acknowledged."""
+
+    def setup_method(self):
+        self.world = World()
+        self.world.coordination.departed = [entry("left")]
+
+    def test_primary_that_alone_has_a_commit_is_promoted_again(self):
+        # review/1: the listed replicas lack a commit, and their answers were taken for
+        # proof that nobody had acknowledged it.
+        self.world.primary.set_received(position(1, 12))
+        assert self.world.replace_primary(FailoverCause.LEAVING)
+        assert self.world.promoter.calls == [("primary", 7)]
+
+    def test_stalled_primary_is_kept_without_being_interrupted(self):
+        # Guards against a failover that can only end at the same primary.
+        self.world.primary.set_received(position(1, 12))
+        assert not self.world.replace_primary(FailoverCause.STALLED)
+        assert self.world.coordination.written == []
+
+    def test_no_promotion_while_the_primary_is_down_as_well(self):
+        # review/3: an earlier attempt had refused for want of the newest log, and the
+        # next one promoted an older log once the replica with it was gone.
+        self.world.primary.is_down = True
+        assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.world.promoter.calls == []
+        assert self.world.group.primary == "primary"
+
+    def test_log_with_all_that_callers_were_told_takes_over(self):
+        # Guards against waiting for a crashed primary although nothing is missing.
+        self.world.primary.is_down = True
+        self.world.coordination.acknowledged = position(1, 10)
+        assert self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.world.promoter.calls == [("near", 7)]
+
+    def test_no_promotion_without_a_commit_that_callers_were_told(self):
+        self.world.primary.is_down = True
+        self.world.coordination.acknowledged = position(1, 11)
+        assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.world.promoter.calls == []
+
+    def test_newest_log_takes_over_once_all_that_may_have_more_are_gone(self):
+        # Guards against a service that stays without a primary for good.
+        self.world.primary.is_down = True
+        self.world.coordination.lost = frozenset({EndpointProcess("left@0")})
+        assert not self.world.replace_primary(FailoverCause.UNLISTED)
+        self.world.coordination.lost |= {EndpointProcess("primary@0")}
+        assert self.world.replace_primary(FailoverCause.UNLISTED)
+        assert self.world.promoter.calls == [("near", 7)]
+
+    def test_replica_with_the_final_position_takes_over(self):
+        # Guards against an outage: nothing is missing in this log.
+        self.world.primary.set_received(position(1, 12))
+        self.world.far.set_received(position(1, 12))
+        assert self.world.replace_primary(FailoverCause.LEAVING)
+        assert self.world.promoter.calls == [("far", 7)]
+
+    def test_reborn_replica_without_its_log_does_not_stand_in(self):
+        # Guards against taking the empty log of a new process for that of the old one.
+        self.world.coordination.departed = [entry("far", process_started_at_ms=-5)]
+        self.world.primary.is_down = True
+        assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.world.promoter.calls == []
+
+
+class TestJoiningReplica:
+    """Guards against lost commits that a replica acknowledges during a failover."""
+
+    def setup_method(self):
+        self.world = World()
+        self.new = FakeEndpoint("new", role=Role.REPLICA)
+        self.world.connector.endpoints[EndpointId("new")] = self.new
+
+    def join(self) -> None:
+        """Register the new replica in the store, not yet in this VM's list."""
+        self.world.coordination.joined = [entry("new")]
+
+    def test_replica_that_joins_during_the_barrier_is_paused(self):
+        # review/2: members were read before the barrier only.
+        self.world.primary.is_down = True
+        self.new.set_received(position(1, 14))
+        self.world.coordination.during_barrier = self.join
+        assert self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.new.pauses == [2]
+        assert self.world.promoter.calls == [("new", 7)]
+
+    def test_no_promotion_while_a_replica_that_joined_is_unreachable(self):
+        # review/2: a replica in the partitioned zone of the primary.
+        self.world.primary.is_down = True
+        self.new.is_down = True
+        self.world.coordination.during_barrier = self.join
+        assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.world.promoter.calls == []
+
+    def test_commit_of_a_replica_that_joined_counts_after_a_step_down(self):
+        # Guards against choosing among the replicas that were known at the start.
+        self.world.primary.set_received(position(1, 14))
+        self.new.set_received(position(1, 14))
+        self.world.coordination.during_barrier = self.join
+        assert self.world.replace_primary(FailoverCause.LEAVING)
+        assert self.world.promoter.calls == [("new", 7)]
+
+
+class TestPausedReplicas:
+    """Guards against positions that are outdated when the platform is called."""
+
+    def test_log_received_between_two_pauses_counts(self):
+        # Guards against a position read before the last replica was paused.
+        world = World()
+        world.primary.is_down = True
+        pause = FakeConnection.pause
+
+        async def pause_and_receive(connection, term):
+            status = await pause(connection, term)
+            if connection.endpoint == "far":
+                connection.peer.set_received(position(1, 11))
+            return status
+
+        with patch.object(FakeConnection, "pause", pause_and_receive):
+            assert world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == [("far", 7)]
+
+    def test_no_promotion_if_a_replica_restarts_after_its_pause(self):
+        # Guards against commits that a replica acknowledges after it was started again.
+        world = World()
+        world.primary.is_down = True
+
+        async def read_members(service):
+            world.far.drops_connections = True
+            return world.cluster.members(service)
+
+        world.coordination.read_members = read_members
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == []
+
+
+class TestLeavingReplica:
+    def test_leaving_replica_takes_over_if_it_alone_has_the_newest_log(self):
+        # Guards against waiting until the only copy of a commit has left.
+        world = World()
+        world.primary.is_down = True
+        world.far.set_received(position(1, 11))
+        world.cluster.endpoints[EndpointId("far")] = entry(
+            "far", zone="b", state=EndpointState.LEAVING
+        )
+        assert world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == [("far", 7)]
+
+
 class TestInterruptedFailover:
     def test_endpoint_that_is_primary_already_is_kept(self):
         # Guards against a second promotion after the first one's answer was lost.
@@ -207,9 +411,92 @@
         assert world.group.primary == "near"
 
 
+class TestUnansweredPromotion:
+    """Guards against a second promotion while the first may still take effect."""
+
+    def setup_method(self):
+        self.world = World()
+        self.world.primary.is_down = True
+        self.world.promoter.is_unanswered = True
+        assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+
+    def test_successor_is_stored_before_the_call(self):
+        # Guards against a next leader that doesn't know of the call.
+        assert self.world.group.phase is GroupPhase.MOVING
+        assert self.world.group.successor == "near@0"
+
+    def test_next_attempt_promotes_the_same_endpoint(self):
+        self.world.promoter.is_unanswered = False
+        self.world.far.set_received(position(1, 15))
+        assert self.world.replace_primary(FailoverCause.INTERRUPTED)
+        assert self.world.promoter.calls == [("near", 7), ("near", 7)]
+        assert self.world.group.successor is None
+
+    def test_former_primary_is_not_used_again(self):
+        # Guards against acknowledged writes at a primary whose successor is promoted
+        # late.
+        self.world.promoter.is_unanswered = False
+        self.world.near.is_down = True
+        self.world.primary.is_down = False
+        assert not self.world.replace_primary(FailoverCause.INTERRUPTED)
+        assert self.world.group.phase is GroupPhase.MOVING
+        assert self.world.promoter.calls == [("near", 7)]
+
+    def test_successor_that_has_left_is_replaced(self):
+        # Guards against a service without a primary for good.
+        self.world.promoter.is_unanswered = False
+        self.world.primary.is_down = False
+        self.world.near.is_down = True
+        del self.world.cluster.endpoints[EndpointId("near")]
+        assert self.world.replace_primary(FailoverCause.INTERRUPTED)
+        assert self.world.group.primary == "far"
+
+    def test_time_of_the_call_is_known_to_a_planned_stop(self):
+        # Guards against releasing the leadership while a slow platform may still read
+        # the call.
+        world = World()
+        assert world.failover.unanswered_at_s == float("-inf")
+        assert self.world.failover.unanswered_at_s > 0
+
+
 class TestHandOver:
     """Guards against two leaders whose promotions cross on the way."""
 
+    def test_attempt_ends_with_the_leadership_in_which_it_began(self):
+        # Guards against a failover that goes on under the token of a later leadership.
+        world = World()
+
+        def lose_and_regain_lease():
+            world.coordination.token = 9
+
+        world.coordination.during_barrier = lose_and_regain_lease
+        assert not world.replace_primary(FailoverCause.LEAVING)
+        assert world.promoter.calls == []
+
+    def test_call_is_not_sent_after_the_lease_was_lost_while_connecting(self):
+        # Guards against a lower fencing token after a higher one: a VM that is paused
+        # while it connects sends its request when it goes on.
+        world = World()
+
+        def lose_lease():
+            world.coordination.token = None
+
+        world.promoter.before_send = lose_lease
+        assert not world.replace_primary(FailoverCause.LEAVING)
+        assert world.promoter.calls == []
+
+    def test_former_leader_does_not_resume_replicas(self):
+        # Guards against commits through a replica that the next leader has paused.
+        world = World()
+        world.primary.is_down = True
+
+        def lose_lease():
+            world.coordination.token = None
+
+        world.promoter.before_send = lose_lease
+        world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.near.paused_term == world.far.paused_term == 2
+
     def test_call_to_the_platform_is_visible_until_it_ends(self):
         async def scenario(world: World) -> list[bool]:
             seen = [world.failover.has_no_calls.is_set()]
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -207,16 +207,16 @@
         """Return how long a barrier takes, in seconds."""
 
         async def wait() -> float:
-            world.leader.epoch_acknowledged = asyncio.Event()
+            world.leader.barrier.epoch_acknowledged = asyncio.Event()
             started_at_s = world.clock.now_s()
-            await world.leader.wait_applied(moving(1), timeout_s)
+            await world.leader.barrier.wait(moving(1), timeout_s)
             return world.clock.now_s() - started_at_s
 
         return asyncio.run(wait())
 
     def test_barrier_ends_when_all_vms_have_applied_the_epoch(self):
         world = World(SystemClock())
-        world.leader.applied_epochs[OTHER, SERVICE] = 1
+        world.leader.barrier.applied_epochs[OTHER, SERVICE] = 1
         assert self.measure_barrier(world, 30.0) < 30.0
 
     def test_barrier_waits_for_an_unresponsive_vm(self):
@@ -228,7 +228,7 @@
         # its confirmation of the group states outlives its removal from the list.
         world = World(SystemClock())
         del world.vms[OTHER]
-        world.leader.record_removed(OTHER)
+        world.leader.barrier.record_removed(OTHER)
         assert self.measure_barrier(world, 0.3) >= 0.29
 
     def test_barrier_waits_for_a_vm_that_reports_but_is_not_registered_again(self):
--- /dev/null
+++ b/tests/test_log_holders.py
@@ -0,0 +1,224 @@
+"""Log holders: what a failover must know, and how the leader keeps it."""
+
+import asyncio
+
+import pytest
+
+from ebonyladder.kernel.clock import SystemClock
+from ebonyladder.sessions.connection import EndpointStatus
+from ebonyladder.sessions.fleet import log_holder_keeper
+from ebonyladder.sessions.fleet.log_holder_keeper import LogHolderKeeper
+from ebonyladder.sessions.log_holders import LogHolders, is_covered
+from ebonyladder.sessions.log_survey import LogSurvey
+from ebonyladder.sessions.objects import LOG_HOLDERS
+from ebonyladder.types import EndpointId, EndpointProcess, Role, Term
+from tests.session_fakes import (
+    SERVICE,
+    FakeConnector,
+    cluster,
+    entry,
+    fake_endpoints,
+    position,
+)
+from tests.store_fakes import MemoryStore
+
+HOLDERS = LogHolders(
+    service=SERVICE, endpoints=(entry("a"), entry("b"), entry("primary"))
+)
+PRIMARY = EndpointProcess("primary@0")
+
+
+def status(role: Role, number: int) -> EndpointStatus:
+    """Return a status with a log position of the first term."""
+    return EndpointStatus(role=role, term=Term(1), received=position(1, number))
+
+
+class TestHolders:
+    def test_endpoint_that_starts_again_is_another_holder(self):
+        # Guards against taking an empty log for that of the process before.
+        listed = [entry("a", process_started_at_ms=9), entry("b"), entry("primary")]
+        holders = HOLDERS.with_listed(listed)
+        assert len(holders.endpoints) == 4
+        assert [e.process for e in holders.departed(listed)] == ["a@0"]
+
+    def test_only_the_latest_process_can_be_asked(self):
+        # Guards against an answer of the new process in the name of the old one.
+        holders = HOLDERS.with_listed([entry("a", process_started_at_ms=9)])
+        assert {e.process for e in holders.latest} == {"a@9", "b@0", "primary@0"}
+
+
+class TestCoverage:
+    """Guards against forgetting a departed replica whose commits no other one has."""
+
+    @pytest.mark.parametrize(
+        ("primary", "replicas", "expected"),
+        [
+            (status(Role.PRIMARY, 10), [10, 4], True),
+            (status(Role.PRIMARY, 10), [9, 4], False),
+            (status(Role.REPLICA, 10), [10], False),
+            (None, [10], False),
+            (status(Role.PRIMARY, 10), [], False),
+        ],
+    )
+    def test_a_replica_must_hold_what_the_primary_held(
+        self, primary, replicas, expected
+    ):
+        statuses = [status(Role.REPLICA, number) for number in replicas]
+        assert is_covered(primary, statuses) is expected
+
+
+class TestSurvey:
+    """Guards against a promotion without proof that its log is complete."""
+
+    @pytest.mark.parametrize(
+        ("received", "lost", "expected"),
+        [
+            # All replicas answered: what none has received was never acknowledged.
+            ({"a@0": 7, "b@0": 9}, (), 9),
+            ({"a@0": 7, "b@0": 9, "primary@0": 12}, (), 9),
+            # A replica is missing: only the primary's log is complete.
+            ({"a@0": 7, "primary@0": 12}, (), 12),
+            ({"a@0": 7}, (), None),
+            ({"a@0": 7}, ("b@0",), None),
+            ({"a@0": 7}, ("b@0", "primary@0"), 7),
+            # A service with one database.
+            ({"primary@0": 12}, (), 12),
+            ({}, ("a@0", "b@0", "primary@0"), None),
+        ],
+    )
+    def test_required_position(self, received, lost, expected):
+        survey = LogSurvey(
+            primary=PRIMARY,
+            holders={e.process: e for e in HOLDERS.endpoints},
+            received={
+                EndpointProcess(p): position(1, number)
+                for p, number in received.items()
+            },
+            lost=frozenset(map(EndpointProcess, lost)),
+        )
+        required = survey.required_position()
+        assert required == (None if expected is None else position(1, expected))
+
+
+class World:
+    """Keeper of a leader over endpoints in memory."""
+
+    def __init__(self) -> None:
+        self.clock = SystemClock()
+        self.cluster = cluster(self.clock)
+        self.primary, self.near, self.far = fake_endpoints()
+        self.store = MemoryStore()
+        self.connector = FakeConnector(self.primary, self.near, self.far)
+        self.keeper = self.new_keeper()
+
+    def new_keeper(self) -> LogHolderKeeper:
+        """Return the keeper of a leader that knows nothing yet."""
+        return LogHolderKeeper(
+            cluster=self.cluster,
+            store=self.store,
+            connector=self.connector,
+            clock=self.clock,
+        )
+
+    def update(self, *, may_remove: bool = True) -> None:
+        """Update the holders of the service."""
+        asyncio.run(self.keeper.update(SERVICE, may_remove=may_remove))
+
+    def stored(self) -> list[str]:
+        """Return the stored processes."""
+        content = self.store.objects[LOG_HOLDERS, SERVICE].content
+        return sorted(f"{e['id']}@{e.get('born_ms', 0)}" for e in content["endpoints"])
+
+
+class TestKeeper:
+    @pytest.fixture
+    def world(self, monkeypatch) -> World:
+        """Return a keeper whose holders are stored."""
+        monkeypatch.setattr(log_holder_keeper, "CATCH_UP_TIMEOUT_S", 0.0)
+        world = World()
+        world.update()
+        return world
+
+    def depart(self, world: World, name: str) -> None:
+        """Let an endpoint leave."""
+        del world.cluster.endpoints[EndpointId(name)]
+        del world.connector.endpoints[EndpointId(name)]
+
+    def test_listed_endpoints_are_stored_once(self, world):
+        # Guards against a billed call for each check of the leader.
+        assert world.stored() == ["far@0", "near@0", "primary@0"]
+        assert world.keeper.due() == []
+        world.update()
+        assert world.store.writes == 1
+
+    def test_departed_replica_stays_until_another_one_has_its_commits(self, world):
+        # review/1: commits that only the departed replica had acknowledged.
+        world.primary.set_received(position(1, 12))
+        self.depart(world, "far")
+        world.update()
+        assert "far@0" in world.stored()
+        world.near.set_received(position(1, 12))
+        world.update()
+        assert world.stored() == ["near@0", "primary@0"]
+
+    def test_next_leader_knows_the_departed_replica(self, world):
+        # Guards against a rule that ends with the leader that knew of the departure.
+        world.primary.is_down = True
+        self.depart(world, "far")
+        world.update()
+        keeper = world.new_keeper()
+        assert asyncio.run(keeper.load())
+        processes = {e.process for e in keeper.current(SERVICE).endpoints}
+        assert "far@0" in processes
+
+    def test_replica_that_answers_although_unlisted_stays(self, world):
+        # Guards against an entry that expired while its replica goes on receiving.
+        del world.cluster.endpoints[EndpointId("far")]
+        world.update()
+        assert "far@0" in world.stored()
+
+    def test_nothing_is_removed_by_an_outdated_list(self, world):
+        self.depart(world, "far")
+        world.update(may_remove=False)
+        assert "far@0" in world.stored()
+
+    def test_store_that_does_not_answer_is_tried_again(self, world):
+        # Guards against a holder that is never stored after an outage.
+        world.cluster.endpoints[EndpointId("new")] = entry("new")
+        world.store.is_down = True
+        world.update()
+        world.store.is_down = False
+        world.keeper.next_update_at_s.clear()
+        assert world.keeper.due() == [SERVICE]
+        world.update()
+        assert "new@0" in world.stored()
+
+    def test_change_by_another_leader_is_read_before_the_next_write(self, world):
+        # Guards against overwriting the holders of a leader that followed.
+        other = world.new_keeper()
+        asyncio.run(other.load())
+        world.cluster.endpoints[EndpointId("new")] = entry("new")
+        asyncio.run(other.update(SERVICE, may_remove=True))
+        del world.cluster.endpoints[EndpointId("new")]
+        world.cluster.endpoints[EndpointId("second")] = entry("second")
+        world.update(may_remove=False)
+        world.update(may_remove=False)
+        assert {"new@0", "second@0"} <= set(world.stored())
+
+    def test_invalid_entry_of_another_writer_is_replaced(self, world):
+        # Guards against a daemon that one odd entry keeps from storing the holders.
+        world.store._put(LOG_HOLDERS, SERVICE, {"endpoints": "none"})
+        world.keeper = world.new_keeper()
+        assert asyncio.run(world.keeper.load())
+        world.update()
+        assert world.stored() == ["far@0", "near@0", "primary@0"]
+
+    def test_holder_is_lost_only_after_the_timeout(self, world):
+        # Guards against promoting an old log while a primary that crashed starts again.
+        world.primary.is_down = True
+        self.depart(world, "far")
+        world.update()
+        assert world.keeper.lost(SERVICE) == frozenset()
+        process = EndpointProcess("far@0")
+        world.keeper.absent_since_s[process] -= log_holder_keeper.LOST_TIMEOUT_S
+        assert world.keeper.lost(SERVICE) == {process}
