Refuse statements of a long outage at once, and read holders beside groups

Now a service that has had no primary for three seconds, which is longer than a failover takes, refuses after 0.15 s with a Retry-After. TestOutage fails on the former source.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -28,6 +28,7 @@
 from ebonyladder.sessions.primary_positions import PositionSample, PrimaryPositions
 from ebonyladder.sessions.replica_check import ReplicaCheck
 from ebonyladder.sessions.statement_request import PinnedConnection, StatementRequest
+from ebonyladder.sessions.target_wait import TargetWait
 from ebonyladder.types import EndpointId, RequestKind
 
 # Backoff before a statement that was not run is retried.
@@ -37,9 +38,6 @@
 HEDGE_DELAY_S = 0.35
 # Without an eligible endpoint, the choice is repeated at least this often.
 PRIMARY_POLL_INTERVAL_S = 0.1
-# A VM that can't confirm its group states refuses after this time, so that the
-# caller's next attempt reaches another VM.
-STALE_GROUPS_WAIT_S = 0.15
 # Transit time of the answer to the caller.
 ANSWER_MARGIN_S = 0.02
 # Retry-After of a refusal during a failover.
@@ -86,6 +84,7 @@
         self.confirmation = CommitConfirmation(
             cluster=cluster, replica_check=replica_check, clock=clock
         )
+        self.target_wait = TargetWait(clock=clock)
         self.clock = clock
         self.cluster_changed = asyncio.Event()
         cluster.listeners.append(self._notify_changed)
@@ -409,15 +408,16 @@
                 tried=frozenset(tried),
                 is_transaction=request.is_transaction,
             )
+            service = request.route.service
             if isinstance(target, Target):
+                if target.is_primary:
+                    self.target_wait.record_primary(service)
                 return target
-            # With stale group states this VM is partitioned, and another one may
-            # serve the caller; a missing primary is missing at every VM.
-            has_stale_groups = target is NoTarget.STALE_GROUPS
-            wait_until_s = (
-                started_at_s + STALE_GROUPS_WAIT_S
-                if has_stale_groups
-                else request.deadline_s
+            wait_until_s = self.target_wait.end_s(
+                target,
+                service,
+                started_at_s=started_at_s,
+                deadline_s=request.deadline_s,
             )
             if wait_until_s - self.clock.now_s() <= PRIMARY_POLL_INTERVAL_S:
                 return target
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -348,7 +348,10 @@
     async def _load_groups(self) -> None:
         """Read the groups from the store after this VM became the leader."""
         token = self.leadership.record.token
-        if await self.log_holder_keeper.load() and await self.group_store.read_all():
+        is_read = await asyncio.gather(
+            self.log_holder_keeper.load(), self.group_store.read_all()
+        )
+        if all(is_read):
             self.leader.record_groups_loaded(token)
             logging.info("[fleet] Groups are read by the new leader. token=%d", token)
 
