Stop using a leaving primary before its drain ends

A leaving primary gets no new statement from two seconds before the end of the drain that the settings name (bounds.drain_ms, checked and reloaded). Open transactions go on. The new test of TestPrimary fails on the former source.

--- a/src/ebonyladder/platform/settings.py
+++ b/src/ebonyladder/platform/settings.py
@@ -24,6 +24,7 @@
 
 class _Bounds(msgspec.Struct, frozen=True, kw_only=True):
     grace_s: Annotated[float, msgspec.Meta(gt=0, le=3600)] = 6.0
+    drain_ms: Annotated[float, msgspec.Meta(gt=0, le=3_600_000)] = 7000.0
     quota_window_s: Annotated[float, msgspec.Meta(gt=0, le=3600)] = 5.0
     # Operations accepted above the rate limit: as a fraction of the allowed ones,
     # and as a number.
@@ -86,6 +87,7 @@
         store=Address(file.platform.address),
         promotion=Address(file.cloud.address),
         grace_s=file.bounds.grace_s,
+        drain_s=file.bounds.drain_ms / 1000,
         cores=file.limits.cpu_share * file.limits.cores,
         tolerance=Tolerance(
             window_s=file.bounds.quota_window_s,
--- a/src/ebonyladder/sessions/cluster_view.py
+++ b/src/ebonyladder/sessions/cluster_view.py
@@ -151,6 +151,8 @@
         self.owners: dict[EndpointId, Owner] = {}
         self.standbys: dict[VmId, Address] = {}
         self.endpoints_version = 0
+        # Time at which each leaving endpoint was first seen as leaving.
+        self.leaving_since_s: dict[EndpointProcess, float] = {}
         self.groups: dict[ServiceId, GroupState] = {}
         # Highest position with which a commit was acknowledged to a caller of this VM.
         self.acknowledged: dict[ServiceId, Position] = {}
@@ -198,6 +200,12 @@
             return
         self.endpoints = entries
         self.closed_zones = closed
+        now_s = self.clock.now_s()
+        self.leaving_since_s = {
+            entry.process: self.leaving_since_s.get(entry.process, now_s)
+            for entry in entries.values()
+            if entry.state is EndpointState.LEAVING
+        }
         self.endpoints_version += 1
         self.notify()
 
--- a/src/ebonyladder/sessions/endpoint_selector.py
+++ b/src/ebonyladder/sessions/endpoint_selector.py
@@ -33,6 +33,7 @@
     """Why no endpoint can serve a statement now."""
 
     NO_PRIMARY = "the service has no primary that may be used"
+    LEFT_PRIMARY = "the primary is leaving and takes no more statements"
     STALE_GROUPS = "this VM can't confirm that the primary still leads"
     PRIMARY_SUSPECT = "the primary doesn't answer"
     NO_ENDPOINT = "no endpoint of the service may be used"
@@ -52,14 +53,23 @@
         Log positions that reads must see.
     pools : PoolSet
         Health and load of the endpoints.
+    leaving_use_s : float
+        Time for which a primary is used once it is seen as leaving, in seconds. A
+        failover usually replaces it long before.
     """
 
     def __init__(
-        self, *, cluster: ClusterView, positions: PrimaryPositions, pools: PoolSet
+        self,
+        *,
+        cluster: ClusterView,
+        positions: PrimaryPositions,
+        pools: PoolSet,
+        leaving_use_s: float = float("inf"),
     ) -> None:
         self.cluster = cluster
         self.positions = positions
         self.pools = pools
+        self.leaving_use_s = leaving_use_s
 
     def choose(
         self,
@@ -104,6 +114,10 @@
         entry = self.cluster.primary(route.service)
         if entry is None or not self._is_allowed(entry, route, organisation):
             return NoTarget.NO_PRIMARY
+        now_s = self.cluster.clock.now_s()
+        leaving_since_s = self.cluster.leaving_since_s.get(entry.process, now_s)
+        if now_s - leaving_since_s >= self.leaving_use_s:
+            return NoTarget.LEFT_PRIMARY
         catalog = self.cluster.catalog
         service = catalog.services.get(route.service) if catalog else None
         # With synchronous replicas a single write may rely on older group states, since
--- a/src/ebonyladder/sessions/plugins/sessions.py
+++ b/src/ebonyladder/sessions/plugins/sessions.py
@@ -25,6 +25,9 @@
 # Interval at which suspected endpoints are probed and idle connections trimmed, in
 # seconds.
 MAINTENANCE_INTERVAL_S = 0.25
+# A leaving primary is used until this long before its drain ends, in seconds: the list
+# of endpoints arrives late, and a statement waits for a connection.
+LEAVING_MARGIN_S = 2.0
 
 
 class SessionFactory(ABC):
@@ -79,11 +82,15 @@
                 endpoint in self.pools.pools and self.pools.get(endpoint).is_local
             ),
         )
+        self.selector = EndpointSelector(
+            cluster=self.cluster,
+            positions=positions,
+            pools=self.pools,
+            leaving_use_s=self._leaving_use_s(),
+        )
         self.executor = Executor(
             cluster=self.cluster,
-            selector=EndpointSelector(
-                cluster=self.cluster, positions=positions, pools=self.pools
-            ),
+            selector=self.selector,
             pools=self.pools,
             positions=positions,
             replica_check=self.replica_check,
@@ -91,6 +98,14 @@
         )
         self.kernel.supervise(self._maintain_pools, name="pool-maintenance")
 
+    def reload(self) -> None:
+        """Apply a changed time of drains."""
+        self.selector.leaving_use_s = self._leaving_use_s()
+
+    def _leaving_use_s(self) -> float:
+        drain_s = self.kernel.settings.drain_s
+        return max(drain_s - LEAVING_MARGIN_S, drain_s / 2)
+
     async def stop(self) -> None:
         """Close the connections to endpoints and the channels to owners."""
         self.replica_check.close()
--- a/src/ebonyladder/sessions/reload.py
+++ b/src/ebonyladder/sessions/reload.py
@@ -12,7 +12,7 @@
 
 # The others name addresses that are bound at the start, or the VM itself, by which
 # other VMs know it.
-RELOADABLE = frozenset({"grace_s", "tolerance", "store", "promotion"})
+RELOADABLE = frozenset({"grace_s", "drain_s", "tolerance", "store", "promotion"})
 # Interval at which the settings file is read without a signal, in seconds.
 CHECK_INTERVAL_S = 5.0
 
--- a/src/ebonyladder/sessions/settings.py
+++ b/src/ebonyladder/sessions/settings.py
@@ -31,6 +31,9 @@
         Address of the platform call that promotes an endpoint.
     grace_s : float
         Grace period from SIGTERM until the process is killed, in seconds.
+    drain_s : float
+        Time within which an endpoint gets its last statement after its report that it
+        leaves, in seconds.
     cores : float
         Processor cores that this VM may use.
     tolerance : Tolerance
@@ -47,5 +50,6 @@
     store: Address
     promotion: Address
     grace_s: float = 6.0
+    drain_s: float = 7.0
     cores: float = 1.0
     tolerance: Tolerance = Tolerance()
--- a/src/ebonyladder/sessions/target_wait.py
+++ b/src/ebonyladder/sessions/target_wait.py
@@ -11,7 +11,7 @@
 # one within a statement's timeout, in seconds.
 LONG_OUTAGE_S = 3.0
 # Reasons that hold at every VM.
-OUTAGES = (NoTarget.NO_PRIMARY, NoTarget.PRIMARY_SUSPECT)
+OUTAGES = (NoTarget.NO_PRIMARY, NoTarget.LEFT_PRIMARY, NoTarget.PRIMARY_SUSPECT)
 
 
 class TargetWait:
--- a/tests/test_endpoint_selector.py
+++ b/tests/test_endpoint_selector.py
@@ -13,12 +13,13 @@
 )
 from ebonyladder.sessions.pool import PoolSet
 from ebonyladder.sessions.primary_positions import PositionSample, PrimaryPositions
-from ebonyladder.types import EndpointId, RequestKind, ZoneId
+from ebonyladder.types import EndpointId, EndpointState, RequestKind, Role, ZoneId
 from tests.session_fakes import (
     SERVICE,
     FakeConnector,
     catalog,
     cluster,
+    entry,
     fake_endpoints,
     position,
     route,
@@ -96,6 +97,21 @@
         world.clock.advance(GROUP_STATE_TTL_S + 0.01)
         assert world.choose(Consistency.PRIMARY, WRITE) is NoTarget.STALE_GROUPS
 
+    def test_leaving_primary_is_not_used_to_the_end_of_its_drain(self, world):
+        # Guards against statements that reach an endpoint after its drain, if no
+        # failover could replace it meanwhile.
+        world.selector.leaving_use_s = 5.0
+        leaving = entry(
+            "primary", role=Role.PRIMARY, zone="b", state=EndpointState.LEAVING
+        )
+        world.cluster.apply_endpoints({**world.cluster.endpoints, leaving.id: leaving})
+        world.clock.advance(4.9)
+        world.cluster.record_groups_confirmed(world.clock.now_s())
+        assert world.choose(Consistency.PRIMARY, WRITE) == "primary"
+        world.cluster.apply_endpoints({**world.cluster.endpoints, "x": entry("x")})
+        world.clock.advance(0.2)
+        assert world.choose(Consistency.PRIMARY, WRITE) is NoTarget.LEFT_PRIMARY
+
     def test_moving_group_has_no_primary(self, world):
         # Guards against reads at the old primary once this VM has acknowledged the
         # failover.
--- a/tests/test_platform_command_line.py
+++ b/tests/test_platform_command_line.py
@@ -69,6 +69,7 @@
             (("10.1.0.26:8460", "nonsense"), "bind_addresses.ready"),
             (("7575]", "7]"), "internal_ports"),
             (("grace_s = 6", "grace_s = 0"), "bounds.grace_s"),
+            (("grace_s = 6", "grace_s = 6\ndrain_ms = -1"), "bounds.drain_ms"),
             (
                 ("[zones]", "x = " + "[" * 9_000 + "]" * 9_000 + "\n[zones]"),
                 "recursion",
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -54,13 +54,20 @@
             store=Address("127.0.0.1:9"),
             promotion=Address("127.0.0.1:9"),
             grace_s=9.0,
+            drain_s=9.0,
             cores=9.0,
             tolerance=Tolerance(operations=9.0),
         )
         plan = plan_reload(ACTIVE, others)
         names = {*plan.applied, *plan.refused}
         assert names == set(ACTIVE.__struct_fields__)
-        assert set(plan.applied) == {"grace_s", "tolerance", "store", "promotion"}
+        assert set(plan.applied) == {
+            "grace_s",
+            "drain_s",
+            "tolerance",
+            "store",
+            "promotion",
+        }
 
     def test_refused_changes_leave_the_active_settings(self):
         plan = plan_reload(ACTIVE, changed(peer=Address("127.0.0.1:9"), grace_s=9.0))
