--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,6 +17,9 @@
 
 # Time after the last fault within which the fleet must serve again.
 RECOVERY_TIMEOUT_S = 15.0
+# The same for each service: a failover waits for databases that may have the only copy
+# of a commit until they have been gone for 20 s.
+SERVICE_TIMEOUT_S = 30.0
 CLIENTS = 6
 
 
@@ -49,6 +52,7 @@
         await _wait_until_served(history, "at the start")
         await faults.run(duration_s, mean_gap_s)
         await _wait_until_served(history, "after the faults")
+        await _wait_until_all_served(history)
     finally:
         for client in clients:
             client.is_stopping = True
@@ -72,6 +76,19 @@
     history.findings.append(f"not served {when}")
 
 
+async def _wait_until_all_served(history: History) -> None:
+    """Wait until writes of each service succeed; record a finding for one that fails."""
+    counts_before = history.writes_by_service()
+    end_at_s = time.monotonic() + SERVICE_TIMEOUT_S
+    missing = {f"s{index}" for index in range(SERVICE_COUNT)}
+    while missing and time.monotonic() < end_at_s:
+        await asyncio.sleep(0.1)
+        counts = history.writes_by_service()
+        missing = {s for s in missing if counts[s] <= counts_before[s]}
+    for service in sorted(missing):
+        history.findings.append(f"service {service} is not served after the faults")
+
+
 def run(
     seeds: int = 1,
     first: int = 1,
--- a/soak/history.py
+++ b/soak/history.py
@@ -28,6 +28,10 @@
         self.acknowledged_items.add((key, str(value)))
         self.counts["writes"] += 1
 
+    def writes_by_service(self) -> Counter[str]:
+        """Return the number of acknowledged writes by the prefix of their keys."""
+        return Counter(key.partition("-")[0] for key, _ in self.acknowledged_items)
+
     def check_read(self, route: str, key: str, seen: str, min_value: int) -> None:
         """Check a read that began after ``min_value`` was acknowledged."""
         value = int(seen or 0)
