--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -77,7 +77,7 @@
 
 
 async def _wait_until_all_served(history: History) -> None:
-    """Wait until writes of each service succeed; record a finding for one that fails."""
+    """Wait until writes of each service succeed; record a finding otherwise."""
     counts_before = history.writes_by_service()
     end_at_s = time.monotonic() + SERVICE_TIMEOUT_S
     missing = {f"s{index}" for index in range(SERVICE_COUNT)}
