Ask the nearest replica first, and keep answers that arrive late

A question to a replica whose answer took longer than the wait for it was asked again and again, so a commit in need of proof wasn't reported before its deadline. Answers are kept now.

--- a/src/ebonyladder/sessions/commit_confirmation.py
+++ b/src/ebonyladder/sessions/commit_confirmation.py
@@ -42,6 +42,9 @@
 # may have waited meanwhile.
 IDLE_S = 1.0
 POLL_INTERVAL_S = 0.05
+# Longest wait for the answers of replicas before the group states are looked at again,
+# in seconds: two round trips between regions, and the wait for a slot.
+PROOF_WAIT_S = 0.2
 
 
 class CommitStatus(Enum):
@@ -152,7 +155,7 @@
             )
             remaining_s = deadline_s - self.clock.now_s()
             if status is CommitStatus.UNCONFIRMED and remaining_s > 0:
-                wait_s = min(remaining_s, POLL_INTERVAL_S)
+                wait_s = min(remaining_s, PROOF_WAIT_S)
                 if await self.replica_check.holds(sent.endpoint, position, wait_s):
                     flow.needs_proof = False
                     status = CommitStatus.DURABLE
@@ -188,7 +191,7 @@
         """
         flow = self._record_answer(sent, self.clock.now_s())
         while flow.needs_proof and self.clock.now_s() < deadline_s:
-            if await self.replica_check.holds(sent.endpoint, position, POLL_INTERVAL_S):
+            if await self.replica_check.holds(sent.endpoint, position, PROOF_WAIT_S):
                 flow.needs_proof = False
             else:
                 await asyncio.sleep(POLL_INTERVAL_S)
--- a/src/ebonyladder/sessions/replica_check.py
+++ b/src/ebonyladder/sessions/replica_check.py
@@ -1,6 +1,7 @@
 """Asks replicas whether they hold a commit."""
 
 import asyncio
+from asyncio import FIRST_COMPLETED
 from collections.abc import Callable
 
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry
@@ -9,9 +10,9 @@
 from ebonyladder.types import EndpointId, EndpointProcess, Position, Role
 
 # Connections to replicas are closed after this time without a question, in seconds.
-IDLE_TIMEOUT_S = 2.0
+IDLE_TIMEOUT_S = 5.0
 
-Question = asyncio.Task[EndpointStatus | None]
+Question = asyncio.Task[None]
 
 
 class ReplicaCheck:
@@ -42,6 +43,8 @@
         self.is_local = is_local
         self.control = EndpointControl(connector=connector)
         self.questions: dict[EndpointProcess, Question] = {}
+        # Last answers, since one may arrive after the wait for it has ended.
+        self.latest: dict[EndpointProcess, EndpointStatus] = {}
         self.closing: asyncio.TimerHandle | None = None
 
     def can_ask(self, primary: EndpointId) -> bool:
@@ -65,27 +68,43 @@
         """
         if position is None or not self.can_ask(primary):
             return False
-        listed = self.cluster.endpoints_when_confirmed
-        entry = listed[primary]
-        questions = {
-            self._ask(e)
-            for e in listed.values()
-            if e.service == entry.service and e.id != primary
-        }
-        loop = asyncio.get_running_loop()
-        end_at_s = loop.time() + timeout_s
-        while questions:
-            answered, questions = await asyncio.wait(
-                questions,
-                timeout=max(end_at_s - loop.time(), 0),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            if any(self._has(q.result(), position) for q in answered):
-                return True
-            if not answered:
-                return False
+        replicas = self._replicas(primary)
+        if self._is_held(replicas, position):
+            return True
+        # The nearest replica usually has the commit, so the others are spared.
+        for asked in (replicas[:1], replicas):
+            pending = {self._ask(entry) for entry in asked}
+            end_at_s = asyncio.get_running_loop().time() + timeout_s / 2
+            while pending:
+                remaining_s = end_at_s - asyncio.get_running_loop().time()
+                answered, pending = await asyncio.wait(
+                    pending, timeout=max(remaining_s, 0), return_when=FIRST_COMPLETED
+                )
+                if self._is_held(replicas, position):
+                    return True
+                if not answered:
+                    break
         return False
 
+    def _replicas(self, primary: EndpointId) -> list[EndpointEntry]:
+        """Return the replicas listed at the last confirmation, the nearest first."""
+        listed = self.cluster.endpoints_when_confirmed
+        service = listed[primary].service
+        own_zone = self.cluster.zone
+        own_region = self.cluster.region(own_zone)
+        return sorted(
+            (e for e in listed.values() if e.service == service and e.id != primary),
+            key=lambda e: (
+                e.zone != own_zone,
+                self.cluster.region(e.zone) != own_region,
+                e.id,
+            ),
+        )
+
+    def _is_held(self, replicas: list[EndpointEntry], position: Position) -> bool:
+        """Tell whether a replica's last answer has a position."""
+        return any(self._has(self.latest.get(e.process), position) for e in replicas)
+
     def close(self) -> None:
         """Close all connections."""
         if self.closing is not None:
@@ -108,11 +127,11 @@
         """Return the question to a replica that is under way, or a new one."""
         question = self.questions.get(entry.process)
         if question is None or question.done():
-            question = asyncio.create_task(self._status(entry))
+            question = asyncio.create_task(self._request_status(entry))
             self.questions[entry.process] = question
         return question
 
-    async def _status(self, entry: EndpointEntry) -> EndpointStatus | None:
+    async def _request_status(self, entry: EndpointEntry) -> None:
         if self.closing is not None:
             self.closing.cancel()
         loop = asyncio.get_running_loop()
@@ -121,9 +140,13 @@
         if entry.process not in self.control.endpoints:
             await self.control.probe([entry])
             found = self.control.endpoints.get(entry.process)
-            return found.status if found is not None else None
-        return await self.control.status(entry.process)
+            status = found.status if found is not None else None
+        else:
+            status = await self.control.status(entry.process)
+        if status is not None:
+            self.latest[entry.process] = status
 
     def _close_idle(self) -> None:
         self.control.close()
         self.questions.clear()
+        self.latest.clear()
