Stop the soak's clients after a refused BEGIN

Trace: BEGIN was refused as overloaded, the client sent its WRITE all the same, which then was a single statement, and its timeout promises nothing; the client counted it as an error inside of a transaction, which does. The client now ends with the refused BEGIN, whose promise is checked as before.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -85,8 +85,9 @@
         value = self.value
         self.history.attempted[self.name] = value
         if self.random.random() < 0.3:
-            await _query(client, "BEGIN")
-            first = await _query(client, f"WRITE {self.name} {value}")
+            first = await _query(client, "BEGIN")
+            if not first[0].startswith("ERROR"):
+                first = await _query(client, f"WRITE {self.name} {value}")
             if first[0].startswith("ERROR"):
                 await _query(client, "ROLLBACK")
                 self.history.reported_not_applied.add(f"{self.name}={value}")
