--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,7 +12,7 @@
 
 from soak.clients import SoakClient
 from soak.faults import Faults
-from soak.fleet import SERVICE_COUNT, SoakFleet
+from soak.fleet import NOTICE_S, SERVICE_COUNT, SoakFleet
 from soak.history import History
 
 # Time after the last fault within which the fleet must serve again.
@@ -53,6 +53,8 @@
         await faults.run(duration_s, mean_gap_s)
         await _wait_until_served(history, "after the faults")
         await _wait_until_all_served(history)
+        # A replaced primary goes on for this long after it reaches the new one.
+        await asyncio.sleep(2 * NOTICE_S)
     finally:
         for client in clients:
             client.is_stopping = True
