--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -3,10 +3,20 @@
 import asyncio
 
 import msgspec
+import pytest
 
 from ebonyladder.kernel.clock import ManualClock, SystemClock
-from ebonyladder.sessions.cluster_view import GroupPhase, GroupState, VmEntry
-from ebonyladder.sessions.fleet.failure_detector import FailureDetector
+from ebonyladder.sessions.cluster_view import (
+    AcknowledgedRange,
+    GroupPhase,
+    GroupState,
+    VmEntry,
+)
+from ebonyladder.sessions.fleet.failure_detector import (
+    FAILOVER_BACKOFF_S,
+    FAILOVER_COOLDOWN_S,
+    FailureDetector,
+)
 from ebonyladder.sessions.fleet.leader import Leader
 from ebonyladder.sessions.fleet.leadership import Leadership
 from ebonyladder.sessions.fleet.shares import EQUAL_FRACTION
@@ -18,11 +28,13 @@
     Address,
     ConfigurationVersion,
     EndpointId,
+    EndpointState,
     Incarnation,
+    Role,
     VmId,
     ZoneId,
 )
-from tests.session_fakes import ORGANISATION, SERVICE, cluster
+from tests.session_fakes import ORGANISATION, SERVICE, cluster, entry, position
 
 ADDRESS = Address("127.0.0.1:1")
 OTHER = VmId("vm-2")
@@ -241,3 +253,70 @@
         assert self.measure_barrier(world, 0.3) >= 0.29
         world.leader.answer(report(epochs={SERVICE: 1}))
         assert self.measure_barrier(world, 30.0) < 30.0
+
+
+class TestWhatCallersWereTold:
+    """Guards against a failover that takes silence for nothing told."""
+
+    SINCE_S = 5.0
+
+    def setup_method(self):
+        self.world = World()
+        self.world.lead()
+        self.world.clock.advance(100.0)
+        self.barrier = self.world.leader.barrier
+
+    def tell(self, number: int, *, epoch: int = 1, up_s: float = 60.0) -> None:
+        """Report the last commit of the other VM's callers under an epoch."""
+        told = AcknowledgedRange(lower=position(1, number), upper=position(1, number))
+        self.world.leader.answer(
+            report(epochs={SERVICE: epoch}, acknowledged={SERVICE: told}, up_s=up_s)
+        )
+
+    def have_all_told(self) -> bool:
+        """Tell whether all VMs told, of which none may have started lately."""
+        since_s = self.world.clock.now_s() - self.SINCE_S
+        return self.barrier.have_all_told(moving(1), since_s=since_s)
+
+    def test_last_commit_of_all_vms_counts(self):
+        own = AcknowledgedRange(lower=position(1, 9), upper=position(1, 11))
+        self.world.cluster.record_acknowledged(SERVICE, own)
+        self.tell(10)
+        found = self.barrier.acknowledged(SERVICE)
+        assert (found.lower, found.upper) == (position(1, 10), position(1, 11))
+        assert self.have_all_told()
+
+    def test_vm_that_has_not_applied_the_group_state_has_not_told(self):
+        assert not self.have_all_told()
+        self.tell(10, epoch=0)
+        assert not self.have_all_told()
+        assert self.barrier.acknowledged(SERVICE).lower == position(1, 10)
+
+    def test_vm_that_was_started_since_may_have_forgotten(self):
+        self.tell(10, up_s=self.SINCE_S - 1.0)
+        assert not self.have_all_told()
+
+    def test_vm_that_was_removed_lately_has_not_told(self):
+        self.tell(10)
+        self.barrier.record_removed(VmId("vm-9"))
+        assert not self.have_all_told()
+
+
+class TestFailoverBackoff:
+    """Guards against a primary that leaves before it is replaced."""
+
+    @pytest.mark.parametrize(
+        ("state", "expected"),
+        [
+            (EndpointState.ACTIVE, FAILOVER_COOLDOWN_S),
+            (EndpointState.LEAVING, FAILOVER_BACKOFF_S),
+        ],
+    )
+    def test_leaving_primary_is_replaced_without_the_cooldown(self, state, expected):
+        world = World()
+        primary = entry("primary", role=Role.PRIMARY, zone="b", state=state)
+        world.cluster.endpoints[primary.id] = primary
+        detector = world.leader.failure_detector
+        detector.record_attempt(SERVICE, is_replaced=True)
+        pause_s = detector.next_attempt_at_s[SERVICE] - world.clock.now_s()
+        assert pause_s == pytest.approx(expected)
