Log what a failover read, when, and which rule allowed the promotion

Cause: the record of the incident names the promoted databases, but not which logs the leader had read, how old its answers were, which branch of the survey decided, or which log holders had been dropped. A log that was passed over, a holder that was dropped and an old survey look the same in it.

Change: 'Logs are surveyed.' has the basis of the decision, unlisted and missing holders, what callers were told and the last answer of each holder with its age; 'Failover begins.' the stored holders, 'Log holders are dropped.' the evidence, the barrier the VMs' bounds with their ages, and a control call its kind. No decision is changed.

--- a/src/ebonyladder/sessions/endpoint_control.py
+++ b/src/ebonyladder/sessions/endpoint_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Iterable
+from enum import Enum
 
 import msgspec
 from absl import logging
@@ -29,6 +30,32 @@
     status: EndpointStatus
 
 
+class ControlCall(Enum):
+    """Call to an endpoint over a control connection."""
+
+    STATUS = "status"
+    PAUSE = "pause"
+    RESUME = "resume"
+    STEP_DOWN = "step-down"
+
+
+class ControlAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Last answer of an endpoint, and the loop's time at which it arrived."""
+
+    call: ControlCall
+    status: EndpointStatus
+    answered_at_s: float
+
+    def __str__(self) -> str:
+        """Return the answer for a log line, with its age."""
+        age_s = asyncio.get_running_loop().time() - self.answered_at_s
+        status = self.status
+        return (
+            f"{self.call.value}/{status.role.value}/{status.term}/"
+            f"{status.received}/{age_s:.2f}s"
+        )
+
+
 class EndpointControl:
     """Connections to the endpoints that answered, one for each.
 
@@ -44,11 +71,17 @@
     ----------
     endpoints : dict of EndpointProcess to ProbedEndpoint
         Endpoints that answered the first call.
+    answers : dict of EndpointProcess to ControlAnswer
+        Last answer of each endpoint.
+    failures : dict of EndpointProcess to str
+        Why the last call to an endpoint failed.
     """
 
     def __init__(self, *, connector: EndpointConnector) -> None:
         self.connector = connector
         self.endpoints: dict[EndpointProcess, ProbedEndpoint] = {}
+        self.answers: dict[EndpointProcess, ControlAnswer] = {}
+        self.failures: dict[EndpointProcess, str] = {}
 
     async def probe(self, entries: Iterable[EndpointEntry]) -> None:
         """Connect to endpoints and request their statuses."""
@@ -57,7 +90,8 @@
     async def statuses(self) -> dict[EndpointProcess, EndpointStatus]:
         """Return the current status of each endpoint that still answers."""
         return await self._call_all(
-            {p: probe.connection.status() for p, probe in self._open().items()}
+            ControlCall.STATUS,
+            {p: probe.connection.status() for p, probe in self._open().items()},
         )
 
     async def pause(
@@ -66,14 +100,16 @@
         """Stop replicas from receiving the log; return the statuses of those paused."""
         opened = self._open()
         return await self._call_all(
-            {p: opened[p].connection.pause(term) for p in processes if p in opened}
+            ControlCall.PAUSE,
+            {p: opened[p].connection.pause(term) for p in processes if p in opened},
         )
 
     async def resume(self, processes: Iterable[EndpointProcess]) -> None:
         """Let replicas receive the log again."""
         opened = self._open()
         await self._call_all(
-            {p: opened[p].connection.resume() for p in processes if p in opened}
+            ControlCall.RESUME,
+            {p: opened[p].connection.resume() for p in processes if p in opened},
         )
 
     async def step_down(
@@ -81,12 +117,24 @@
     ) -> EndpointStatus | None:
         """Make a primary a replica; None if it doesn't answer."""
         return await self._call(
-            process, self.endpoints[process].connection.step_down(term)
+            process,
+            ControlCall.STEP_DOWN,
+            self.endpoints[process].connection.step_down(term),
         )
 
     async def status(self, process: EndpointProcess) -> EndpointStatus | None:
         """Return an endpoint's current status, None if it doesn't answer."""
-        return await self._call(process, self.endpoints[process].connection.status())
+        return await self._call(
+            process, ControlCall.STATUS, self.endpoints[process].connection.status()
+        )
+
+    def describe(self, processes: Iterable[EndpointProcess]) -> str:
+        """Return what each endpoint answered last, for a log line."""
+        return ",".join(
+            f"{process}:{self.answers.get(process, '-')}"
+            + (f"/{self.failures[process]}" if process in self.failures else "")
+            for process in sorted(processes)
+        )
 
     def discard_closed(self) -> None:
         """Forget the endpoints whose connections have ended."""
@@ -105,13 +153,16 @@
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 connection = await self.connector.open(entry, OPEN_ORGANISATION)
         except (EndpointError, TimeoutError) as error:
+            self._record_failure(entry.process, error)
             logging.info(
                 "[failover] Endpoint can't be reached. endpoint=%s error=%r",
                 entry.process,
                 error,
             )
             return
-        status = await self._call(entry.process, connection.status())
+        status = await self._call(
+            entry.process, ControlCall.STATUS, connection.status()
+        )
         if status is not None:
             self.endpoints[entry.process] = ProbedEndpoint(
                 entry=entry, connection=connection, status=status
@@ -120,24 +171,45 @@
             connection.close()
 
     async def _call_all(
-        self, calls: dict[EndpointProcess, Awaitable[EndpointStatus]]
+        self,
+        call: ControlCall,
+        running: dict[EndpointProcess, Awaitable[EndpointStatus]],
     ) -> dict[EndpointProcess, EndpointStatus]:
-        results = await asyncio.gather(*(self._call(p, c) for p, c in calls.items()))
+        results = await asyncio.gather(
+            *(self._call(p, call, answer) for p, answer in running.items())
+        )
         return {
             process: status
-            for process, status in zip(calls, results, strict=True)
+            for process, status in zip(running, results, strict=True)
             if status is not None
         }
 
-    @staticmethod
     async def _call(
-        process: EndpointProcess, call: Awaitable[EndpointStatus]
+        self,
+        process: EndpointProcess,
+        call: ControlCall,
+        answer: Awaitable[EndpointStatus],
     ) -> EndpointStatus | None:
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                return await call
+                status = await answer
         except (EndpointError, TimeoutError) as error:
+            self._record_failure(process, error)
             logging.info(
-                "[failover] Control call failed. endpoint=%s error=%r", process, error
+                "[failover] Control call failed. endpoint=%s call=%s error=%r",
+                process,
+                call.value,
+                error,
             )
             return None
+        self.failures.pop(process, None)
+        self.answers[process] = ControlAnswer(
+            call=call,
+            status=status,
+            answered_at_s=asyncio.get_running_loop().time(),
+        )
+        return status
+
+    def _record_failure(self, process: EndpointProcess, error: Exception) -> None:
+        code = error.code.value.code if isinstance(error, EndpointError) else "timeout"
+        self.failures[process] = code
--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -165,7 +165,15 @@
         begun = moving
         try:
             chosen = self._earlier_successor(attempt)
-            if chosen is None:
+            if chosen is not None:
+                logging.info(
+                    "[failover] Successor of an earlier attempt is used. service=%s "
+                    "endpoint=%s answers=%s",
+                    attempt.service,
+                    chosen.process,
+                    attempt.control.describe(attempt.by_process),
+                )
+            else:
                 chosen, inherited = await self.chooser.choose(attempt)
                 moving = msgspec.structs.replace(
                     moving, successor=chosen.process, inherited=inherited
@@ -207,12 +215,21 @@
             )
         await self.coordination.write_group(moving)
         logging.info(
-            "[failover] Failover begins. service=%s cause=%s epoch=%d old=%s token=%d",
+            "[failover] Failover begins. service=%s cause=%s epoch=%d old=%s token=%d "
+            "earlier_successor=%s recorded=%s unlisted=%s answers=%s",
             attempt.service,
             cause.value,
             moving.epoch,
             attempt.primary,
             attempt.token,
+            attempt.earlier_successor or "-",
+            ",".join(self.coordination.recorded_log_holders(attempt.service)) or "-",
+            ",".join(
+                e.process
+                for e in attempt.holders.departed(self.cluster.members(attempt.service))
+            )
+            or "-",
+            attempt.control.describe(attempt.by_process),
         )
         probing = asyncio.create_task(self._probe_again(attempt))
         try:
--- a/src/ebonyladder/sessions/failover_attempt.py
+++ b/src/ebonyladder/sessions/failover_attempt.py
@@ -39,6 +39,8 @@
         Former primary.
     earlier_successor : EndpointProcess or None
         Endpoint whose promotion an interrupted attempt has requested.
+    members_read_at_s : float
+        Time at which the list of members was requested from the store last.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self.lost = lost
         self.primary: EndpointProcess | None = None
         self.earlier_successor: EndpointProcess | None = None
+        self.members_read_at_s = float("-inf")
 
     @property
     def by_process(self) -> dict[EndpointProcess, EndpointEntry]:
--- a/src/ebonyladder/sessions/failover_coordination.py
+++ b/src/ebonyladder/sessions/failover_coordination.py
@@ -42,6 +42,10 @@
     def log_holders(self, service: ServiceId) -> LogHolders:
         """Return the log holders that are stored or listed."""
 
+    @abstractmethod
+    def recorded_log_holders(self, service: ServiceId) -> list[EndpointProcess]:
+        """Return the log holders that are stored, for a log line."""
+
     @abstractmethod
     def lost_log_holders(self, service: ServiceId) -> frozenset[EndpointProcess]:
         """Return the log holders that are taken as gone for good."""
--- a/src/ebonyladder/sessions/fleet/group_barrier.py
+++ b/src/ebonyladder/sessions/fleet/group_barrier.py
@@ -22,6 +22,8 @@
 # A VM that has not reported for this long is removed from the list, in seconds. A
 # failover waits for the VMs of the list.
 VM_REPORT_TIMEOUT_S = 6.0
+# VMs of which the line about a barrier names the last commit.
+MAX_LOGGED_VMS = 4
 NO_POSITION = Position(term=Term(0), position=LogPosition(0))
 NO_COMMIT = AcknowledgedRange(lower=NO_POSITION, upper=NO_POSITION)
 
@@ -35,11 +37,14 @@
         Last commit acknowledged to the VM's callers.
     started_at_s : float
         Start of the VM's process, on the leader's clock.
+    reported_at_s : float
+        Time of the report.
     """
 
     epoch: int
     acknowledged: AcknowledgedRange | None
     started_at_s: float
+    reported_at_s: float
 
 
 class GroupBarrier:
@@ -84,6 +89,7 @@
                 epoch=report.epochs.get(service, 0),
                 acknowledged=acknowledged,
                 started_at_s=self.clock.now_s() - report.up_s,
+                reported_at_s=self.clock.now_s(),
             )
         self.epoch_acknowledged.set()
 
@@ -120,10 +126,12 @@
             except TimeoutError:
                 continue
         logging.info(
-            "[leader] Barrier of a group state ended. service=%s epoch=%d missing=%s",
+            "[leader] Barrier of a group state ended. service=%s epoch=%d missing=%s "
+            "told=%s",
             group.service,
             group.epoch,
             ",".join(missing) or "-",
+            self._describe_told(group.service),
         )
 
     def acknowledged(self, service: ServiceId) -> AcknowledgedRange:
@@ -134,6 +142,24 @@
                 found = found.merge(applied.acknowledged)
         return found
 
+    def _describe_told(self, service: ServiceId) -> str:
+        """Return the newest commits that VMs told of, with the reports' ages."""
+        told = [
+            (applied.acknowledged.upper, vm, applied)
+            for (vm, reported), applied in self.applied_reports.items()
+            if reported == service and applied.acknowledged is not None
+        ]
+        told.sort(key=lambda found: found[:2], reverse=True)
+        now_s = self.clock.now_s()
+        return (
+            ",".join(
+                f"{vm}:{applied.acknowledged.lower}..{upper}/{applied.epoch}/"
+                f"{now_s - applied.reported_at_s:.2f}s"
+                for upper, vm, applied in told[:MAX_LOGGED_VMS]
+            )
+            or "-"
+        )
+
     def have_all_told(self, group: GroupState, *, since_s: float) -> bool:
         """Tell whether ``acknowledged`` covers all VMs since a time.
 
--- a/src/ebonyladder/sessions/fleet/log_holder_keeper.py
+++ b/src/ebonyladder/sessions/fleet/log_holder_keeper.py
@@ -134,6 +134,15 @@
             self.absent_since_s.setdefault(entry.process, self.clock.now_s())
         if departed and may_remove and await self._is_covered(listed, departed):
             target = target.without(departed)
+            logging.info(
+                "[fleet] Log holders are dropped. service=%s holders=%s",
+                service,
+                ",".join(
+                    f"{e.process}:unlisted/"
+                    f"{self.clock.now_s() - self.absent_since_s[e.process]:.2f}s"
+                    for e in departed
+                ),
+            )
         recorded = self.recorded.get(service, LogHolders(service=service))
         if target.has_same_processes(recorded):
             return
@@ -176,6 +185,13 @@
                 statuses = await control.statuses()
                 statuses.pop(primary.process, None)
                 if is_covered(probe.status, statuses.values()):
+                    logging.info(
+                        "[fleet] Departed log holders are covered. service=%s "
+                        "departed=%s answers=%s",
+                        primary.service,
+                        ",".join(entry.process for entry in departed),
+                        control.describe(entry.process for entry in listed),
+                    )
                     return True
                 if self.clock.now_s() >= deadline_s:
                     return False
--- a/src/ebonyladder/sessions/log_survey.py
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from enum import Enum
 
 import msgspec
 
@@ -15,6 +16,16 @@
 from ebonyladder.types import EndpointProcess, Position
 
 
+class SurveyBasis(Enum):
+    """What shows that a position covers every acknowledged commit."""
+
+    ALL_REPLICAS = "all-replicas"
+    FINAL_POSITION = "final-position"
+    ALL_TOLD = "all-told"
+    ALL_LOST = "all-lost"
+    NONE = "none"
+
+
 class LogSurvey(msgspec.Struct, frozen=True, kw_only=True):
     """Logs of a service's endpoints once no commit can be acknowledged.
 
@@ -51,31 +62,46 @@
             if process != self.primary and process not in self.received
         )
 
-    def required_position(self) -> Position | None:
-        """Return a position that covers every acknowledged commit.
-
-        None means that none is known: some log holders didn't answer, and neither did
-        the former primary, and callers may have been told of commits that the logs
-        which were read lack. If all that didn't answer are lost, no other log can hold
-        more.
-        """
+    @property
+    def newest(self) -> Position | None:
+        """Newest position of the log holders other than the former primary."""
         others = [
             position
             for process, position in self.received.items()
             if process != self.primary
         ]
-        newest = max(others, default=None)
+        return max(others, default=None)
+
+    @property
+    def basis(self) -> SurveyBasis:
+        """What shows that ``required_position`` covers every acknowledged commit.
+
+        NONE if some log holders didn't answer, and neither did the former primary, and
+        callers may have been told of commits that the logs which were read lack. If all
+        that didn't answer are lost, no other log can hold more.
+        """
+        newest = self.newest
         # A replica that isn't known may have acknowledged what callers were told.
         has_told = newest is not None and newest >= self.acknowledged.lower
         if has_told and not self.missing:
-            return newest
+            return SurveyBasis.ALL_REPLICAS
         if self.primary in self.received:
-            return self.received[self.primary]
+            return SurveyBasis.FINAL_POSITION
         has_all_told = has_told and newest >= self.acknowledged.upper
         if self.have_all_told and has_all_told:
-            return newest
-        is_nothing_left = {self.primary, *self.missing} <= self.lost
-        return newest if is_nothing_left else None
+            return SurveyBasis.ALL_TOLD
+        if newest is not None and {self.primary, *self.missing} <= self.lost:
+            return SurveyBasis.ALL_LOST
+        return SurveyBasis.NONE
+
+    def required_position(self) -> Position | None:
+        """Return a position that covers every acknowledged commit, None if unknown."""
+        basis = self.basis
+        if basis is SurveyBasis.NONE:
+            return None
+        if basis is SurveyBasis.FINAL_POSITION:
+            return self.received[self.primary]
+        return self.newest
 
     def successor(
         self, cost: Callable[[EndpointEntry], object], *, required: Position
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -258,6 +258,11 @@
         """Return the log holders that are stored or listed."""
         return self.log_holder_keeper.current(service)
 
+    def recorded_log_holders(self, service: ServiceId) -> list[EndpointProcess]:
+        """Return the log holders that are stored, for a log line."""
+        recorded = self.log_holder_keeper.recorded.get(service)
+        return [] if recorded is None else [e.process for e in recorded.endpoints]
+
     def lost_log_holders(self, service: ServiceId) -> frozenset[EndpointProcess]:
         """Return the log holders that are taken as gone for good."""
         return self.log_holder_keeper.lost(service)
--- a/src/ebonyladder/sessions/successor.py
+++ b/src/ebonyladder/sessions/successor.py
@@ -16,11 +16,6 @@
 POLL_INTERVAL_S = 0.05
 
 
-def format_position(position: Position) -> str:
-    """Return a log position for a log line."""
-    return f"{position.term}.{position.position}"
-
-
 class SuccessorChooser:
     """Stops the commits of a service and chooses the next primary.
 
@@ -61,6 +56,7 @@
         else:
             survey = await self._survey_paused(attempt, term)
         required = survey.required_position()
+        self._log_survey(attempt, survey, required)
         if required is None:
             missing = ", ".join(survey.missing) or "any replica"
             raise aborted(attempt.service, f"no status of {missing}")
@@ -71,19 +67,41 @@
             raise aborted(attempt.service, "no endpoint has the newest log")
         logging.info(
             "[failover] Successor is chosen. service=%s endpoint=%s required=%s "
-            "received=%s missing=%s stepped_down=%s",
+            "basis=%s received=%s missing=%s stepped_down=%s",
             attempt.service,
             chosen.process,
-            format_position(required),
-            ",".join(
-                f"{process}:{format_position(position)}"
-                for process, position in sorted(survey.received.items())
-            ),
+            required,
+            survey.basis.value,
+            ",".join(f"{p}:{at}" for p, at in sorted(survey.received.items())),
             ",".join(survey.missing) or "-",
             final_status is not None,
         )
         return chosen, survey.received[chosen.process]
 
+    def _log_survey(
+        self, attempt: FailoverAttempt, survey: LogSurvey, required: Position | None
+    ) -> None:
+        """Log what the decision about the successor is made from."""
+        listed = {e.process for e in self.cluster.members(attempt.service)}
+        told = survey.acknowledged
+        logging.info(
+            "[failover] Logs are surveyed. service=%s basis=%s required=%s primary=%s "
+            "unlisted=%s missing=%s lost=%s told=%s..%s all_told=%s "
+            "members_read_s_ago=%.2f answers=%s",
+            attempt.service,
+            survey.basis.value,
+            required or "-",
+            survey.primary,
+            ",".join(sorted(survey.holders.keys() - listed)) or "-",
+            ",".join(survey.missing) or "-",
+            ",".join(sorted(survey.lost)) or "-",
+            told.lower,
+            told.upper,
+            survey.have_all_told,
+            self.clock.now_s() - attempt.members_read_at_s,
+            attempt.control.describe(survey.holders),
+        )
+
     async def _survey_stepped_down(
         self, attempt: FailoverAttempt, final_position: Position
     ) -> LogSurvey:
@@ -150,7 +168,9 @@
 
     async def _add_members(self, attempt: FailoverAttempt) -> None:
         """Probe the endpoints that joined the service since the attempt began."""
+        read_at_s = self.clock.now_s()
         members = await self.coordination.read_members(attempt.service)
+        attempt.members_read_at_s = read_at_s
         known = attempt.by_process
         attempt.holders = attempt.holders.with_listed(members)
         await attempt.control.probe(m for m in members if m.process not in known)
--- a/src/ebonyladder/types.py
+++ b/src/ebonyladder/types.py
@@ -74,6 +74,10 @@
     term: Term
     position: LogPosition
 
+    def __str__(self) -> str:
+        """Return the position for a log line."""
+        return f"{self.term}.{self.position}"
+
 
 class Statement(msgspec.Struct, frozen=True, kw_only=True):
     """Statement of a caller; the proxy interprets only its kind."""
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -87,6 +87,10 @@
         """Return whether the test has set a commit."""
         return self.told != NO_POSITION
 
+    def recorded_log_holders(self, service):
+        """Return no holders, as if none were stored."""
+        return []
+
     def lost_log_holders(self, service):
         """Return the holders that the test has set."""
         return self.lost
@@ -543,3 +547,30 @@
             return [*seen, world.failover.has_no_calls.is_set()]
 
         assert asyncio.run(scenario(World())) == [True, False, True]
+
+
+class TestLogLines:
+    """Guards against a lost commit whose cause the leader's log doesn't tell."""
+
+    def lines(self, world: World, caplog) -> dict[str, str]:
+        """Return the lines of one failover by their messages."""
+        with caplog.at_level("INFO", logger="absl"):
+            world.replace_primary(FailoverCause.UNRESPONSIVE)
+        found = [record.getMessage() for record in caplog.records]
+        return {line.partition(". ")[0]: line for line in found}
+
+    def test_survey_names_each_answer_and_what_decided(self, caplog):
+        world = World()
+        world.primary.is_down = True
+        world.coordination.departed = [entry("left")]
+        line = self.lines(world, caplog)["[failover] Logs are surveyed"]
+        assert "basis=none" in line
+        assert "unlisted=left@0 missing=left@0" in line
+        assert "far@0:status/replica/1/1.10/" in line
+        assert "left@0:-/connect-failed" in line
+
+    def test_chosen_successor_is_named_with_the_basis(self, caplog):
+        world = World()
+        world.primary.is_down = True
+        line = self.lines(world, caplog)["[failover] Successor is chosen"]
+        assert "required=1.10 basis=all-replicas" in line
