Check promotions against what databases acknowledged

Cause: the check of promoted logs looked only at writes that clients saw acknowledged. The rule counts what a database acknowledged, whether or not a client was told.

Change: the stand-in records each acknowledgement with its database, its order among the promotions and the replicas that had received the commit. The check judges every commit that was acknowledged before a promotion took effect, and names its database and holders. Commits that a replaced primary acknowledges later count only if a client was told, as before. A commit that only replicas received which were never listed has a text of its own.

Measured: the tests of the checks pass; test_promotion_without_an_acknowledged _write_is_found and test_lost_write_of_an_unlisted_replica_is_found have no write that a client was told of, which the former check didn't see.

--- a/soak/history.py
+++ b/soak/history.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass, field
 
 from standins.platform import Platform
-from standins.statement_database import DatabaseService
+from standins.statement_database import (
+    Acknowledgement,
+    DatabaseService,
+    Promotion,
+)
 
 
 @dataclass
@@ -62,19 +66,32 @@
                 self.findings.append(f"fencing token {token} of {sorted(names)}")
 
     def _check_promotions(self, service: DatabaseService) -> None:
-        """Check that each promoted log held what clients saw acknowledged before."""
+        """Check that each promoted log held what databases had acknowledged before.
+
+        What a replaced primary acknowledges after the next promotion took effect isn't
+        in that log; of these commits no client may have been told.
+        """
+        reported: set[tuple[str, str]] = set()
         for promotion in service.effects:
-            missing = sorted(
-                item
-                for item, term in service.commit_terms.items()
-                if term < promotion.term
-                and item in self.acknowledged_items
-                and item not in promotion.commits
-            )
-            if missing:
+            lost: dict[str, list[Acknowledgement]] = {}
+            for index, commit in enumerate(service.acknowledgements):
+                if (
+                    commit.term >= promotion.term
+                    or commit.item in promotion.commits
+                    or commit.item in reported
+                ):
+                    continue
+                if not _is_replaced(service, commit, index):
+                    if index < promotion.acknowledged_count:
+                        lost.setdefault(_loss(promotion, commit), []).append(commit)
+                elif commit.item in self.acknowledged_items:
+                    kind = "commits of a replaced primary that clients were told of"
+                    lost.setdefault(kind, []).append(commit)
+            for kind, commits in lost.items():
+                reported |= {commit.item for commit in commits}
                 self.findings.append(
                     f"{promotion.name} was promoted in term {promotion.term} without "
-                    f"{len(missing)} acknowledged writes: {missing[:3]}"
+                    f"{len(commits)} {kind}: {_describe(promotion, commits[0])}"
                 )
 
     def _check_service(self, service: DatabaseService) -> None:
@@ -88,7 +105,7 @@
         commits = Counter(
             item for entry in primaries[0].log for item in entry.writes.items()
         )
-        written = {key for key, _ in service.commit_terms}
+        written = {commit.item[0] for commit in service.acknowledgements}
         for key, value in self.acknowledged.items():
             if key in written and int(data.get(key, 0)) < value:
                 self.findings.append(f"lost write: {key}={data.get(key)}, not {value}")
@@ -101,3 +118,43 @@
                 )
         if any(statement.organisation != "council" for statement in service.executed):
             self.findings.append("a statement ran for another organisation")
+
+
+def _is_replaced(service: DatabaseService, commit: Acknowledgement, index: int) -> bool:
+    """Tell whether a newer primary led when a commit was acknowledged."""
+    return any(
+        promotion.term > commit.term and promotion.acknowledged_count <= index
+        for promotion in service.effects
+    )
+
+
+def _holders(promotion: Promotion, commit: Acknowledgement) -> set[str]:
+    """Return the processes whose logs held a commit when a promotion took effect."""
+    return {
+        process
+        for process, commits in promotion.commits_by_process.items()
+        if commit.item in commits
+    }
+
+
+def _has_listed_replica(promotion: Promotion, commit: Acknowledgement) -> bool:
+    """Tell whether a replica that had been listed received or held a commit."""
+    replicas = commit.receivers | _holders(promotion, commit) - {commit.database}
+    return bool(replicas & promotion.listed)
+
+
+def _loss(promotion: Promotion, commit: Acknowledgement) -> str:
+    """Return the kind of a lost commit."""
+    if _has_listed_replica(promotion, commit):
+        return "acknowledged writes"
+    return "acknowledged writes that only replicas never listed had received"
+
+
+def _describe(promotion: Promotion, commit: Acknowledgement) -> str:
+    """Return who acknowledged a lost commit, and who has it."""
+    return (
+        f"{commit.item} was acknowledged by {commit.database} in term {commit.term} "
+        f"(a listed replica had it: {_has_listed_replica(promotion, commit)}); "
+        f"received by {sorted(commit.receivers)}, "
+        f"held by {sorted(_holders(promotion, commit))}"
+    )
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -184,6 +184,7 @@
         entry = service.entry(name)
         entry["address"] = self.announced_addresses.get(name, entry["address"])
         self.store.put("servers", name, entry)
+        service.listed.add(service.databases[name].process)
 
     def withdraw(self, name: str) -> None:
         """Remove the entry of a database."""
--- a/standins/statement_database.py
+++ b/standins/statement_database.py
@@ -17,13 +17,50 @@
     writes: dict[str, str]
 
 
+@dataclass(frozen=True)
+class Acknowledgement:
+    """Commit of one item that a database acknowledged.
+
+    Attributes
+    ----------
+    item : tuple of str
+        Item and its value.
+    term : int
+        Term of the database when it acknowledged the commit.
+    database : str
+        Process of the database.
+    receivers : frozenset of str
+        Processes of the replicas that had received the commit.
+    """
+
+    item: tuple[str, str]
+    term: int
+    database: str
+    receivers: frozenset[str]
+
+
 @dataclass(frozen=True)
 class Promotion:
-    """Promotion that took effect, with the log that the database had then."""
+    """Promotion that took effect, with the logs that the databases had then.
+
+    Attributes
+    ----------
+    acknowledged_count : int
+        Number of commits that the service's databases had acknowledged before.
+    listed : frozenset of str
+        Processes that had been listed in the store at any time before.
+    commits_by_process : dict of str to frozenset
+        Commits in the log of each database that wasn't removed.
+    """
 
     name: str
     term: int
     commits: frozenset[tuple[str, str]]
+    acknowledged_count: int = 0
+    listed: frozenset[str] = frozenset()
+    commits_by_process: dict[str, frozenset[tuple[str, str]]] = field(
+        default_factory=dict
+    )
 
 
 @dataclass
@@ -113,6 +150,16 @@
         """Term and number of the last entry."""
         return (self.log[-1].term, self.log[-1].number) if self.log else (1, 0)
 
+    @property
+    def process(self) -> str:
+        """Name of the running process, which differs after a start without the log."""
+        return f"{self.name}@{self.started_at_ms}"
+
+    @property
+    def commits(self) -> frozenset[tuple[str, str]]:
+        """Items and values of all log entries."""
+        return frozenset(item for entry in self.log for item in entry.writes.items())
+
     @property
     def data(self) -> dict[str, str]:
         """Items after all log entries are applied."""
@@ -234,9 +281,9 @@
         self.log.append(entry)
         while True:
             # A database that is no longer primary must not acknowledge the commit.
-            if self.is_primary and self.service.replicate(self):
-                for item in writes.items():
-                    self.service.commit_terms[item] = entry.term
+            receivers = self.service.replicate(self) if self.is_primary else None
+            if receivers:
+                self.service.record_acknowledgements(self, entry, receivers)
                 return
             await asyncio.sleep(POLL_INTERVAL_S)
 
@@ -283,8 +330,10 @@
     ----------
     cuts : set of frozenset of str
         Pairs of databases that don't reach each other.
-    commit_terms : dict
-        Term in which each acknowledged write was committed, by item and value.
+    acknowledgements : list of Acknowledgement
+        Commits that databases acknowledged, in this order.
+    listed : set of str
+        Processes of databases that have been listed in the store.
     """
 
     def __init__(
@@ -304,7 +353,8 @@
         self.executed: list[ExecutedStatement] = []
         self.promotions: list[tuple[str, int]] = []
         self.effects: list[Promotion] = []
-        self.commit_terms: dict[tuple[str, str], int] = {}
+        self.acknowledgements: list[Acknowledgement] = []
+        self.listed: set[str] = set()
         self.cuts: set[frozenset[str]] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         next(iter(self.databases.values())).is_primary = True
@@ -356,9 +406,18 @@
     def _running_primaries(self) -> list[Database]:
         return [d for d in self.databases.values() if d.is_primary and not d.is_down]
 
-    def replicate(self, primary: Database) -> bool:
-        """Copy the log to the replicas that can receive it; True if one received it."""
-        has_copy = False
+    def record_acknowledgements(
+        self, database: Database, entry: Entry, receivers: frozenset[str]
+    ) -> None:
+        """Record that a database acknowledges a commit."""
+        self.acknowledgements += [
+            Acknowledgement(item, database.term, database.process, receivers)
+            for item in entry.writes.items()
+        ]
+
+    def replicate(self, primary: Database) -> frozenset[str]:
+        """Copy the log to the replicas that can receive it; return their processes."""
+        receivers: set[str] = set()
         for database in self.databases.values():
             is_receiving = not (
                 database.is_paused
@@ -371,8 +430,8 @@
             if database.term <= primary.term:
                 database.log = list(primary.log)
                 database.term = primary.term
-                has_copy = True
-        return has_copy
+                receivers.add(database.process)
+        return frozenset(receivers)
 
     def rejoin(self, database: Database) -> None:
         """Make a restarted database a replica of the running primary, if any."""
@@ -404,10 +463,18 @@
         former = [d for d in self.databases.values() if d.is_primary]
         database.term = max(d.term for d in self.databases.values()) + 1
         database.is_primary = True
-        commits = frozenset(
-            item for entry in database.log for item in entry.writes.items()
+        self.effects.append(
+            Promotion(
+                database.name,
+                database.term,
+                database.commits,
+                acknowledged_count=len(self.acknowledgements),
+                listed=frozenset(self.listed),
+                commits_by_process={
+                    d.process: d.commits for d in self.databases.values()
+                },
+            )
         )
-        self.effects.append(Promotion(database.name, database.term, commits))
         for other in self.databases.values():
             other.is_paused = False
         for other in former:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 from soak.__main__ import run_seed
 from soak.history import History
 from standins.platform import Platform
-from standins.statement_database import Entry, Promotion
+from standins.statement_database import Acknowledgement, Entry, Promotion
 
 SEED = 1
 # Seeds that have had a finding, with the cause of the finding.
@@ -33,7 +33,10 @@
     def setup_method(self):
         self.platform = Platform()
         self.service = self.platform.service
-        self.service.commit_terms = {("k", "1"): 1, ("k", "2"): 1}
+        self.service.acknowledgements = [
+            Acknowledgement(("k", value), 1, "i-0@1", frozenset({"i-2@1"}))
+            for value in ("1", "2")
+        ]
         self.primary = self.service.databases["i-0"]
         self.history = History(acknowledged={"k": 2}, attempted={"k": 2})
 
@@ -84,10 +87,46 @@
         self.platform.promotion_calls = [(name, "vm-0", 3), (name, "vm-1", 3)]
         assert "fencing token 3 of ['vm-0', 'vm-1']" in self.findings()
 
+    def promote(self, acknowledged_count: int, listed: set[str] = frozenset()) -> None:
+        """Record a promotion of a log that lacks the second commit."""
+        both = self.primary.commits
+        commits = frozenset({("k", "1")})
+        self.service.effects = [
+            Promotion(
+                "i-1",
+                2,
+                commits,
+                acknowledged_count=acknowledged_count,
+                listed=frozenset(listed),
+                commits_by_process={"i-0@1": both, "i-1@1": commits, "i-2@1": both},
+            )
+        ]
+
     def test_promotion_without_an_acknowledged_write_is_found(self):
-        # Guards against a check at the end only, when the former primary may be back.
+        # Guards against a check at the end only, when the former primary may be back,
+        # and against one of what clients were told only.
         self.commit(1, 2)
-        self.history.acknowledged_items = {("k", "1"), ("k", "2")}
-        commits = frozenset({("k", "1")})
-        self.service.effects = [Promotion("i-1", 2, commits)]
-        assert "without 1 acknowledged writes" in self.findings()
+        self.promote(2, {"i-0@1", "i-2@1"})
+        found = self.findings()
+        assert "without 1 acknowledged writes: ('k', '2')" in found
+        assert "by i-0@1 in term 1 (a listed replica had it: True)" in found
+        assert "held by ['i-0@1', 'i-2@1']" in found
+
+    def test_lost_write_of_an_unlisted_replica_is_found(self):
+        # Guards against a check of the replicas only that the fleet could know.
+        self.commit(1, 2)
+        self.promote(2, {"i-0@1", "i-1@1"})
+        found = self.findings()
+        assert "1 acknowledged writes that only replicas never listed" in found
+        assert "(a listed replica had it: False)" in found
+
+    def test_write_at_a_replaced_primary_is_found_if_a_client_was_told(self):
+        self.commit(1, 2)
+        self.promote(1)
+        self.history.acknowledged_items = {("k", "2")}
+        assert "replaced primary that clients were told of" in self.findings()
+
+    def test_write_at_a_replaced_primary_may_be_lost_if_no_client_was_told(self):
+        self.commit(1, 2)
+        self.promote(1)
+        assert self.findings() == ""
