Keep rolled-back commits from being acknowledged by the stand-in

Cause: a commit that waited at a replaced database was acknowledged once that database led again, though the log of the term between had rolled it back. The checks of the soak would take that for a loss.

Change: the stand-in ends the connection of a commit that its log no longer has.

Measured: the test fails without the change (no error, commit acknowledged) and passes with it.

--- a/standins/statement_database.py
+++ b/standins/statement_database.py
@@ -280,6 +280,8 @@
         entry = Entry(self.term, self.position[1] + 1, writes)
         self.log.append(entry)
         while True:
+            if not any(e is entry for e in reversed(self.log)):
+                raise ConnectionAbortedError("the commit was rolled back")
             # A database that is no longer primary must not acknowledge the commit.
             receivers = self.service.replicate(self) if self.is_primary else None
             if receivers:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,12 @@
 from soak.__main__ import run_seed
 from soak.history import History
 from standins.platform import Platform
-from standins.statement_database import Acknowledgement, Entry, Promotion
+from standins.statement_database import (
+    Acknowledgement,
+    DatabaseService,
+    Entry,
+    Promotion,
+)
 
 SEED = 1
 # Seeds that have had a finding, with the cause of the finding.
@@ -130,3 +135,24 @@
         self.commit(1, 2)
         self.promote(1)
         assert self.findings() == ""
+
+
+class TestStandInDatabase:
+    """Guards against findings that are faults of the stand-in."""
+
+    def test_rolled_back_commit_is_not_acknowledged_by_the_next_term(self):
+        async def run() -> DatabaseService:
+            service = DatabaseService(name="s", zones={"i-0": "a", "i-1": "b"})
+            first, second = service.databases.values()
+            service.cuts.add(frozenset({"i-0", "i-1"}))
+            committing = asyncio.create_task(first._commit({"k": "1"}))
+            await asyncio.sleep(0)
+            service.promote("i-1", 1)
+            service.cuts.clear()
+            service.replicate(second)
+            service.promote("i-0", 2)
+            with pytest.raises(ConnectionAbortedError):
+                await committing
+            return service
+
+        assert asyncio.run(run()).acknowledgements == []
