Let the stand-in's databases be unlisted, busy, or start without their log

Cause: the incident had databases that were silent, busy or perhaps unlisted; the stand-ins could show none of it.

Change: a running database can lose its registration and go on, answer control calls with BUSY, and start again under its id with an empty log. The platform can lose the answer to a promotion call that takes effect. beat() records the time of the heartbeat itself, so that an entry which a fault wrote expires too.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -115,6 +115,8 @@
         self.expiry_s = expiry_s
         self.beaten_at_s: dict[str, float] = {}
         self.promotion_calls: list[tuple[str, str, int]] = []
+        # Number of answers to promotion calls to lose.
+        self.lost_promotion_answers = 0
         self.runners: list[web.AppRunner] = []
         self.store_address = ""
         self.promotion_address = ""
@@ -163,6 +165,9 @@
         self.promotion_calls.append((body["service"], holder, token))
         service = next(s for s in self.services if s.name == body["service"])
         is_running = service.promote(body["id"], token)
+        if self.lost_promotion_answers:
+            self.lost_promotion_answers -= 1
+            request.transport.close()
         return web.Response(status=200 if is_running else 409)
 
     async def _send_heartbeats(self) -> None:
@@ -173,18 +178,21 @@
                 for name, database in service.databases.items():
                     if not database.is_down:
                         self.beat(service, name)
-                        self.beaten_at_s[name] = clock()
             for name, beaten_at_s in list(self.beaten_at_s.items()):
                 if clock() - beaten_at_s > self.expiry_s:
                     self.withdraw(name)
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def beat(self, service: DatabaseService, name: str) -> None:
-        """Write the entry of one database."""
+        """Write the entry of one database, unless its reports are lost."""
+        database = service.databases[name]
+        if database.is_unlisted:
+            return
+        self.beaten_at_s[name] = asyncio.get_running_loop().time()
         entry = service.entry(name)
         entry["address"] = self.announced_addresses.get(name, entry["address"])
         self.store.put("servers", name, entry)
-        service.listed.add(service.databases[name].process)
+        service.listed.add(database.process)
 
     def withdraw(self, name: str) -> None:
         """Remove the entry of a database."""
--- a/standins/statement_database.py
+++ b/standins/statement_database.py
@@ -123,6 +123,10 @@
         self.is_replication_blocked = False
         self.is_down = False
         self.is_leaving = False
+        # Whether its reports to the store are lost.
+        self.is_unlisted = False
+        # Whether it answers control calls with BUSY.
+        self.is_busy = False
         self.started_at_ms = 1
         self.lost_answers = 0
         self.statement_s = 0.0
@@ -138,6 +142,12 @@
         self.is_down = False
         self.service.rejoin(self)
 
+    async def start_without_log(self, started_at_ms: int) -> None:
+        """Start a stopped database again under its id; it knows nothing of before."""
+        self.started_at_ms = started_at_ms
+        self.term, self.log, self.is_primary = 0, [], False
+        await self.start()
+
     async def stop(self) -> None:
         """Crash: abort all connections and keep the log."""
         self.is_down = True
@@ -215,6 +225,8 @@
             word, _, rest = text.partition(" ")
         control = {"STATUS": self._status, "PAUSE": self._pause}
         control |= {"RESUME": self._resume, "STEPDOWN": self._step_down}
+        if word in control and self.is_busy:
+            return ["ERROR BUSY -"]
         if word in control:
             return control[word](rest)
         if word == "RESET":
