Give each VM of the soak a proxy to databases and other VMs

Cause: the VMs shared one proxy for each database and had none between them, so a database could not be silent to some VMs only, nor the leader to followers.

Change: the soak's daemons run in an event loop that connects through the proxy of their VM and names the destination. The proxy has a mode for each of them. A refused connection stays one, since the proxy reports the connection first.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,17 +1,20 @@
 """Daemon processes that reach the store and the databases through fault proxies."""
 
 import asyncio
+import itertools
 import os
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 
-from soak.proxy import FaultProxy
+from soak.proxy import FaultProxy, VmProxy
+from soak.vm_process import PROXY_VARIABLE
 from standins.platform import ZONES, Platform
-from standins.statement_database import Database
+from standins.statement_database import Database, DatabaseService
 
-SOURCE = Path(__file__).parent.parent / "src"
+ROOT = Path(__file__).parent.parent
 # Last octet of the first VM's loopback address; each VM listens on an address of its
 # own, while outgoing connections use 127.0.0.1.
 FIRST_HOST = 31
@@ -93,6 +96,8 @@
         self.ports = free_ports(self.host)
         self.store_proxy = FaultProxy(target=platform.store_address)
         self.promotion_proxy = FaultProxy(target=platform.promotion_address)
+        # Proxy to the databases and the other VMs.
+        self.proxy = VmProxy()
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
 
@@ -101,6 +106,11 @@
         """Address for clients."""
         return f"{self.host}:{self.ports[2]}"
 
+    @property
+    def peer_address(self) -> str:
+        """Address for the other VMs."""
+        return f"{self.host}:{self.ports[0]}"
+
     @property
     def log_path(self) -> Path:
         """Log of the current process."""
@@ -125,6 +135,7 @@
         )
         self.settings_path = self.folder / f"vm-{self.index}.toml"
         self.settings_path.write_text(settings)
+        await self.proxy.start()
 
     async def start(self) -> None:
         """Start the process; its output goes to a log file."""
@@ -133,12 +144,16 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "ebonyladder.platform",
+                "soak.vm_process",
                 "serve",
                 f"--settings={self.settings_path}",
                 stdout=log,
                 stderr=asyncio.subprocess.STDOUT,
-                env={**os.environ, "PYTHONPATH": str(SOURCE)},
+                env={
+                    **os.environ,
+                    "PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}",
+                    PROXY_VARIABLE: self.proxy.address,
+                },
             )
 
     def send(self, number: signal.Signals) -> None:
@@ -172,6 +187,7 @@
             await self.process.wait()
         self.store_proxy.stop()
         self.promotion_proxy.stop()
+        self.proxy.stop()
 
 
 class SoakFleet:
@@ -196,6 +212,8 @@
         )
         self.database_proxies: dict[str, FaultProxy] = {}
         self.vms: list[SoakVm] = []
+        # Numbers of the databases that join.
+        self.numbers = itertools.count(1)
 
     async def start(self) -> None:
         """Start the platform, the proxies and the daemons."""
@@ -221,6 +239,25 @@
         self.database_proxies[database.name] = proxy
         self.platform.announced_addresses[database.name] = await proxy.start()
 
+    async def add_database(
+        self, service: DatabaseService, near: str, *, is_unlisted: bool = False
+    ) -> Database:
+        """Start a new database in the zone of another one."""
+        database = await service.add(
+            f"{near.partition('.')[0]}.{next(self.numbers)}",
+            service.zones[near],
+            started_at_ms=time.time_ns() // 1_000_000,
+        )
+        # It registers with the address of its proxy.
+        database.is_unlisted = True
+        await self.add_proxy(database)
+        database.is_unlisted = is_unlisted
+        return database
+
+    def link(self, vm: SoakVm, database: Database) -> FaultProxy:
+        """Return the proxy between one VM and a database."""
+        return vm.proxy.link(self.platform.announced_addresses[database.name])
+
     def leader(self) -> SoakVm | None:
         """Return the VM that the leader record names."""
         found = self.platform.store.objects.get("ebonyladder-leaders", {}).get("leader")
