Add faults of registration, of silence to some VMs and around failovers

Cause: no fault of the soak took a running database out of the store, made one silent or busy to a part of the fleet, cut the leader's reports, restarted or added a database while a failover had paused the replicas, or lost the answer to a promotion call.

Change: these faults, drawn from the seed like the others. Regression seeds name the faults that they drew from, since a longer list gives other draws.

--- a/soak/database_faults.py
+++ b/soak/database_faults.py
@@ -1,81 +1,70 @@
 """Faults of a soak test between the databases of a service, and their replacement."""
 
 import asyncio
-import itertools
-import time
-from collections.abc import Awaitable, Callable
 from random import Random
 
-from soak.fleet import SoakFleet
+from soak.fault_group import MAX_CUT_S, FaultGroup, silenced
+from soak.fleet import EXPIRY_S, SoakFleet
 from soak.proxy import Mode
-from standins.statement_database import Database, DatabaseService
+from standins.statement_database import DatabaseService
 
-MAX_CUT_S = 5.0
-# Longest wait for a failover to begin, or for another leader, in seconds.
-CONDITION_TIMEOUT_S = 8.0
 # Time from the report that a database leaves until it ends, in seconds.
 DRAIN_S = (5.0, 8.0)
+# Time without registration after which a failover takes an endpoint as gone for good,
+# in seconds.
+LONG_UNLISTED_S = (22.0, 25.0)
 
 
-class DatabaseFaults:
-    """Injects faults into the databases of a fleet.
-
-    Parameters
-    ----------
-    fleet : SoakFleet
-        Fleet into which the faults are injected.
-    random : Random
-        Source of targets and times.
-
-    Attributes
-    ----------
-    kinds : list of callable
-        Faults; each returns once it has ended.
-    """
+class DatabaseFaults(FaultGroup):
+    """Faults of single databases, and their replacement."""
 
     def __init__(self, *, fleet: SoakFleet, random: Random) -> None:
-        self.fleet = fleet
-        self.random = random
-        self.numbers = itertools.count(1)
-        self.kinds: list[Callable[[], Awaitable[None]]] = [
+        super().__init__(fleet=fleet, random=random)
+        self.kinds = [
             self.release,
             self.release_primary,
             self.deaf_replica,
             self.primary_cut,
             self.release_in_cut,
             self.late_promotion,
+            self.unlist,
+            self.unlist_in_cut,
+            self.unlist_for_long,
+            self.silent_to_some,
+            self.busy_database,
+            self.restart_without_log,
         ]
 
     async def release(self) -> None:
         """Replace a database: the new one starts first, the old one drains."""
-        service = self._random_service()
+        service = self.random_service()
         await self._release(service, self.random.choice(list(service.databases)))
 
     async def release_primary(self) -> None:
         """Replace the primary of a service."""
-        service = self._random_service()
-        primary = self._primary(service)
+        service = self.random_service()
+        primary = self.primary(service)
         if primary is not None:
             await self._release(service, primary.name)
 
     async def deaf_replica(self) -> None:
         """Let a replica receive nothing for a while."""
-        database = self.random.choice(list(self._random_service().databases.values()))
+        database = self.random_database()
         database.is_replication_blocked = True
-        await self._wait()
+        await self.wait()
         database.is_replication_blocked = False
 
     async def primary_cut(self) -> None:
         """Cut a primary from the other databases that run."""
-        service = self._random_service()
-        primary = self._primary(service)
+        service = self.random_service()
+        primary = self.primary(service)
         if primary is not None:
-            await self._cut(service, primary.name)
+            await self.cut(service, primary.name)
 
     async def release_in_cut(self) -> None:
         """Replace a replica while the primary is cut from the others."""
-        service = self._random_service()
-        primary = self._primary(service)
+        service = self.random_service()
+        primary = self.primary(service)
         replicas = [n for n, d in service.databases.items() if d is not primary]
         if primary is None or not replicas:
             return
@@ -83,22 +72,22 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._release(service, leaving))
             await asyncio.sleep(self.random.uniform(DRAIN_S[0] - 2.0, DRAIN_S[1]))
-            group.create_task(self._cut(service, primary.name, except_for=leaving))
+            group.create_task(self.cut(service, primary.name, except_for=leaving))
 
     async def late_promotion(self) -> None:
         """Hold up a promotion call, kill its sender, and let the call go on later."""
         vm = self.fleet.leader()
-        service = self._random_service()
-        primary = self._primary(service)
+        service = self.random_service()
+        primary = self.primary(service)
         if vm is None or primary is None:
             return
         vm.promotion_proxy.set_mode(Mode.BLACKHOLE)
         async with asyncio.TaskGroup() as group:
             group.create_task(self._release(service, primary.name))
-            if await self._wait_until(lambda: vm.promotion_proxy.is_holding):
+            if await self.wait_until(lambda: vm.promotion_proxy.is_holding):
                 await vm.kill_and_restart()
                 calls = self._calls(service)
-                await self._wait_until(lambda: self._calls(service) > calls)
+                await self.wait_until(lambda: self._calls(service) > calls)
             vm.promotion_proxy.set_mode(Mode.PASS)
 
     def _calls(self, service: DatabaseService) -> int:
@@ -106,37 +95,12 @@
         names = [name for name, _, _ in self.fleet.platform.promotion_calls]
         return names.count(service.name)
 
-    @staticmethod
-    async def _wait_until(condition: Callable[[], bool]) -> bool:
-        """Wait until a condition holds; False if it doesn't within the timeout."""
-        loop = asyncio.get_running_loop()
-        end_at_s = loop.time() + CONDITION_TIMEOUT_S
-        while not condition():
-            if loop.time() > end_at_s:
-                return False
-            await asyncio.sleep(0.01)
-        return True
-
-    async def _cut(
-        self, service: DatabaseService, name: str, except_for: str = ""
-    ) -> None:
-        others = set(service.databases) - {name, except_for}
-        cuts = {frozenset({name, other}) for other in others}
-        service.cuts |= cuts
-        await self._wait()
-        service.cuts -= cuts
-
     async def _release(self, service: DatabaseService, name: str) -> None:
         leaving = service.databases[name]
         if leaving.is_leaving or leaving.is_down:
             return
         leaving.is_leaving = True
-        new = await service.add(
-            f"{name.partition('.')[0]}.{next(self.numbers)}",
-            service.zones[name],
-            started_at_ms=time.time_ns() // 1_000_000,
-        )
-        await self.fleet.add_proxy(new)
+        new = await self.fleet.add_database(service, name)
         self.fleet.platform.beat(service, name)
         await asyncio.sleep(self.random.uniform(*DRAIN_S))
         # Its log is transferred to the new database at its address.
@@ -145,12 +109,57 @@
         await service.remove(name)
         self.fleet.platform.withdraw(name)
 
-    def _random_service(self) -> DatabaseService:
-        return self.random.choice(self.fleet.platform.services)
-
-    @staticmethod
-    def _primary(service: DatabaseService) -> Database | None:
-        return next((d for d in service.databases.values() if d.is_primary), None)
+    async def unlist(self) -> None:
+        """Let a running database lose its registration for a while."""
+        await self._unlist(self.random_service())
 
-    async def _wait(self) -> None:
-        await asyncio.sleep(self.random.uniform(0.3, MAX_CUT_S))
+    async def unlist_in_cut(self) -> None:
+        """Let a replica lose its registration while it alone receives the log."""
+        service = self.random_service()
+        primary = self.primary(service)
+        replicas = self.replicas(service)
+        if primary is None or not replicas:
+            return
+        name = replicas[0].name
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._unlist(service, name))
+            await self.wait(0.0, 2 * EXPIRY_S)
+            await self.cut(service, primary.name, except_for=name)
+
+    async def unlist_for_long(self) -> None:
+        """Let a running database lose its registration until it counts as gone."""
+        await self._unlist(self.random_service(), bounds_s=LONG_UNLISTED_S)
+
+    async def _unlist(
+        self,
+        service: DatabaseService,
+        name: str = "",
+        bounds_s: tuple[float, float] = (EXPIRY_S, EXPIRY_S + MAX_CUT_S),
+    ) -> None:
+        database = service.databases[name or self.random.choice([*service.databases])]
+        database.is_unlisted = True
+        await self.wait(*bounds_s)
+        database.is_unlisted = False
+
+    async def silent_to_some(self) -> None:
+        """Make a database silent to some VMs; the others and databases reach it."""
+        database = self.random_database()
+        links = [self.fleet.link(vm, database) for vm in self.random_vms()]
+        mode = self.random.choice([Mode.BLACKHOLE, Mode.ONE_WAY])
+        with silenced(links, mode):
+            await self.wait()
+
+    async def busy_database(self) -> None:
+        """Let a database answer control calls with BUSY."""
+        database = self.random_database()
+        database.is_busy = True
+        await self.wait()
+        database.is_busy = False
+
+    async def restart_without_log(self) -> None:
+        """Start a replica again under its id; it knows nothing of before."""
+        service = self.random_service()
+        replicas = self.replicas(service)
+        if any(d.is_down for d in service.databases.values()) or not replicas:
+            return
+        await self.restart(service, replicas[0], has_log=False)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from soak.database_faults import DatabaseFaults
+from soak.failover_faults import FailoverFaults
 from soak.fleet import SoakFleet, SoakVm
 from soak.proxy import Mode
 from standins.object_store import Outage
@@ -51,6 +52,7 @@
             self.leader_kill,
             self.promotion_network_fault,
             *DatabaseFaults(fleet=fleet, random=self.random).kinds,
+            *FailoverFaults(fleet=fleet, random=self.random).kinds,
         ]
         if kinds:
             self.kinds = [kind for kind in self.kinds if kind.__name__ in kinds]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 
 from soak.__main__ import run_seed
+from soak.fault_group import silenced
 from soak.history import History
+from soak.proxy import CONNECTED, VmProxy
 from standins.platform import Platform
 from standins.statement_database import (
     Acknowledgement,
@@ -15,19 +18,46 @@
 )
 
 SEED = 1
-# Seeds that have had a finding, with the cause of the finding.
-REGRESSION_SEEDS: dict[int, str] = {
-    405: "a database joined and acknowledged commits before it was registered",
+# Faults that there were when the first seeds had a finding; a seed draws from a list.
+FIRST_KINDS = [
+    "kill",
+    "pause",
+    "terminate",
+    "reload",
+    "store_outage",
+    "store_network_fault",
+    "lost_store_answers",
+    "compaction",
+    "database_crash",
+    "database_network_fault",
+    "lost_answers",
+    "new_configuration",
+    "leader_pause",
+    "leader_kill",
+    "promotion_network_fault",
+    "release",
+    "release_primary",
+    "deaf_replica",
+    "primary_cut",
+    "release_in_cut",
+    "late_promotion",
+]
+# Seeds that have had a finding and their faults, with the cause of the finding.
+REGRESSION_SEEDS: dict[int, list[str]] = {
+    # A database joined and acknowledged commits before it was registered.
+    405: FIRST_KINDS,
 }
 
 
 @pytest.mark.xdist_group("processes")
 class TestSoak:
-    @pytest.mark.parametrize("seed", [SEED, *REGRESSION_SEEDS])
-    def test_promises_hold_under_faults(self, seed, tmp_path):
+    @pytest.mark.parametrize(("seed", "kinds"), [(SEED, []), *REGRESSION_SEEDS.items()])
+    def test_promises_hold_under_faults(self, seed, kinds, tmp_path):
         # Guards against lost and repeated writes and against stale reads under
         # combinations of faults that no other test covers.
-        history, faults = asyncio.run(run_seed(seed, tmp_path, duration_s=4.0, size=3))
+        history, faults = asyncio.run(
+            run_seed(seed, tmp_path, duration_s=4.0, size=3, kinds=kinds)
+        )
         assert history.findings == [], f"faults: {faults}, logs: {tmp_path}"
         assert history.counts["writes"] > 0
 
@@ -156,3 +186,77 @@
             return service
 
         assert asyncio.run(run()).acknowledgements == []
+
+
+class TestFaults:
+    """Guards against faults that are drawn but have no effect."""
+
+    def test_database_is_silent_to_one_vm_only(self):
+        async def answer(proxy: VmProxy, target: str) -> bytes:
+            reader, writer = await asyncio.open_connection(*proxy.address.split(":"))
+            writer.write(f"{target}\n".encode())
+            try:
+                async with asyncio.timeout(0.2):
+                    return await reader.read(1)
+            except TimeoutError:
+                return b""
+            finally:
+                writer.transport.abort()
+
+        async def run() -> list[bytes]:
+            service = DatabaseService(name="s", zones={"i-0": "a"})
+            await service.start()
+            target = f"127.0.0.1:{service.databases['i-0'].port}"
+            proxies = [VmProxy(), VmProxy()]
+            for proxy in proxies:
+                await proxy.start()
+            with silenced([proxies[0].link(target)]):
+                answers = [await answer(proxy, target) for proxy in proxies]
+            for proxy in proxies:
+                proxy.stop()
+            await service.stop()
+            return answers
+
+        assert asyncio.run(run()) == [b"", CONNECTED]
+
+    def test_unlisted_database_loses_its_entry_and_goes_on_receiving(self):
+        async def run() -> tuple[bool, bool, bool]:
+            platform = Platform(expiry_s=0.2)
+            await platform.start()
+            primary, replica, other = platform.service.databases.values()
+            await asyncio.sleep(0.2)
+            replica.is_unlisted = True
+            other.is_replication_blocked = True
+            await asyncio.sleep(0.5)
+            entries = platform.store.objects["servers"]
+            was_listed = replica.name in entries
+            await primary._commit({"k": "1"})
+            has_received = (
+                replica.process in platform.service.acknowledgements[0].receivers
+            )
+            replica.is_unlisted = False
+            await asyncio.sleep(0.3)
+            is_listed = replica.name in entries
+            await platform.stop()
+            return was_listed, has_received, is_listed
+
+        assert asyncio.run(run()) == (False, True, True)
+
+    def test_lost_answer_to_a_promotion_has_its_effect(self):
+        async def run() -> bool:
+            platform = Platform()
+            await platform.start()
+            platform.lost_promotion_answers = 1
+            headers = {
+                "X-Ebonyladder-Fencing-Token": "1",
+                "X-Ebonyladder-Lease-Holder": "vm-0",
+            }
+            body = {"service": platform.service.name, "id": "i-1"}
+            url = f"http://{platform.promotion_address}/promote"
+            async with aiohttp.ClientSession() as session:
+                with pytest.raises(aiohttp.ClientConnectionError):
+                    await session.post(url, json=body, headers=headers)
+            await platform.stop()
+            return platform.service.databases["i-1"].is_primary
+
+        assert asyncio.run(run())
