Let replicas of the soak lag, and begin the faults of a dark primary together

Cause: the stand-in's replicas received each commit at the same moment, so that commits under way at a primary that went dark were at all replicas or at none.

Change: a fault lets each replica receive the log at an interval of its own. The faults around a dark primary begin in any order within milliseconds.

--- a/soak/database_faults.py
+++ b/soak/database_faults.py
@@ -10,6 +10,8 @@
 
 # Time from the report that a database leaves until it ends, in seconds.
 DRAIN_S = (5.0, 8.0)
+# Longest interval at which a slow replica receives the log, in seconds.
+MAX_INTERVAL_S = 0.2
 # Time without registration after which a failover takes an endpoint as gone for good,
 # in seconds.
 LONG_UNLISTED_S = (22.0, 25.0)
@@ -33,6 +35,7 @@
             self.silent_to_some,
             self.busy_database,
             self.restart_without_log,
+            self.slow_replication,
         ]
 
     async def release(self) -> None:
@@ -156,6 +159,16 @@
         await self.wait()
         database.is_busy = False
 
+    async def slow_replication(self) -> None:
+        """Let each replica of a service receive the log at intervals of its own."""
+        service = self.random_service()
+        databases = list(service.databases.values())
+        for database in databases:
+            database.receive_interval_s = self.random.uniform(0.0, MAX_INTERVAL_S)
+        await self.wait()
+        for database in databases:
+            database.receive_interval_s = 0.0
+
     async def restart_without_log(self) -> None:
         """Start a replica again under its id; it knows nothing of before."""
         service = self.random_service()
--- a/soak/failover_faults.py
+++ b/soak/failover_faults.py
@@ -11,6 +11,8 @@
 
 # Time for which a primary is dark, in seconds: VMs take some seconds to replace it.
 DARK_S = (2.0, 8.0)
+# Bounds of the time between faults that begin together, in seconds.
+START_GAPS_S = (0.005, 0.05, 0.3)
 # Time for which a database that joins isn't registered, in seconds.
 REGISTRATION_S = (0.0, 2.0)
 # Time that a promotion takes, in seconds; the platform takes up to 1 s.
@@ -36,7 +38,8 @@
         """Make a primary dark to all VMs, or its answers only, beside other faults.
 
         One replica is busy, silent to some VMs or unlisted meanwhile, and the others
-        may be cut from the primary.
+        may be cut from the primary. All this begins at nearly the same time, in any
+        order, so that commits under way reach some of the replicas only.
         """
         service = self.random_service()
         primary = self.primary(service)
@@ -44,13 +47,17 @@
         if primary is None or not replicas:
             return
         with ExitStack() as stack:
-            stack.enter_context(self._dark(primary))
-            await self.wait(0.0, 0.3)
-            self._hide(stack, replicas[0])
+            steps = [
+                lambda: stack.enter_context(self._dark(primary)),
+                lambda: self._hide(stack, replicas[0]),
+            ]
             if self.random.random() < 0.7:
-                cuts = {frozenset({primary.name, d.name}) for d in replicas[1:]}
-                service.cuts |= cuts
-                stack.callback(service.cuts.difference_update, cuts)
+                others = [d.name for d in replicas[1:]]
+                steps.append(lambda: self._cut_off(stack, service, primary, others))
+            max_gap_s = self.random.choice(START_GAPS_S)
+            for step in self.random.sample(steps, len(steps)):
+                step()
+                await self.wait(0.0, max_gap_s)
             await self.wait(*DARK_S)
 
     async def reports_cut(self) -> None:
@@ -107,6 +114,15 @@
         await self.wait(*DARK_S)
         service.promote_s = usual_s
 
+    @staticmethod
+    def _cut_off(
+        stack: ExitStack, service: DatabaseService, primary: Database, names: list[str]
+    ) -> None:
+        """Cut databases from the primary until a stack ends."""
+        cuts = {frozenset({primary.name, name}) for name in names}
+        service.cuts |= cuts
+        stack.callback(service.cuts.difference_update, cuts)
+
     def _dark(self, primary: Database):
         """Return the context in which VMs get no answer of a database."""
         mode = self.random.choice([Mode.BLACKHOLE, Mode.ONE_WAY])
--- a/standins/statement_database.py
+++ b/standins/statement_database.py
@@ -127,6 +127,9 @@
         self.is_unlisted = False
         # Whether it answers control calls with BUSY.
         self.is_busy = False
+        # Time between two receipts of the log; it lags by up to this time.
+        self.receive_interval_s = 0.0
+        self.received_at_s = float("-inf")
         self.started_at_ms = 1
         self.lost_answers = 0
         self.statement_s = 0.0
@@ -178,6 +181,16 @@
             items.update(entry.writes)
         return items
 
+    def is_due(self) -> bool:
+        """Tell whether it may receive the log now; the interval then begins anew."""
+        if not self.receive_interval_s:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        if now_s < self.received_at_s + self.receive_interval_s:
+            return False
+        self.received_at_s = now_s
+        return True
+
     async def _serve(self, reader, writer) -> None:
         self.writers.add(writer)
         try:
@@ -441,7 +454,7 @@
             )
             if database is primary or database.is_primary or not is_receiving:
                 continue
-            if database.term <= primary.term:
+            if database.term <= primary.term and database.is_due():
                 database.log = list(primary.log)
                 database.term = primary.term
                 receivers.add(database.process)
