Start one process of a VM when restarts overlap in the soak

Cause: a VM's process counted as the ended one until the next had started, so two faults that overlapped both started one.

Change: a restart takes the ended process away before it starts the next one.

Measured: the test counts three starts without the change, two with it.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -176,6 +176,7 @@
         await asyncio.sleep(0.1)
         # Another fault may have started the next process in the meantime.
         if self.process is process:
+            self.process = None
             await self.start()
 
     async def stop(self) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,14 @@
 """Tests of a short soak run with a fixed seed, and of the checks on its history."""
 
 import asyncio
+import signal
 
 import aiohttp
 import pytest
 
 from soak.__main__ import run_seed
 from soak.fault_group import silenced
+from soak.fleet import SoakFleet
 from soak.history import History
 from soak.proxy import CONNECTED, VmProxy
 from standins.platform import Platform
@@ -219,6 +221,20 @@
 
         assert asyncio.run(run()) == [b"", CONNECTED]
 
+    def test_restarts_that_overlap_start_one_process(self, tmp_path):
+        # Guards against a daemon that runs on after its run, beside another one of the
+        # same VM.
+        async def run() -> int:
+            fleet = SoakFleet(folder=tmp_path, size=1)
+            await fleet.start()
+            vm = fleet.vms[0]
+            vm.send(signal.SIGKILL)
+            await asyncio.gather(vm.restart(), vm.restart())
+            await fleet.stop()
+            return vm.starts
+
+        assert asyncio.run(run()) == 2
+
     def test_unlisted_database_loses_its_entry_and_goes_on_receiving(self):
         async def run() -> tuple[bool, bool, bool]:
             platform = Platform(expiry_s=0.2)
