Show a promotion that loses commits which a silent replica alone received

Cause shown: with the primary and one replica silent, the third database was promoted, since it held all that callers had been told of.

Change: a process test that cuts the third database from the primary, holds the primary's answers and makes the other replica silent at one moment. It is listed in KNOWN-RED.txt and expected to fail, strictly.

--- a/tests/test_failover_processes.py
+++ b/tests/test_failover_processes.py
@@ -5,8 +5,9 @@
 
 import pytest
 
+from ebonyladder.sessions.objects import GROUPS
 from soak.clients import SoakClient
-from soak.fleet import SoakFleet, SoakVm
+from soak.fleet import NOTICE_S, PROMOTE_S, SoakFleet, SoakVm
 from soak.history import History
 from soak.proxy import Mode
 from standins.statement_database import DatabaseService
@@ -19,6 +20,10 @@
 # The partition begins this long before that end, in seconds.
 CUT_BEFORE_END_S = 1.5
 CUT_S = 5.0
+# Time in which commits that are sent reach the primary, in seconds.
+COMMIT_S = 0.3
+# Attempts to begin while commits are under way.
+MAX_ATTEMPTS = 10
 
 
 class World:
@@ -41,6 +46,16 @@
             if name == self.service.name
         ]
 
+    async def until_epoch(self, epoch: int) -> None:
+        """Wait until the group state in the store has an epoch."""
+        await until(lambda: self.epoch() >= epoch, "a failover")
+
+    def epoch(self) -> int:
+        """Return the epoch of the service's group state in the store, 0 for none."""
+        groups = self.fleet.platform.store.objects.get(GROUPS, {})
+        found = groups.get(self.service.name)
+        return found["spec"]["epoch"] if found else 0
+
     async def run(self, scenario) -> None:
         """Run a scenario while clients write."""
         await self.fleet.start()
@@ -114,6 +129,43 @@
         assert findings(scenario, tmp_path) == []
 
 
+class TestSilentReplica:
+    @pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
+    def test_untold_commit_that_only_a_silent_replica_received_is_not_lost(
+        self, tmp_path
+    ):
+        # Issue 27: the third database was promoted, since it held all that callers had
+        # been told of, while the answers to later commits were under way.
+        async def scenario(world: World) -> None:
+            service, proxies = world.service, world.fleet.database_proxies
+            is_begun = False
+            for _ in range(MAX_ATTEMPTS):
+                primary = next(n for n, d in service.databases.items() if d.is_primary)
+                silent, other = (n for n in service.databases if n != primary)
+                next_epoch = world.epoch() + 2
+                acknowledged = len(service.acknowledgements)
+                service.cuts.add(frozenset({primary, other}))
+                proxies[primary].set_mode(Mode.ONE_WAY)
+                proxies[silent].set_mode(Mode.BLACKHOLE)
+                await asyncio.sleep(COMMIT_S)
+                is_begun = len(service.acknowledgements) > acknowledged
+                if is_begun:
+                    # A failover changes the epoch when it begins and when it ends.
+                    await world.until_epoch(next_epoch)
+                    await asyncio.sleep(2 * PROMOTE_S)
+                proxies[primary].set_mode(Mode.PASS)
+                proxies[silent].set_mode(Mode.PASS)
+                service.cuts.clear()
+                await world.until_served()
+                if is_begun:
+                    break
+            assert is_begun
+            # A replaced primary goes on for this long after it reaches the new one.
+            await asyncio.sleep(2 * NOTICE_S)
+
+        assert findings(scenario, tmp_path) == []
+
+
 class TestLatePromotion:
     """Guards against a promotion call that arrives after one of the next leader."""
 
