--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,28 +1,65 @@
 """Tests of a short soak run with a fixed seed, and of the checks on its history."""
 
 import asyncio
+import signal
 
+import aiohttp
 import pytest
 
 from soak.__main__ import run_seed
+from soak.fault_group import silenced
+from soak.fleet import SoakFleet
 from soak.history import History
+from soak.proxy import CONNECTED, VmProxy
 from standins.platform import Platform
-from standins.statement_database import Entry, Promotion
+from standins.statement_database import (
+    Acknowledgement,
+    DatabaseService,
+    Entry,
+    Promotion,
+)
 
 SEED = 1
-# Seeds that have had a finding, with the cause of the finding.
-REGRESSION_SEEDS: dict[int, str] = {
-    405: "a database joined and acknowledged commits before it was registered",
+# Faults that there were when the first seeds had a finding; a seed draws from a list.
+FIRST_KINDS = [
+    "kill",
+    "pause",
+    "terminate",
+    "reload",
+    "store_outage",
+    "store_network_fault",
+    "lost_store_answers",
+    "compaction",
+    "database_crash",
+    "database_network_fault",
+    "lost_answers",
+    "new_configuration",
+    "leader_pause",
+    "leader_kill",
+    "promotion_network_fault",
+    "release",
+    "release_primary",
+    "deaf_replica",
+    "primary_cut",
+    "release_in_cut",
+    "late_promotion",
+]
+# Seeds that have had a finding and their faults, with the cause of the finding.
+REGRESSION_SEEDS: dict[int, list[str]] = {
+    # A database joined and acknowledged commits before it was registered.
+    405: FIRST_KINDS,
 }
 
 
 @pytest.mark.xdist_group("processes")
 class TestSoak:
-    @pytest.mark.parametrize("seed", [SEED, *REGRESSION_SEEDS])
-    def test_promises_hold_under_faults(self, seed, tmp_path):
+    @pytest.mark.parametrize(("seed", "kinds"), [(SEED, []), *REGRESSION_SEEDS.items()])
+    def test_promises_hold_under_faults(self, seed, kinds, tmp_path):
         # Guards against lost and repeated writes and against stale reads under
         # combinations of faults that no other test covers.
-        history, faults = asyncio.run(run_seed(seed, tmp_path, duration_s=4.0, size=3))
+        history, faults = asyncio.run(
+            run_seed(seed, tmp_path, duration_s=4.0, size=3, kinds=kinds)
+        )
         assert history.findings == [], f"faults: {faults}, logs: {tmp_path}"
         assert history.counts["writes"] > 0
 
@@ -33,7 +70,10 @@
     def setup_method(self):
         self.platform = Platform()
         self.service = self.platform.service
-        self.service.commit_terms = {("k", "1"): 1, ("k", "2"): 1}
+        self.service.acknowledgements = [
+            Acknowledgement(("k", value), 1, "i-0@1", frozenset({"i-2@1"}))
+            for value in ("1", "2")
+        ]
         self.primary = self.service.databases["i-0"]
         self.history = History(acknowledged={"k": 2}, attempted={"k": 2})
 
@@ -84,10 +124,155 @@
         self.platform.promotion_calls = [(name, "vm-0", 3), (name, "vm-1", 3)]
         assert "fencing token 3 of ['vm-0', 'vm-1']" in self.findings()
 
+    def promote(self, acknowledged_count: int, listed: set[str] = frozenset()) -> None:
+        """Record a promotion of a log that lacks the second commit."""
+        both = self.primary.commits
+        commits = frozenset({("k", "1")})
+        self.service.effects = [
+            Promotion(
+                "i-1",
+                2,
+                commits,
+                acknowledged_count=acknowledged_count,
+                listed=frozenset(listed),
+                commits_by_process={"i-0@1": both, "i-1@1": commits, "i-2@1": both},
+            )
+        ]
+
     def test_promotion_without_an_acknowledged_write_is_found(self):
-        # Guards against a check at the end only, when the former primary may be back.
+        # Guards against a check at the end only, when the former primary may be back,
+        # and against one of what clients were told only.
         self.commit(1, 2)
-        self.history.acknowledged_items = {("k", "1"), ("k", "2")}
-        commits = frozenset({("k", "1")})
-        self.service.effects = [Promotion("i-1", 2, commits)]
-        assert "without 1 acknowledged writes" in self.findings()
+        self.promote(2, {"i-0@1", "i-2@1"})
+        found = self.findings()
+        assert "without 1 acknowledged writes: ('k', '2')" in found
+        assert "by i-0@1 in term 1 (a listed replica had it: True)" in found
+        assert "held by ['i-0@1', 'i-2@1']" in found
+
+    def test_lost_write_of_an_unlisted_replica_is_found(self):
+        # Guards against a check of the replicas only that the fleet could know.
+        self.commit(1, 2)
+        self.promote(2, {"i-0@1", "i-1@1"})
+        found = self.findings()
+        assert "1 acknowledged writes that only replicas never listed" in found
+        assert "(a listed replica had it: False)" in found
+
+    def test_write_at_a_replaced_primary_is_found_if_a_client_was_told(self):
+        self.commit(1, 2)
+        self.promote(1)
+        self.history.acknowledged_items = {("k", "2")}
+        assert "replaced primary that clients were told of" in self.findings()
+
+    def test_write_at_a_replaced_primary_may_be_lost_if_no_client_was_told(self):
+        self.commit(1, 2)
+        self.promote(1)
+        assert self.findings() == ""
+
+
+class TestStandInDatabase:
+    """Guards against findings that are faults of the stand-in."""
+
+    def test_rolled_back_commit_is_not_acknowledged_by_the_next_term(self):
+        async def run() -> DatabaseService:
+            service = DatabaseService(name="s", zones={"i-0": "a", "i-1": "b"})
+            first, second = service.databases.values()
+            service.cuts.add(frozenset({"i-0", "i-1"}))
+            committing = asyncio.create_task(first._commit({"k": "1"}))
+            await asyncio.sleep(0)
+            service.promote("i-1", 1)
+            service.cuts.clear()
+            service.replicate(second)
+            service.promote("i-0", 2)
+            with pytest.raises(ConnectionAbortedError):
+                await committing
+            return service
+
+        assert asyncio.run(run()).acknowledgements == []
+
+
+class TestFaults:
+    """Guards against faults that are drawn but have no effect."""
+
+    def test_database_is_silent_to_one_vm_only(self):
+        async def answer(proxy: VmProxy, target: str) -> bytes:
+            reader, writer = await asyncio.open_connection(*proxy.address.split(":"))
+            writer.write(f"{target}\n".encode())
+            try:
+                async with asyncio.timeout(0.2):
+                    return await reader.read(1)
+            except TimeoutError:
+                return b""
+            finally:
+                writer.transport.abort()
+
+        async def run() -> list[bytes]:
+            service = DatabaseService(name="s", zones={"i-0": "a"})
+            await service.start()
+            target = f"127.0.0.1:{service.databases['i-0'].port}"
+            proxies = [VmProxy(), VmProxy()]
+            for proxy in proxies:
+                await proxy.start()
+            with silenced([proxies[0].link(target)]):
+                answers = [await answer(proxy, target) for proxy in proxies]
+            for proxy in proxies:
+                proxy.stop()
+            await service.stop()
+            return answers
+
+        assert asyncio.run(run()) == [b"", CONNECTED]
+
+    def test_restarts_that_overlap_start_one_process(self, tmp_path):
+        # Guards against a daemon that runs on after its run, beside another one of the
+        # same VM.
+        async def run() -> int:
+            fleet = SoakFleet(folder=tmp_path, size=1)
+            await fleet.start()
+            vm = fleet.vms[0]
+            vm.send(signal.SIGKILL)
+            await asyncio.gather(vm.restart(), vm.restart())
+            await fleet.stop()
+            return vm.starts
+
+        assert asyncio.run(run()) == 2
+
+    def test_unlisted_database_loses_its_entry_and_goes_on_receiving(self):
+        async def run() -> tuple[bool, bool, bool]:
+            platform = Platform(expiry_s=0.2)
+            await platform.start()
+            primary, replica, other = platform.service.databases.values()
+            await asyncio.sleep(0.2)
+            replica.is_unlisted = True
+            other.is_replication_blocked = True
+            await asyncio.sleep(0.5)
+            entries = platform.store.objects["servers"]
+            was_listed = replica.name in entries
+            await primary._commit({"k": "1"})
+            has_received = (
+                replica.process in platform.service.acknowledgements[0].receivers
+            )
+            replica.is_unlisted = False
+            await asyncio.sleep(0.3)
+            is_listed = replica.name in entries
+            await platform.stop()
+            return was_listed, has_received, is_listed
+
+        assert asyncio.run(run()) == (False, True, True)
+
+    def test_lost_answer_to_a_promotion_has_its_effect(self):
+        async def run() -> bool:
+            platform = Platform()
+            await platform.start()
+            platform.lost_promotion_answers = 1
+            headers = {
+                "X-Ebonyladder-Fencing-Token": "1",
+                "X-Ebonyladder-Lease-Holder": "vm-0",
+            }
+            body = {"service": platform.service.name, "id": "i-1"}
+            url = f"http://{platform.promotion_address}/promote"
+            async with aiohttp.ClientSession() as session:
+                with pytest.raises(aiohttp.ClientConnectionError):
+                    await session.post(url, json=body, headers=headers)
+            await platform.stop()
+            return platform.service.databases["i-1"].is_primary
+
+        assert asyncio.run(run())
