Log and count what made an acknowledged commit a success

Cause: of a commit that a database acknowledged and a later primary lacks, no log told which rule of CommitConfirmation made it a success, nor how old what that rule used was. Commits in doubt were logged without either, and their position was printed as a struct, which the log format splits at its blanks.

Change: status() becomes decide(), which returns a CommitDecision with a CommitReason, the group state used, the ages of the confirmation and of the failover's state, and the replica whose answer proved the commit, with the age of that answer. CommitReporter counts every decision (ebonyladder_commit_decisions_total by status and reason) and logs those that no fresh confirmation has made: each commit in doubt, and up to 5 lines a second for each reason of a success, with the number of those left out. Decisions are as before.

TestReason checks each reason, the ages, and the bound of 5 lines for 50 commits. Commits that an owner proves for other VMs aren't counted.

--- a/src/ebonyladder/sessions/commit_confirmation.py
+++ b/src/ebonyladder/sessions/commit_confirmation.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from enum import Enum
 
 import msgspec
 
@@ -15,16 +14,16 @@
     ClusterView,
     EndpointEntry,
     GroupPhase,
+    GroupState,
 )
-from ebonyladder.sessions.replica_check import ReplicaCheck
-from ebonyladder.types import (
-    EndpointId,
-    EndpointProcess,
-    LogPosition,
-    Position,
-    ServiceId,
-    Term,
+from ebonyladder.sessions.commit_decision import (
+    CommitDecision,
+    CommitReason,
+    CommitStatus,
+    SentCommit,
 )
+from ebonyladder.sessions.replica_check import ReplicaCheck
+from ebonyladder.types import EndpointProcess, LogPosition, Position, Term
 
 # A commit is confirmed by group states that were confirmed within this time before its
 # answer, in seconds: the interval of a large fleet's reports, and a round trip. A
@@ -47,35 +46,6 @@
 PROOF_WAIT_S = 0.2
 
 
-class CommitStatus(Enum):
-    """What this VM knows of an acknowledged commit."""
-
-    DURABLE = "durable"
-    UNCONFIRMED = "unconfirmed"
-    IN_DOUBT = "in-doubt"
-
-
-class SentCommit(msgspec.Struct, frozen=True, kw_only=True):
-    """Group state under which a commit was sent.
-
-    Attributes
-    ----------
-    epoch : int
-        Epoch of the group; 0 if it has no state.
-    sent_at_s : float
-        Time at which it was sent, in seconds.
-    seen : Position or None
-        Last position of the endpoint's log that was seen before.
-    """
-
-    service: ServiceId
-    endpoint: EndpointId
-    epoch: int
-    term: Term
-    sent_at_s: float
-    seen: Position | None = None
-
-
 class CommitFlow(msgspec.Struct, kw_only=True):
     """Commits of this VM at one primary.
 
@@ -136,8 +106,8 @@
 
     async def wait(
         self, sent: SentCommit, position: Position | None, deadline_s: float
-    ) -> bool:
-        """Wait until a commit answered now is durable; False if that stays unknown.
+    ) -> CommitDecision:
+        """Wait until a commit answered now is durable or in doubt, or to the deadline.
 
         Parameters
         ----------
@@ -150,21 +120,29 @@
         flow = self._record_answer(sent, answered_at_s)
         while True:
             self.cluster_changed.clear()
-            status = self.status(
+            decision = self.decide(
                 sent, position, answered_at_s, needs_proof=flow.needs_proof
             )
             remaining_s = deadline_s - self.clock.now_s()
-            if status is CommitStatus.UNCONFIRMED and remaining_s > 0:
+            if decision.status is CommitStatus.UNCONFIRMED and remaining_s > 0:
                 wait_s = min(remaining_s, PROOF_WAIT_S)
-                if await self.replica_check.holds(sent.endpoint, position, wait_s):
+                proof = await self.replica_check.find_proof(
+                    sent.endpoint, position, wait_s
+                )
+                if proof is not None:
                     flow.needs_proof = False
-                    status = CommitStatus.DURABLE
-            if status is CommitStatus.DURABLE and position is not None:
+                    decision = msgspec.structs.replace(
+                        decision,
+                        status=CommitStatus.DURABLE,
+                        reason=CommitReason.REPLICA_HOLDS,
+                        proof=proof,
+                    )
+            if decision.is_durable and position is not None:
                 self.cluster.record_acknowledged(
                     sent.service, self._range(sent, position)
                 )
-            if status is not CommitStatus.UNCONFIRMED or remaining_s <= 0:
-                return status is CommitStatus.DURABLE
+            if decision.status is not CommitStatus.UNCONFIRMED or remaining_s <= 0:
+                return decision
             try:
                 async with asyncio.timeout(min(remaining_s, POLL_INTERVAL_S)):
                     await self.cluster_changed.wait()
@@ -191,7 +169,10 @@
         """
         flow = self._record_answer(sent, self.clock.now_s())
         while flow.needs_proof and self.clock.now_s() < deadline_s:
-            if await self.replica_check.holds(sent.endpoint, position, PROOF_WAIT_S):
+            proof = await self.replica_check.find_proof(
+                sent.endpoint, position, PROOF_WAIT_S
+            )
+            if proof is not None:
                 flow.needs_proof = False
             else:
                 await asyncio.sleep(POLL_INTERVAL_S)
@@ -211,34 +192,60 @@
         flow.last_answered_at_s = answered_at_s
         return flow
 
-    def status(
+    def decide(
         self,
         sent: SentCommit,
         position: Position | None,
         answered_at_s: float,
         *,
         needs_proof: bool = False,
-    ) -> CommitStatus:
+    ) -> CommitDecision:
         """Return the status of a commit whose answer arrived at ``answered_at_s``.
 
         With ``needs_proof`` group states don't suffice.
         """
         group = self.cluster.groups.get(sent.service)
-        if group is None or group.epoch == sent.epoch:
-            age_s = answered_at_s - self.cluster.groups_confirmed_at_s
-            is_confirmed = age_s < CONFIRMATION_TTL_S and not needs_proof
-            return CommitStatus.DURABLE if is_confirmed else CommitStatus.UNCONFIRMED
+        confirmed_ago_s = answered_at_s - self.cluster.groups_confirmed_at_s
         moving_since_s = self.cluster.moving_since_s.get(sent.service, float("-inf"))
-        if answered_at_s - moving_since_s < ANSWER_GRACE_S and not needs_proof:
-            return CommitStatus.DURABLE
-        if group.phase is GroupPhase.MOVING:
-            return CommitStatus.UNCONFIRMED
+        moving_ago_s = answered_at_s - moving_since_s
+        status, reason = CommitStatus.UNCONFIRMED, CommitReason.NONE
+        if group is None or group.epoch == sent.epoch:
+            if confirmed_ago_s < CONFIRMATION_TTL_S and not needs_proof:
+                status, reason = CommitStatus.DURABLE, CommitReason.GROUP_CONFIRMED
+        elif moving_ago_s < ANSWER_GRACE_S and not needs_proof:
+            status = CommitStatus.DURABLE
+            reason = CommitReason.ANSWERED_BEFORE_FAILOVER
+        elif group.phase is not GroupPhase.MOVING:
+            status, reason = self._decide_after_failover(
+                sent, group, position, needs_proof=needs_proof
+            )
+        return CommitDecision(
+            status=status,
+            reason=reason,
+            epoch=group.epoch if group else 0,
+            phase=group.phase if group else None,
+            confirmed_ago_s=confirmed_ago_s,
+            moving_ago_s=moving_ago_s,
+            needs_proof=needs_proof,
+            inherited=group.inherited if group else None,
+        )
+
+    @staticmethod
+    def _decide_after_failover(
+        sent: SentCommit,
+        group: GroupState,
+        position: Position | None,
+        *,
+        needs_proof: bool,
+    ) -> tuple[CommitStatus, CommitReason]:
         if (group.primary, group.term) == (sent.endpoint, sent.term):
-            # The failover was given up.
-            return CommitStatus.UNCONFIRMED if needs_proof else CommitStatus.DURABLE
-        is_inherited = (
+            if needs_proof:
+                return CommitStatus.UNCONFIRMED, CommitReason.NONE
+            return CommitStatus.DURABLE, CommitReason.FAILOVER_GIVEN_UP
+        if (
             position is not None
             and group.inherited is not None
             and position <= group.inherited
-        )
-        return CommitStatus.DURABLE if is_inherited else CommitStatus.IN_DOUBT
+        ):
+            return CommitStatus.DURABLE, CommitReason.INHERITED
+        return CommitStatus.IN_DOUBT, CommitReason.NOT_INHERITED
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -10,6 +10,7 @@
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
+from ebonyladder.metrics import Metrics
 from ebonyladder.sessions.catalog import Route
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry
 from ebonyladder.sessions.command import (
@@ -21,7 +22,8 @@
     TransactionState,
     refusal,
 )
-from ebonyladder.sessions.commit_confirmation import CommitConfirmation, SentCommit
+from ebonyladder.sessions.commit_confirmation import CommitConfirmation
+from ebonyladder.sessions.commit_decision import CommitReporter, SentCommit
 from ebonyladder.sessions.connection import PooledConnection
 from ebonyladder.sessions.endpoint_selector import EndpointSelector, NoTarget, Target
 from ebonyladder.sessions.pool import EndpointConnectionPool, PoolSet
@@ -63,6 +65,8 @@
         Receives the positions of primaries.
     replica_check : ReplicaCheck
         Asks replicas for commits that can't be confirmed otherwise.
+    metrics : Metrics
+        Receives the number of commits by what confirmed them.
     clock : Clock
         Clock of the deadlines.
     """
@@ -75,6 +79,7 @@
         pools: PoolSet,
         positions: PrimaryPositions,
         replica_check: ReplicaCheck,
+        metrics: Metrics,
         clock: Clock,
     ) -> None:
         self.cluster = cluster
@@ -84,6 +89,7 @@
         self.confirmation = CommitConfirmation(
             cluster=cluster, replica_check=replica_check, clock=clock
         )
+        self.commit_reporter = CommitReporter(metrics=metrics, clock=clock)
         self.target_wait = TargetWait(clock=clock)
         self.clock = clock
         self.cluster_changed = asyncio.Event()
@@ -292,16 +298,12 @@
         self, request: StatementRequest, sent: SentCommit, answer: Answer
     ) -> Answer:
         """Return the answer to a commit once it is known to be durable."""
-        if await self.confirmation.wait(sent, answer.position, request.deadline_s):
-            return answer
-        logging.info(
-            "[executor] Acknowledged commit is in doubt. request=%s endpoint=%s "
-            "epoch=%d position=%s",
-            request.command.id,
-            sent.endpoint,
-            sent.epoch,
-            answer.position,
+        decision = await self.confirmation.wait(
+            sent, answer.position, request.deadline_s
         )
+        self.commit_reporter.report(request.command.id, sent, answer.position, decision)
+        if decision.is_durable:
+            return answer
         return refusal(AnswerCode.IN_DOUBT, "the primary was replaced")
 
     def _is_current_primary(self, entry: EndpointEntry) -> bool:
--- a/src/ebonyladder/sessions/forwarding_service.py
+++ b/src/ebonyladder/sessions/forwarding_service.py
@@ -15,7 +15,7 @@
     CommandKind,
     TransactionState,
 )
-from ebonyladder.sessions.commit_confirmation import SentCommit
+from ebonyladder.sessions.commit_decision import SentCommit
 from ebonyladder.sessions.connection import PooledConnection, ReadBound
 from ebonyladder.sessions.endpoint_selector import Target
 from ebonyladder.sessions.executor import Executor
--- a/src/ebonyladder/sessions/plugins/sessions.py
+++ b/src/ebonyladder/sessions/plugins/sessions.py
@@ -8,6 +8,7 @@
 
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
+from ebonyladder.metrics import Metrics
 from ebonyladder.sessions.catalog import CallerKey, DatabaseName
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry, Owner
 from ebonyladder.sessions.command import Answer
@@ -55,7 +56,7 @@
 
     name = "sessions"
     provides = (SessionFactory,)
-    requires = (ClusterView, EndpointConnector, Quota)
+    requires = (ClusterView, EndpointConnector, Quota, Metrics)
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
@@ -94,6 +95,7 @@
             pools=self.pools,
             positions=positions,
             replica_check=self.replica_check,
+            metrics=self.kernel.get(Metrics),
             clock=clock,
         )
         self.kernel.supervise(self._maintain_pools, name="pool-maintenance")
--- a/src/ebonyladder/sessions/replica_check.py
+++ b/src/ebonyladder/sessions/replica_check.py
@@ -4,7 +4,10 @@
 from asyncio import FIRST_COMPLETED
 from collections.abc import Callable
 
+import msgspec
+
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry
+from ebonyladder.sessions.commit_decision import ReplicaProof
 from ebonyladder.sessions.connection import EndpointConnector, EndpointStatus
 from ebonyladder.sessions.endpoint_control import EndpointControl
 from ebonyladder.types import EndpointId, EndpointProcess, Position, Role
@@ -15,6 +18,13 @@
 Question = asyncio.Task[None]
 
 
+class ReplicaAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Last status of a replica, and when it arrived."""
+
+    status: EndpointStatus
+    answered_at_s: float
+
+
 class ReplicaCheck:
     """Asks replicas whether they hold commits, with one question for all that wait.
 
@@ -44,7 +54,7 @@
         self.control = EndpointControl(connector=connector)
         self.questions: dict[EndpointProcess, Question] = {}
         # Last answers, since one may arrive after the wait for it has ended.
-        self.latest: dict[EndpointProcess, EndpointStatus] = {}
+        self.latest: dict[EndpointProcess, ReplicaAnswer] = {}
         self.closing: asyncio.TimerHandle | None = None
 
     def can_ask(self, primary: EndpointId) -> bool:
@@ -56,10 +66,10 @@
         service = catalog.services.get(entry.service)
         return service is not None and service.sync_replicas > 0
 
-    async def holds(
+    async def find_proof(
         self, primary: EndpointId, position: Position | None, timeout_s: float
-    ) -> bool:
-        """Tell whether a replica holds a position in the log of a primary.
+    ) -> ReplicaProof | None:
+        """Return the answer of a replica that holds a position of a primary's log.
 
         Parameters
         ----------
@@ -67,10 +77,10 @@
             Longest wait for an answer, in seconds.
         """
         if position is None or not self.can_ask(primary):
-            return False
+            return None
         replicas = self._replicas(primary)
-        if self._is_held(replicas, position):
-            return True
+        if (proof := self._known_proof(replicas, position)) is not None:
+            return proof
         # The nearest replica usually has the commit, so the others are spared.
         for asked in (replicas[:1], replicas):
             pending = {self._ask(entry) for entry in asked}
@@ -80,11 +90,11 @@
                 answered, pending = await asyncio.wait(
                     pending, timeout=max(remaining_s, 0), return_when=FIRST_COMPLETED
                 )
-                if self._is_held(replicas, position):
-                    return True
+                if (proof := self._known_proof(replicas, position)) is not None:
+                    return proof
                 if not answered:
                     break
-        return False
+        return None
 
     def _replicas(self, primary: EndpointId) -> list[EndpointEntry]:
         """Return the replicas listed at the last confirmation, the nearest first."""
@@ -101,9 +111,19 @@
             ),
         )
 
-    def _is_held(self, replicas: list[EndpointEntry], position: Position) -> bool:
-        """Tell whether a replica's last answer has a position."""
-        return any(self._has(self.latest.get(e.process), position) for e in replicas)
+    def _known_proof(
+        self, replicas: list[EndpointEntry], position: Position
+    ) -> ReplicaProof | None:
+        """Return the first replica's last answer that has a position."""
+        for entry in replicas:
+            answer = self.latest.get(entry.process)
+            if answer is not None and self._has(answer.status, position):
+                return ReplicaProof(
+                    replica=entry.process,
+                    received=answer.status.received,
+                    answered_at_s=answer.answered_at_s,
+                )
+        return None
 
     def close(self) -> None:
         """Close all connections."""
@@ -114,11 +134,10 @@
         self.control.close()
 
     @staticmethod
-    def _has(status: EndpointStatus | None, position: Position) -> bool:
+    def _has(status: EndpointStatus, position: Position) -> bool:
         # A log that has entries of a newer term may lack the end of the older one.
         return (
-            status is not None
-            and status.role is Role.REPLICA
+            status.role is Role.REPLICA
             and status.received.term == position.term
             and status.received >= position
         )
@@ -144,7 +163,9 @@
         else:
             status = await self.control.status(entry.process)
         if status is not None:
-            self.latest[entry.process] = status
+            self.latest[entry.process] = ReplicaAnswer(
+                status=status, answered_at_s=self.cluster.clock.now_s()
+            )
 
     def _close_idle(self) -> None:
         self.control.close()
--- a/tests/session_fakes.py
+++ b/tests/session_fakes.py
@@ -6,6 +6,7 @@
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
+from ebonyladder.metrics import Metrics
 from ebonyladder.sessions.catalog import (
     CallerKey,
     Catalog,
@@ -265,6 +266,30 @@
         return FakeConnection(peer, organisation)
 
 
+class CountingMetrics(Metrics):
+    """Metrics that keep the counters, by name and labels."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[tuple[str, ...]] = Counter()
+
+    def observe_request(self, **fields) -> None:
+        """Ignore a request."""
+
+    def observe_step(self, step: Step, seconds: float) -> None:
+        """Ignore a step."""
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Add to a counter."""
+        self.counts[name, *labels.values()] += amount
+
+    def gauge(self, name: str, value: float, **labels: str) -> None:
+        """Ignore a gauge."""
+
+    def render(self) -> bytes:
+        """Return nothing."""
+        return b""
+
+
 def fake_endpoints() -> tuple[FakeEndpoint, FakeEndpoint, FakeEndpoint]:
     """Return the endpoints of ``cluster``: the primary and both replicas."""
     return (
--- a/tests/test_commit_confirmation.py
+++ b/tests/test_commit_confirmation.py
@@ -7,19 +7,26 @@
 
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.sessions.cluster_view import GroupPhase, GroupState
-from ebonyladder.sessions.command import AnswerCode
+from ebonyladder.sessions.command import AnswerCode, CommandId
 from ebonyladder.sessions.commit_confirmation import (
     ANSWER_GRACE_S,
     CONFIRMATION_TTL_S,
     IDLE_S,
     STALL_S,
     CommitConfirmation,
+)
+from ebonyladder.sessions.commit_decision import (
+    LINES_PER_S,
+    CommitDecision,
+    CommitReason,
+    CommitReporter,
     CommitStatus,
 )
 from ebonyladder.sessions.replica_check import ReplicaCheck
 from ebonyladder.types import EndpointId, Role, Term
 from tests.session_fakes import (
     SERVICE,
+    CountingMetrics,
     FakeConnection,
     FakeConnector,
     cluster,
@@ -57,6 +64,8 @@
             clock=self.clock,
         )
         self.sent = self.confirmation.sent(entry("primary"))
+        self.metrics = CountingMetrics()
+        self.reporter = CommitReporter(metrics=self.metrics, clock=self.clock)
 
     def move(self) -> None:
         """Apply the group state of a failover, long before the answer."""
@@ -65,7 +74,11 @@
 
     def status(self) -> CommitStatus:
         """Return the status of a commit that is answered now."""
-        return self.confirmation.status(self.sent, COMMIT, self.clock.now_s())
+        return self.decide().status
+
+    def decide(self) -> CommitDecision:
+        """Return the decision on a commit that is answered now."""
+        return self.confirmation.decide(self.sent, COMMIT, self.clock.now_s())
 
 
 class TestStatus:
@@ -87,8 +100,8 @@
         world.clock.advance(CONFIRMATION_TTL_S + 0.01)
         answered_at_s = world.clock.now_s()
         world.cluster.record_groups_confirmed(answered_at_s)
-        found = world.confirmation.status(world.sent, COMMIT, answered_at_s)
-        assert found is CommitStatus.DURABLE
+        found = world.confirmation.decide(world.sent, COMMIT, answered_at_s)
+        assert found.status is CommitStatus.DURABLE
 
     def test_answer_from_before_the_promotion_is_delivered(self, world):
         # Guards against doubt about the commits that a planned change overtakes.
@@ -128,6 +141,106 @@
         assert world.status() is CommitStatus.IN_DOUBT
 
 
+class TestReason:
+    """Guards against a lost commit of which nothing tells why it was a success."""
+
+    @pytest.fixture
+    def world(self) -> World:
+        return World()
+
+    def report(self, world: World, decision: CommitDecision, caplog) -> list[str]:
+        """Return the lines about ten times as many commits as may be logged."""
+        world.metrics.counts.clear()
+        caplog.clear()
+        number = 10 * LINES_PER_S
+        with caplog.at_level("INFO", logger="absl"):
+            for _ in range(number):
+                world.reporter.report(CommandId("c1"), world.sent, COMMIT, decision)
+        counter = ("commit_decisions", decision.status.value, decision.reason.value)
+        assert world.metrics.counts == {counter: number}
+        return caplog.messages
+
+    @pytest.mark.parametrize(
+        ("states", "reason"),
+        [
+            ([], CommitReason.GROUP_CONFIRMED),
+            ([group(5, GroupPhase.MOVING)], CommitReason.NONE),
+            (
+                [group(6, GroupPhase.STABLE, term=Term(1))],
+                CommitReason.FAILOVER_GIVEN_UP,
+            ),
+            (
+                [group(6, GroupPhase.STABLE, NEAR, term=Term(2), inherited=COMMIT)],
+                CommitReason.INHERITED,
+            ),
+            (
+                [group(6, GroupPhase.STABLE, NEAR, term=Term(2))],
+                CommitReason.NOT_INHERITED,
+            ),
+        ],
+    )
+    def test_each_branch_has_its_reason(self, world, states, reason):
+        for state in states:
+            world.cluster.apply_group(state)
+        world.clock.advance(ANSWER_GRACE_S + 0.01)
+        assert world.decide().reason is reason
+
+    def test_ages_of_what_was_used_are_kept(self, world):
+        world.clock.advance(0.3)
+        world.cluster.apply_group(group(5, GroupPhase.MOVING, term=Term(1)))
+        world.clock.advance(0.1)
+        found = world.decide()
+        assert found.reason is CommitReason.ANSWERED_BEFORE_FAILOVER
+        assert found.confirmed_ago_s == pytest.approx(0.4)
+        assert found.moving_ago_s == pytest.approx(0.1)
+
+    def test_replica_that_holds_a_commit_is_named(self):
+        async def scenario():
+            world = SessionWorld()
+            world.cluster.groups_confirmed_at_s -= 60.0
+            confirmation = world.executor.confirmation
+            sent = confirmation.sent(entry("primary"))
+            deadline_s = world.clock.now_s() + 5.0
+            found = await confirmation.wait(sent, position(1, 10), deadline_s)
+            confirmation.replica_check.close()
+            return found
+
+        found = asyncio.run(scenario())
+        assert found.reason is CommitReason.REPLICA_HOLDS
+        assert found.proof.replica == entry("near").process
+        assert found.proof.received == position(1, 10)
+
+    def test_routine_commits_are_counted_and_not_logged(self, world, caplog):
+        assert self.report(world, world.decide(), caplog) == []
+
+    def test_lines_about_other_successes_are_bounded(self, world, caplog):
+        world.cluster.apply_group(group(5, GroupPhase.MOVING, term=Term(1)))
+        decision = world.decide()
+        lines = self.report(world, decision, caplog)
+        assert len(lines) == LINES_PER_S
+        assert "reason=answered-before-failover sent_epoch=4 epoch=5" in lines[0]
+        world.clock.advance(1.0)
+        lines = self.report(world, decision, caplog)
+        assert f"suppressed={9 * LINES_PER_S}" in lines[0]
+
+    def test_each_commit_in_doubt_is_logged(self, world, caplog):
+        world.move()
+        lines = self.report(world, world.decide(), caplog)
+        assert len(lines) == 10 * LINES_PER_S
+
+    def test_commit_of_a_session_is_counted(self):
+        async def scenario():
+            world = SessionWorld()
+            session = world.session()
+            await session.handle(command("WRITE a 1"))
+            world.executor.confirmation.replica_check.close()
+            return world.metrics.counts
+
+        # The first commit at a primary needs the answer of a replica.
+        counts = asyncio.run(scenario())
+        assert counts == {("commit_decisions", "durable", "replica-holds"): 1}
+
+
 class TestSession:
     """Guards against a success for the caller of a commit that is in doubt."""
 
@@ -224,7 +337,8 @@
             confirmation = world.executor.confirmation
             first = confirmation.sent(entry("primary"))
             deadline_s = world.clock.now_s() + 5.0
-            assert await confirmation.wait(first, position(1, 10), deadline_s)
+            found = await confirmation.wait(first, position(1, 10), deadline_s)
+            assert found.is_durable
             flow = confirmation.flows[entry("primary").process]
             flow.last_answered_at_s -= pause_s
             sent = structs.replace(
@@ -234,7 +348,8 @@
             commit = position(1, 10 if is_held else 11)
             deadline_s = world.clock.now_s() + 0.2
             try:
-                return await confirmation.wait(sent, commit, deadline_s)
+                found = await confirmation.wait(sent, commit, deadline_s)
+                return found.is_durable
             finally:
                 confirmation.replica_check.close()
 
@@ -299,7 +414,8 @@
             change(world)
             check = world.executor.confirmation.replica_check
             try:
-                return await check.holds(PRIMARY, position(1, 10), timeout_s=1.0)
+                proof = await check.find_proof(PRIMARY, position(1, 10), timeout_s=1.0)
+                return proof is not None
             finally:
                 check.close()
 
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -19,6 +19,7 @@
 from tests.session_fakes import (
     KEY,
     SERVICE,
+    CountingMetrics,
     FakeConnection,
     FakeConnector,
     catalog,
@@ -57,6 +58,7 @@
             cluster=self.cluster, connector=self.connector, clock=self.clock
         )
         self.quota = CountingQuota()
+        self.metrics = CountingMetrics()
         self.executor = Executor(
             cluster=self.cluster,
             selector=EndpointSelector(
@@ -69,6 +71,7 @@
                 connector=self.connector,
                 is_local=lambda endpoint: True,
             ),
+            metrics=self.metrics,
             clock=self.clock,
         )
         self.cluster.notify()
