Test the ways in which a failover can lose an acknowledged commit

They cover a silent holder passed over because of what callers were told or because it was unlisted for long, a final position that isn't required, a replica that restarts or joins between the survey and the call, the successor of an interrupted attempt, the empty log of a restarted process, a holder dropped while only silent to the leader, and replicas that nobody resumes.

--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -442,6 +442,17 @@
         assert world.promoter.calls == []
         assert world.group.primary == "near"
 
+    def test_replicas_receive_again_once_the_promotion_is_found(self):
+        # Guards against replicas that stay paused after a change of the leader.
+        world = World()
+        world.primary.is_down = True
+        world.near.status = type(world.near.status)(
+            role=Role.PRIMARY, term=2, received=position(2, 10)
+        )
+        world.far.paused_term = 2
+        assert world.replace_primary(FailoverCause.INTERRUPTED)
+        assert world.far.paused_term is None
+
 
 class TestUnansweredPromotion:
     """Guards against a second promotion while the first may still take effect."""
@@ -491,6 +502,117 @@
         assert self.world.failover.unanswered_at_s > 0
 
 
+class TestSilentReplica:
+    """Guards against lost commits that a replica which is silent may hold."""
+
+    def setup_method(self):
+        self.world = World()
+        self.world.primary.is_down = True
+        self.world.far.is_down = True
+
+    def test_commit_that_no_caller_was_told_of_counts(self):
+        self.world.coordination.told = position(1, 10)
+        assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.world.promoter.calls == []
+
+    def test_holders_that_were_unlisted_for_long_are_not_taken_as_gone(self):
+        # The logs may come back with the databases.
+        for name in ("primary", "far"):
+            del self.world.cluster.endpoints[EndpointId(name)]
+        self.world.coordination.departed = [
+            entry("primary", role=Role.PRIMARY, zone="b"),
+            entry("far", zone="b"),
+        ]
+        self.world.coordination.lost = frozenset(
+            map(EndpointProcess, ("primary@0", "far@0"))
+        )
+        assert not self.world.replace_primary(FailoverCause.UNLISTED)
+        assert self.world.promoter.calls == []
+
+
+class TestFinalPosition:
+    def test_commit_of_an_unknown_replica_counts_after_a_step_down(self):
+        # Guards against a promotion without a commit that the primary still holds.
+        world = World()
+        world.coordination.told = position(1, 10)
+        world.primary.set_received(position(1, 12))
+        assert world.replace_primary(FailoverCause.LEAVING)
+        assert world.promoter.calls == [("primary", 7)]
+
+
+class TestOutdatedSurvey:
+    """Guards against commits that are acknowledged after the logs were read."""
+
+    def setup_method(self):
+        self.world = World()
+        self.world.primary.is_down = True
+        self.store = self.world.coordination.store_successor
+
+    def replace_primary(self, change: Callable[[], None]) -> bool:
+        """Run a failover in which ``change`` happens as the successor is stored."""
+
+        async def store_successor(group):
+            await self.store(group)
+            change()
+
+        self.world.coordination.store_successor = store_successor
+        return self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+
+    def test_replica_that_restarts_before_the_call_has_lost_its_pause(self):
+        def restart():
+            self.world.far.drops_connections = True
+            self.world.far.set_received(position(1, 12))
+
+        self.replace_primary(restart)
+        assert self.world.promoter.calls == []
+
+    def test_replica_that_joins_before_the_call_is_not_paused(self):
+        def join():
+            new = FakeEndpoint("new", role=Role.REPLICA)
+            new.set_received(position(1, 12))
+            self.world.connector.endpoints[EndpointId("new")] = new
+            self.world.coordination.joined = [entry("new")]
+
+        self.replace_primary(join)
+        assert self.world.promoter.calls == []
+
+    def test_earlier_successor_without_a_later_commit_is_not_promoted_again(self):
+        # The replicas have been resumed since the attempt that chose it.
+        self.world.promoter.is_unanswered = True
+        self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        self.world.promoter.is_unanswered = False
+        self.world.far.set_received(position(1, 15))
+        self.world.far.paused_term = None
+        self.world.replace_primary(FailoverCause.INTERRUPTED)
+        assert self.world.promoter.calls == [("near", 7)]
+
+
+class TestRestartedDatabase:
+    """Guards against an empty log that counts as that of the process before."""
+
+    def restart(self, endpoint: FakeEndpoint) -> None:
+        """Start a database again without its log, under an outdated list."""
+        endpoint.status = type(endpoint.status)(
+            role=Role.REPLICA, term=0, received=NO_POSITION
+        )
+
+    def test_log_of_a_restarted_primary_is_not_final(self):
+        world = World()
+        world.coordination.told = position(1, 10)
+        self.restart(world.primary)
+        world.far.is_down = True
+        assert not world.replace_primary(FailoverCause.DEMOTED)
+        assert world.promoter.calls == []
+
+    def test_log_of_a_restarted_replica_is_not_that_of_the_process_before(self):
+        world = World()
+        world.primary.is_down = True
+        self.restart(world.far)
+        world.coordination.joined = [entry("far", process_started_at_ms=9)]
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == []
+
+
 class TestHandOver:
     """Guards against two leaders whose promotions cross on the way."""
 
--- a/tests/test_log_holders.py
+++ b/tests/test_log_holders.py
@@ -105,6 +105,14 @@
         assert self.required({"a@0": 7}, lost=["b@0", "primary@0"]) == 7
         assert self.required({}, lost=["a@0", "b@0", "primary@0"]) is None
 
+    def test_log_of_a_stepped_down_primary_counts_in_full(self):
+        # Guards against a commit that a replica which isn't known has acknowledged.
+        assert self.required({"a@0": 7, "b@0": 9, "primary@0": 12}, told=(9, 9)) == 12
+
+    def test_final_position_before_what_callers_were_told_is_that_of_no_primary(self):
+        # Guards against the empty log of a primary that was started again.
+        assert self.required({"a@0": 7, "primary@0": 0}, told=(7, 7)) is None
+
     def test_log_with_all_that_callers_were_told_suffices(self):
         told = {"told": (6, 7), "have_all_told": True}
         assert self.required({"a@0": 7}, **told) == 7
@@ -200,6 +208,13 @@
         world.update()
         assert "far@0" in world.stored()
 
+    def test_replica_that_is_unlisted_and_silent_to_the_leader_stays(self, world):
+        # Guards against a partitioned replica that goes on receiving and acknowledging.
+        del world.cluster.endpoints[EndpointId("far")]
+        world.far.is_unresponsive = True
+        world.update()
+        assert "far@0" in world.stored()
+
     def test_nothing_is_removed_by_an_outdated_list(self, world):
         self.depart(world, "far")
         world.update(may_remove=False)
