Recognize a log that is shorter than it was as that of another process

Cause: a database that starts again without its log answers under the entry of the process before. If it can't register, as in an outage of the store, the list goes on naming the earlier process, and the empty log counted as that one's: the model lost commits that way, and a process test with an outage of the store as well.

Change: a log that is shorter than a position seen of the process, in the term of the present primary, isn't counted. A later process of the primary's endpoint isn't missed.

--- a/src/ebonyladder/sessions/cluster_view.py
+++ b/src/ebonyladder/sessions/cluster_view.py
@@ -180,6 +180,8 @@
         self.groups: dict[ServiceId, GroupState] = {}
         # Last commit of each service that was acknowledged to a caller of this VM.
         self.acknowledged: dict[ServiceId, AcknowledgedRange] = {}
+        # Newest position of each endpoint's log that this VM has seen.
+        self.seen: dict[EndpointProcess, Position] = {}
         # Last time at which each service's primary ceased to be usable.
         self.moving_since_s: dict[ServiceId, float] = {}
         # Last time at which the group states were confirmed to be the latest ones.
@@ -250,6 +252,12 @@
         known = self.acknowledged.get(service)
         self.acknowledged[service] = acknowledged.merge(known)
 
+    def record_seen(self, process: EndpointProcess, position: Position | None) -> None:
+        """Record a position of an endpoint's log."""
+        known = self.seen.get(process)
+        if position is not None and (known is None or position > known):
+            self.seen[process] = position
+
     def set_standbys(self, standbys: dict[VmId, Address]) -> None:
         """Replace the VMs that grant permits while the leader is unreachable."""
         self.standbys = standbys
--- a/src/ebonyladder/sessions/commit_confirmation.py
+++ b/src/ebonyladder/sessions/commit_confirmation.py
@@ -82,7 +82,6 @@
         self.replica_check = replica_check
         self.clock = clock
         self.flows: dict[EndpointProcess, CommitFlow] = {}
-        self.seen: dict[EndpointProcess, Position] = {}
         self.cluster_changed = asyncio.Event()
         cluster.listeners.append(self.cluster_changed.set)
 
@@ -95,15 +94,9 @@
             epoch=group.epoch if group else 0,
             term=group.term if group else Term(0),
             sent_at_s=self.clock.now_s(),
-            seen=self.seen.get(entry.process),
+            seen=self.cluster.seen.get(entry.process),
         )
 
-    def record_seen(self, entry: EndpointEntry, position: Position | None) -> None:
-        """Record a position of an endpoint's log."""
-        known = self.seen.get(entry.process)
-        if position is not None and (known is None or position > known):
-            self.seen[entry.process] = position
-
     async def wait(
         self, sent: SentCommit, position: Position | None, deadline_s: float
     ) -> CommitDecision:
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -191,7 +191,7 @@
                 and answer.state is TransactionState.OPEN
                 and self._remaining_s(request) > RETRY_BACKOFF_S
             )
-            self.confirmation.record_seen(entry, answer.position)
+            self.cluster.record_seen(entry.process, answer.position)
             if not may_retry:
                 break
             await asyncio.sleep(RETRY_BACKOFF_S)
@@ -331,7 +331,7 @@
             raise
         finally:
             pool.release(connection)
-        self.confirmation.record_seen(target.entry, answer.position)
+        self.cluster.record_seen(target.entry.process, answer.position)
         self.record_position(target, answer, sent_at_s)
         return answer
 
--- a/src/ebonyladder/sessions/log_survey.py
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -51,11 +51,21 @@
 
     @property
     def missing(self) -> list[EndpointProcess]:
-        """Log holders other than the former primary that didn't answer."""
+        """Log holders that didn't answer and may have received from the primary.
+
+        A later process of the primary's endpoint has started after the primary ended.
+        """
+        primary = self.holders.get(self.primary)
         return sorted(
             process
-            for process in self.holders
-            if process != self.primary and process not in self.received
+            for process, entry in self.holders.items()
+            if process != self.primary
+            and process not in self.received
+            and not (
+                primary is not None
+                and entry.id == primary.id
+                and entry.process_started_at_ms > primary.process_started_at_ms
+            )
         )
 
     @property
--- a/src/ebonyladder/sessions/successor.py
+++ b/src/ebonyladder/sessions/successor.py
@@ -290,21 +290,36 @@
     def _survey(
         self, attempt: FailoverAttempt, received: dict[EndpointProcess, Position]
     ) -> LogSurvey:
-        """Return the survey of the logs that were read.
-
-        A connection that was opened under the entry of an earlier process may reach a
-        later one of the same endpoint, so it doesn't count.
-        """
-        latest = {entry.process for entry in attempt.holders.latest}
+        """Return the survey of the logs that were read."""
         inherited = self.cluster.groups[attempt.service].inherited
         told = self.coordination.acknowledged(attempt.service)
         return LogSurvey(
             primary=attempt.primary,
             holders=attempt.by_process,
-            received={p: at for p, at in received.items() if p in latest},
+            received={
+                process: position
+                for process, position in received.items()
+                if self._is_of(process, position, attempt)
+            },
             known=told if inherited is None else max(told, inherited),
         )
 
+    def _is_of(
+        self, process: EndpointProcess, position: Position, attempt: FailoverAttempt
+    ) -> bool:
+        """Tell whether a position that was read may be that of a listed process.
+
+        A connection names only the endpoint, so a process that has started again
+        without its log answers under the entry of the one before. It is recognized if
+        the list names the new one, or by a log that is shorter than it was; only the
+        log of an older term than the primary's may have been rolled back.
+        """
+        latest = {entry.process for entry in attempt.holders.latest}
+        seen = self.cluster.seen.get(process)
+        group = self.cluster.groups[attempt.service]
+        is_shorter = seen is not None and seen.term >= group.term and position < seen
+        return process in latest and not is_shorter
+
     @staticmethod
     async def _wait_registered(attempt: FailoverAttempt) -> None:
         """Wait until the processes that answer must have registered."""
--- a/tests/failover_databases.py
+++ b/tests/failover_databases.py
@@ -14,6 +14,7 @@
 from ebonyladder.sessions.connection import (
     ControlConnection,
     EndpointConnector,
+    EndpointGoneError,
     EndpointStatus,
 )
 from ebonyladder.types import (
@@ -446,7 +447,14 @@
             if peer is None or not peer.is_up or self.vm not in peer.silent_to:
                 break
             await asyncio.sleep(SILENCE_POLL_S)
-        if peer is None or not peer.is_up or self.vm in peer.refused:
+        if peer is None or not peer.is_up:
+            raise EndpointGoneError(
+                code=ErrorCode.CONNECT_FAILED,
+                step=Step.CONNECT,
+                peer=entry.id,
+                outcome=Outcome.NOT_RUN,
+            )
+        if self.vm in peer.refused:
             raise error(ErrorCode.CONNECT_FAILED, entry.id, Outcome.NOT_RUN)
         return SimulatedConnection(
             peer=peer, vm=self.vm, random=random, organisation=organisation
--- a/tests/failover_model.py
+++ b/tests/failover_model.py
@@ -20,7 +20,6 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.cause import FailoverCause
 from ebonyladder.sessions.cluster_view import (
-    AcknowledgedRange,
     ClusterView,
     EndpointEntry,
     GroupPhase,
@@ -38,6 +37,7 @@
 from ebonyladder.sessions.watcher import convert_content
 from ebonyladder.types import (
     EndpointId,
+    EndpointProcess,
     EndpointState,
     LogPosition,
     Position,
@@ -302,27 +302,24 @@
         """Return the log holders."""
         return self.keeper.current(service)
 
-    def lost_log_holders(self, service):
-        """Return the log holders that are taken as gone for good."""
-        return self.keeper.lost(service)
+    def recorded_log_holders(self, service) -> list[EndpointProcess]:
+        """Return the log holders that are stored."""
+        recorded = self.keeper.recorded.get(service)
+        return [] if recorded is None else [e.process for e in recorded.endpoints]
 
-    def acknowledged(self, service) -> AcknowledgedRange:
+    def acknowledged(self, service) -> Position:
         """Return the last commit that a VM has had time to report."""
         told = self.model.service.told(TOLD_AFTER_S)
         if told is None:
-            position = Position(term=Term(0), position=LogPosition(0))
-        else:
-            position = Position(term=Term(told.term), position=LogPosition(told.number))
-        return AcknowledgedRange(lower=position, upper=position)
-
-    def have_all_told(self, group) -> bool:
-        """Return True: all VMs report."""
-        return True
+            return Position(term=Term(0), position=LogPosition(0))
+        return Position(term=Term(told.term), position=LogPosition(told.number))
 
     async def read_members(self, service) -> list[EndpointEntry]:
         """Read the list from the store."""
         await self.store.list(GROUPS)
-        return list(self.model.service.listed.values())
+        members = list(self.model.service.listed.values())
+        self.keeper.record_listed(SERVICE, members)
+        return members
 
     def cancel(self) -> None:
         """End all tasks where they wait."""
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -21,6 +21,7 @@
 from ebonyladder.types import (
     Address,
     EndpointId,
+    EndpointProcess,
     EndpointState,
     Position,
     Role,
@@ -552,6 +553,27 @@
         assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
         assert self.world.promoter.calls == []
 
+    def test_log_that_is_shorter_than_it_was_seen_is_of_another_process(self):
+        # Guards against a restarted process that can't register.
+        seen = position(1, 10)
+        self.world.cluster.record_seen(EndpointProcess("far@0"), seen)
+        assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.world.promoter.calls == []
+
+    def test_log_that_was_rolled_back_counts(self):
+        # Guards against an outage: the last promotion has rolled the replica back.
+        self.world.cluster.record_seen(EndpointProcess("far@0"), position(1, 12))
+        self.world.far.set_received(position(1, 10))
+        self.world.cluster.groups[SERVICE] = GroupState(
+            service=SERVICE,
+            epoch=3,
+            phase=GroupPhase.STABLE,
+            primary=EndpointId("primary"),
+            term=Term(2),
+            inherited=position(1, 10),
+        )
+        assert self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+
     def test_empty_log_of_the_former_primary_is_not_its_final_position(self):
         self.world.primary.is_unresponsive = False
         self.world.primary.status = self.world.far.status
