--- a/src/ebonyladder/sessions/fleet/log_holder_keeper.py
+++ b/src/ebonyladder/sessions/fleet/log_holder_keeper.py
@@ -143,19 +143,9 @@
         """
         self.next_update_at_s[service] = self.clock.now_s() + UPDATE_INTERVAL_S
         await self._probe_departed(service)
-        listed = self.cluster.members(service)
+        if may_remove and self._ended(service) and await self._is_covered(service):
+            self._drop_ended(service)
         holders = self.current(service)
-        ended = [e for e in holders.departed(listed) if e.process in self.ended]
-        if ended and may_remove and await self._is_covered(listed):
-            holders = self.current(service).without(ended)
-            self.known[service] = holders
-            logging.info(
-                "[fleet] Log holders are dropped. service=%s holders=%s",
-                service,
-                ",".join(f"{e.process}:{self.ended[e.process].value}" for e in ended),
-            )
-            for entry in ended:
-                self._forget(entry.process)
         recorded = self.recorded.get(service, LogHolders(service=service))
         if holders.has_same_processes(recorded):
             return
@@ -174,6 +164,23 @@
             ",".join(entry.process for entry in holders.endpoints),
         )
 
+    def _ended(self, service: ServiceId) -> list[EndpointEntry]:
+        """Return the departed holders whose processes have ended."""
+        departed = self.current(service).departed(self.cluster.members(service))
+        return [entry for entry in departed if entry.process in self.ended]
+
+    def _drop_ended(self, service: ServiceId) -> None:
+        """Drop the ended holders, except those that are listed again."""
+        ended = self._ended(service)
+        self.known[service] = self.current(service).without(ended)
+        logging.info(
+            "[fleet] Log holders are dropped. service=%s holders=%s",
+            service,
+            ",".join(f"{e.process}:{self.ended[e.process].value}" for e in ended),
+        )
+        for entry in ended:
+            self._forget(entry.process)
+
     def _to_probe(self, service: ServiceId) -> list[EndpointEntry]:
         """Return the departed holders that are to be asked whether they still run."""
         now_s = self.clock.now_s()
@@ -227,9 +234,10 @@
         self.next_probe_at_s.pop(process, None)
         self.probe_interval_s.pop(process, None)
 
-    async def _is_covered(self, listed: Collection[EndpointEntry]) -> bool:
+    async def _is_covered(self, service: ServiceId) -> bool:
         """Tell whether a replica holds all that ended holders had acknowledged."""
-        primary = self.cluster.primary(listed[0].service)
+        listed = self.cluster.members(service)
+        primary = self.cluster.primary(service)
         if primary is None:
             return False
         control = EndpointControl(connector=self.connector)
--- a/tests/test_log_holders.py
+++ b/tests/test_log_holders.py
@@ -283,6 +283,29 @@
         world.update()
         assert "far@0" in world.stored()
 
+    def test_replica_that_is_listed_again_while_others_are_asked_stays(self, world):
+        # Guards against an update that fails because the list changes meanwhile.
+        world.far.is_down = True
+        far = world.cluster.endpoints.pop(EndpointId("far"))
+        is_covered = world.keeper._is_covered
+
+        async def list_again(service):
+            world.cluster.endpoints[EndpointId("far")] = far
+            world.keeper.due()
+            return await is_covered(service)
+
+        world.keeper._is_covered = list_again
+        world.later()
+        world.update()
+        assert "far@0" in world.stored()
+
+    def test_nothing_is_dropped_while_no_endpoint_is_listed(self, world):
+        world.cluster.endpoints.clear()
+        world.primary.is_down = world.near.is_down = world.far.is_down = True
+        world.later()
+        world.update()
+        assert world.stored() == ["far@0", "near@0", "primary@0"]
+
     def test_earlier_process_of_a_listed_endpoint_has_ended(self, world):
         world.cluster.endpoints[EndpointId("far")] = entry(
             "far", process_started_at_ms=9
