Keep the log of a database of the soak that is being promoted

Change: a database that the group state names as the successor keeps its log. A database that starts without its log registers up to two seconds later in half the cases, so that its new process answers under the entry of the old one.

--- a/soak/database_faults.py
+++ b/soak/database_faults.py
@@ -1,6 +1,7 @@
 """Faults of a soak test between the databases of a service, and their replacement."""
 
 import asyncio
+import time
 from random import Random
 
 from soak.fault_group import MAX_CUT_S, FaultGroup, silenced
@@ -10,6 +11,8 @@
 
 # Time from the report that a database leaves until it ends, in seconds.
 DRAIN_S = (5.0, 8.0)
+# Longest time until a restarted database registers, in seconds.
+MAX_REGISTRATION_S = 2.0
 # Longest interval at which a slow replica receives the log, in seconds.
 MAX_INTERVAL_S = 0.2
 # Time without registration after which a failover takes an endpoint as gone for good,
@@ -170,9 +173,23 @@
             database.receive_interval_s = 0.0
 
     async def restart_without_log(self) -> None:
-        """Start a replica again under its id; it knows nothing of before."""
+        """Start a replica again under its id; it knows nothing of before.
+
+        It registers later at times. A database that is being promoted keeps its log,
+        since a promotion call names an id only.
+        """
         service = self.random_service()
         replicas = self.replicas(service)
         if any(d.is_down for d in service.databases.values()) or not replicas:
             return
-        await self.restart(service, replicas[0], has_log=False)
+        database = replicas[0]
+        has_process = await self.end_for_a_moment(service, database)
+        if not has_process:
+            return
+        if self.fleet.successor(service) == database.process:
+            await database.start()
+            return
+        database.is_unlisted = self.random.random() < 0.5
+        await database.start_without_log(time.time_ns() // 1_000_000)
+        await self.wait(0.0, MAX_REGISTRATION_S)
+        database.is_unlisted = False
--- a/soak/failover_faults.py
+++ b/soak/failover_faults.py
@@ -79,8 +79,8 @@
         with ExitStack() as stack:
             if await self._begin_failover(service, stack):
                 paused = [d for d in self.replicas(service) if d.is_paused]
-                if paused:
-                    await self.restart(service, paused[0])
+                if paused and await self.end_for_a_moment(service, paused[0]):
+                    await paused[0].start()
             await self.wait()
 
     async def join_in_failover(self) -> None:
--- a/soak/fault_group.py
+++ b/soak/fault_group.py
@@ -1,7 +1,6 @@
 """What the groups of faults between databases have in common."""
 
 import asyncio
-import time
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import contextmanager
 from random import Random
@@ -71,22 +70,13 @@
         count = self.random.randint(1, len(self.fleet.vms))
         return self.random.sample(self.fleet.vms, count)
 
-    async def restart(
-        self,
-        service: DatabaseService,
-        database: Database,
-        *,
-        has_log: bool = True,
-    ) -> None:
-        """End a database's process and start it again within a second."""
+    async def end_for_a_moment(
+        self, service: DatabaseService, database: Database
+    ) -> bool:
+        """End a database's process for less than a second; False if it has left."""
         await database.stop()
         await self.wait(*RESTART_S)
-        if service.databases.get(database.name) is not database:
-            return
-        if has_log:
-            await database.start()
-        else:
-            await database.start_without_log(time.time_ns() // 1_000_000)
+        return service.databases.get(database.name) is database
 
     @staticmethod
     def primary(service: DatabaseService) -> Database | None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,7 +8,9 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
+from ebonyladder.sessions.objects import GROUPS
 from soak.proxy import FaultProxy, VmProxy
 from soak.vm_process import PROXY_VARIABLE
 from standins.platform import ZONES, Platform
@@ -259,6 +261,15 @@
         """Return the proxy between one VM and a database."""
         return vm.proxy.link(self.platform.announced_addresses[database.name])
 
+    def group_state(self, service: DatabaseService) -> dict[str, Any]:
+        """Return the group state of a service in the store, empty if there is none."""
+        groups = self.platform.store.objects.get(GROUPS, {})
+        return groups[service.name]["spec"] if service.name in groups else {}
+
+    def successor(self, service: DatabaseService) -> str | None:
+        """Return the process whose promotion the leader may have requested."""
+        return self.group_state(service).get("successor")
+
     def leader(self) -> SoakVm | None:
         """Return the VM that the leader record names."""
         found = self.platform.store.objects.get("ebonyladder-leaders", {}).get("leader")
