--- a/src/ebonyladder/sessions/log_survey.py
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -1,20 +1,32 @@
 """What a failover must know before it promotes an endpoint.
 
-The log of the promoted endpoint must hold every acknowledged commit. That is known in
-three cases: it holds everything that the former primary held after its last
-acknowledgement, or everything that any log holder but the former primary has received,
-since a commit that none of them received was never acknowledged, or everything that
-callers were told.
+A commit is acknowledged once a replica has received it. The log of the promoted
+endpoint must hold every commit that any endpoint has acknowledged, whether or not a
+caller was told of it. Silence shows nothing: an endpoint that doesn't answer may go on
+receiving and acknowledging. So one of these must be known:
+
+- the former primary has stepped down, and the log holds its final position;
+- every other log holder was paused and read, and the log holds the newest position of
+  them. What none of them had received was never acknowledged.
 """
 
 from collections.abc import Callable, Mapping
+from enum import Enum
 
 import msgspec
 
-from ebonyladder.sessions.cluster_view import AcknowledgedRange, EndpointEntry
+from ebonyladder.sessions.cluster_view import EndpointEntry
 from ebonyladder.types import EndpointProcess, Position
 
 
+class SurveyBasis(Enum):
+    """What shows that a position covers every acknowledged commit."""
+
+    ALL_REPLICAS = "all-replicas"
+    FINAL_POSITION = "final-position"
+    NONE = "none"
+
+
 class LogSurvey(msgspec.Struct, frozen=True, kw_only=True):
     """Logs of a service's endpoints once no commit can be acknowledged.
 
@@ -24,66 +36,82 @@
         Former primary.
     holders : dict of EndpointProcess to EndpointEntry
         Log holders, the former primary among them.
-    lost : frozenset of EndpointProcess
-        Log holders that are taken as gone for good.
-    acknowledged : AcknowledgedRange
-        Last commit of which callers are known to have been told.
-    have_all_told : bool
-        Whether that covers all that callers were told.
     received : dict of EndpointProcess to Position
         Last log positions of the endpoints that answered: the former primary only if
         it acknowledges nothing more, and replicas that receive nothing more from it.
+    known : Position
+        Position that the log is known to have reached: what callers were told of and
+        what the former primary inherited.
     """
 
     primary: EndpointProcess | None
     holders: Mapping[EndpointProcess, EndpointEntry]
     received: Mapping[EndpointProcess, Position]
-    acknowledged: AcknowledgedRange
-    lost: frozenset[EndpointProcess] = frozenset()
-    have_all_told: bool = False
+    known: Position
 
     @property
     def missing(self) -> list[EndpointProcess]:
-        """Log holders other than the former primary that didn't answer."""
+        """Log holders that didn't answer and may have received from the primary.
+
+        A later process of the primary's endpoint has started after the primary ended.
+        """
+        primary = self.holders.get(self.primary)
         return sorted(
             process
-            for process in self.holders
-            if process != self.primary and process not in self.received
+            for process, entry in self.holders.items()
+            if process != self.primary
+            and process not in self.received
+            and not (
+                primary is not None
+                and entry.id == primary.id
+                and entry.process_started_at_ms > primary.process_started_at_ms
+            )
         )
 
-    def required_position(self) -> Position | None:
-        """Return a position that covers every acknowledged commit.
-
-        None means that none is known: some log holders didn't answer, and neither did
-        the former primary, and callers may have been told of commits that the logs
-        which were read lack. If all that didn't answer are lost, no other log can hold
-        more.
-        """
+    @property
+    def newest(self) -> Position | None:
+        """Newest position of the log holders other than the former primary."""
         others = [
             position
             for process, position in self.received.items()
             if process != self.primary
         ]
-        newest = max(others, default=None)
-        # A replica that isn't known may have acknowledged what callers were told.
-        has_told = newest is not None and newest >= self.acknowledged.lower
-        if has_told and not self.missing:
-            return newest
-        if self.primary in self.received:
+        return max(others, default=None)
+
+    @property
+    def basis(self) -> SurveyBasis:
+        """What shows that ``required_position`` covers every acknowledged commit.
+
+        Replicas that lack a known position show that another one, which isn't known,
+        had received it. A primary whose final position is older than that, or than a
+        replica's log, isn't the last one that led, or has started again without its
+        log.
+        """
+        newest = self.newest
+        if newest is not None and newest >= self.known and not self.missing:
+            return SurveyBasis.ALL_REPLICAS
+        final = self.received.get(self.primary)
+        if final is not None and final >= max(newest or final, self.known):
+            return SurveyBasis.FINAL_POSITION
+        return SurveyBasis.NONE
+
+    def required_position(self) -> Position | None:
+        """Return a position that covers every acknowledged commit, None if unknown."""
+        basis = self.basis
+        if basis is SurveyBasis.FINAL_POSITION:
             return self.received[self.primary]
-        has_all_told = has_told and newest >= self.acknowledged.upper
-        if self.have_all_told and has_all_told:
-            return newest
-        is_nothing_left = {self.primary, *self.missing} <= self.lost
-        return newest if is_nothing_left else None
+        return self.newest if basis is SurveyBasis.ALL_REPLICAS else None
 
-    def successor(
-        self, cost: Callable[[EndpointEntry], object], *, required: Position
-    ) -> EndpointEntry | None:
-        """Return the endpoint of least cost whose log holds a position."""
-        eligible = [
+    def eligible(self, required: Position) -> list[EndpointEntry]:
+        """Return the endpoints whose logs hold a position."""
+        return [
             self.holders[process]
             for process, position in self.received.items()
             if position >= required
         ]
-        return min(eligible, key=cost, default=None)
+
+    def successor(
+        self, cost: Callable[[EndpointEntry], object], *, required: Position
+    ) -> EndpointEntry | None:
+        """Return the endpoint of least cost whose log holds a position."""
+        return min(self.eligible(required), key=cost, default=None)
