--- a/tests/test_failover_processes.py
+++ b/tests/test_failover_processes.py
@@ -188,7 +188,6 @@
     its last commits.
     """
 
-    @pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
     def test_silent_replica_is_waited_for(self, tmp_path):
         # The third database was promoted, since it held all that callers were told of.
         async def scenario(world: World) -> None:
@@ -198,7 +197,6 @@
 
         assert findings(scenario, tmp_path) == []
 
-    @pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
     def test_unlisted_replica_that_goes_on_receiving_is_waited_for(self, tmp_path):
         # A replica that was unlisted and silent was taken as gone.
         async def scenario(world: World) -> None:
@@ -212,7 +210,6 @@
 
         assert findings(scenario, tmp_path) == []
 
-    @pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
     def test_new_process_does_not_answer_for_the_one_before(self, tmp_path):
         # A process that had started without the log, and wasn't registered yet, was
         # asked in place of the one that had acknowledged the commits.
@@ -227,7 +224,6 @@
 
         assert findings(scenario, tmp_path) == []
 
-    @pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
     def test_earlier_successor_is_surveyed_again(self, tmp_path):
         # The successor of an attempt whose call had no answer was promoted, though a
         # replica had lost its pause since then.
@@ -252,7 +248,6 @@
 
         assert findings(scenario, tmp_path) == []
 
-    @pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 27")
     def test_final_log_of_a_primary_that_stepped_down_is_required(self, tmp_path):
         # The newest of the other logs was promoted, though the former primary had told
         # of a newer position, which an unregistered replica had received.
