Test replicas that start again during a failover of a slow store

Cause: the tests of silent databases restarted a replica only after the promotion call, and a replica without its log only while its reports to the store were lost.

Change: a replica also starts again while the leader stores the successor in a slow store, and a new process without its log also registers at once.

--- a/tests/test_silent_databases.py
+++ b/tests/test_silent_databases.py
@@ -1,14 +1,16 @@
 """Promotions while databases are silent: what a database acknowledged isn't lost."""
 
 import asyncio
+import json
 import time
 from enum import Enum
 
 import pytest
 
 from ebonyladder.sessions.objects import GROUPS, LOG_HOLDERS
-from soak.fleet import NOTICE_S
+from soak.fleet import NOTICE_S, SoakVm
 from soak.proxy import Mode
+from standins.platform import service_name
 from standins.statement_database import Database
 from tests.platform_fleet import until
 from tests.test_failover_processes import World
@@ -20,6 +22,8 @@
 STATEMENT_S = 0.3
 # Time for which a replica lags while callers are told of commits, in seconds.
 LAG_S = 0.5
+# Delay of each message between the leader and a slow store, in seconds.
+STORE_DELAY_S = 0.2
 # Longest time without a promotion until the outage ends, in seconds.
 OUTAGE_S = 8.0
 
@@ -33,6 +37,17 @@
         await asyncio.sleep(0.02)
 
 
+def chosen_successors(leader: SoakVm) -> list[str]:
+    """Return the successors that a leader has chosen, from its log."""
+    lines = map(json.loads, leader.log_path.read_text().splitlines())
+    return [
+        line["endpoint"]
+        for line in lines
+        if line["message"] == "Successor is chosen."
+        and line["service"] == service_name(0)
+    ]
+
+
 class Silence(Enum):
     """How a database that runs doesn't answer VMs."""
 
@@ -88,7 +103,7 @@
             self.cut_primary(*self.service.databases.keys() - {"i-0"})
             await asyncio.sleep(LAG_S)
             self.silence("i-0")
-            replicas = [d for d in self.service.databases.values() if not d.is_primary]
+            replicas = [d for d in self.databases() if not d.is_primary]
             newest = max(len(d.log) for d in replicas)
             if len(self.primary.log) > newest:
                 return len(self.primary.log) - newest
@@ -102,10 +117,17 @@
         await replica.start()
         await in_outage(lambda: len(self.service.acknowledgements) >= known + count)
 
-    def other_replica(self) -> Database:
-        """Return the replica that isn't the stored successor."""
-        successor = self.spec(GROUPS)["successor"].partition("@")[0]
-        (name,) = self.service.databases.keys() - {"i-0", successor}
+    def databases(self) -> list[Database]:
+        """Return the databases of the service."""
+        return list(self.service.databases.values())
+
+    def successor(self) -> str:
+        """Return the process of the stored successor."""
+        return self.spec(GROUPS)["successor"]
+
+    def other_replica(self, successor: str) -> Database:
+        """Return the replica that isn't the successor."""
+        (name,) = self.service.databases.keys() - {"i-0", successor.partition("@")[0]}
         return self.service.databases[name]
 
     async def wait_for_promotion(self) -> None:
@@ -176,7 +198,7 @@
             promotion_proxy.set_mode(Mode.BLACKHOLE)
             count = await world.hold_commits()
             await until(lambda: promotion_proxy.is_holding, "a promotion call")
-            await world.acknowledge_held(world.other_replica(), count)
+            await world.acknowledge_held(world.other_replica(world.successor()), count)
             promotion_proxy.set_mode(Mode.RESET)
             promotion_proxy.set_mode(Mode.PASS)
             await world.wait_for_promotion()
@@ -210,21 +232,43 @@
             world.service.promote_s = 1.0
             count = await world.hold_commits()
             await until(lambda: world.calls(), "a promotion call")
-            await world.acknowledge_held(world.other_replica(), count)
+            await world.acknowledge_held(world.other_replica(world.successor()), count)
+            await world.wait_for_promotion()
+            await world.heal()
+
+        check(scenario, tmp_path)
+
+
+class TestSlowStore:
+    def test_commits_acknowledged_before_the_call_are_not_lost(self, tmp_path):
+        # A replica starts again while the successor is being stored.
+        async def scenario(world: SilentWorld) -> None:
+            leader = await world.leader()
+            count = await world.hold_commits()
+            leader.store_proxy.delay_s = STORE_DELAY_S
+            leader.store_proxy.set_mode(Mode.DELAY)
+            await in_outage(lambda: chosen_successors(leader))
+            if chosen_successors(leader):
+                successor = chosen_successors(leader)[-1]
+                await world.acknowledge_held(world.other_replica(successor), count)
             await world.wait_for_promotion()
+            leader.store_proxy.set_mode(Mode.PASS)
             await world.heal()
 
         check(scenario, tmp_path)
 
 
+@pytest.mark.parametrize("is_registered", [True, False])
 class TestRestartedReplica:
-    def test_empty_log_of_a_new_process_does_not_count_as_the_old_one(self, tmp_path):
-        # The list still names the process before.
+    def test_empty_log_of_a_new_process_does_not_count_as_the_old_one(
+        self, is_registered, tmp_path
+    ):
+        # The list still names the process before, for an instant or for the outage.
         async def scenario(world: SilentWorld) -> None:
             replica = world.service.databases["i-1"]
             await world.acknowledge_untold("i-1")
             world.cut_primary("i-1")
-            replica.is_unlisted = True
+            replica.is_unlisted = not is_registered
             await replica.stop()
             await replica.start_without_log(time.time_ns() // 1_000_000)
             await world.wait_for_promotion()
