Require the final position of a primary that has stepped down in full

Cause: with the final position of the former primary at hand, the newest of the other logs was enough if all of them had been read.

Change: the final position decides.

--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -336,14 +336,13 @@
         found = probes.get(attempt.primary)
         if found is None or found.status.role is not Role.PRIMARY:
             return True
-        if cause is FailoverCause.STALLED:
-            others = [p for p in probes.values() if p is not found]
-            # Without an answer of every log holder, only the primary's own log is known
-            # to be complete, and none of these has it.
-            return len(others) == len(attempt.holders.endpoints) - 1 and all(
-                p.status.received < found.status.received for p in others
-            )
-        return cause not in (FailoverCause.UNRESPONSIVE, FailoverCause.DEMOTED)
+        # Commits stall at a primary whose log no replica receives, so none of them can
+        # take over from its final position.
+        return cause not in (
+            FailoverCause.UNRESPONSIVE,
+            FailoverCause.DEMOTED,
+            FailoverCause.STALLED,
+        )
 
     async def _call_platform(
         self, attempt: FailoverAttempt, chosen: EndpointEntry, called_at_s: float
--- a/src/ebonyladder/sessions/log_survey.py
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -6,8 +6,12 @@
 receiving and acknowledging. So one of these must be known:
 
 - the former primary has stepped down, and the log holds its final position;
-- every other log holder was paused and read, and the log holds the newest position of
-  them. What none of them had received was never acknowledged.
+- the former primary doesn't answer, every other log holder was paused and read, and the
+  log holds the newest position of them. What none of them had received was never
+  acknowledged.
+
+A final position is required in full, also if all other logs end before it: a replica
+that isn't listed yet may have received the rest.
 """
 
 from collections.abc import Callable, Mapping
@@ -88,11 +92,11 @@
         log.
         """
         newest = self.newest
-        if newest is not None and newest >= self.known and not self.missing:
-            return SurveyBasis.ALL_REPLICAS
         final = self.received.get(self.primary)
         if final is not None and final >= max(newest or final, self.known):
             return SurveyBasis.FINAL_POSITION
+        if newest is not None and newest >= self.known and not self.missing:
+            return SurveyBasis.ALL_REPLICAS
         return SurveyBasis.NONE
 
     def required_position(self) -> Position | None:
