Let crashed databases of the failover model return as new processes

The model took a database that comes back with its log for the process that had crashed. On the platform it is a new process, under its id or a new one at its address, and a holder's end is concluded from a refused connection. Databases are now also frozen, an address refuses connections only for a while after its process has ended, and an error that ends a task of the daemon is a finding.

--- a/tests/failover_databases.py
+++ b/tests/failover_databases.py
@@ -39,6 +39,13 @@
 # An entry is removed after this time without a heartbeat.
 ENTRY_TIMEOUT_S = 1.5
 SILENCE_POLL_S = 0.05
+# The address of a process that has ended refuses connections for this long.
+REFUSAL_S = 3.0
+
+
+def now() -> float:
+    """Return the virtual time in seconds."""
+    return asyncio.get_running_loop().time()
 
 
 @dataclass(eq=False)
@@ -48,12 +55,16 @@
     name: str
     born_ms: int
     zone: str
+    address: str
     role: Role = Role.REPLICA
     term: int = 0
     log: list[tuple[int, int]] = field(default_factory=list)
     state: EndpointState = EndpointState.ACTIVE
     is_up: bool = True
-    is_gone: bool = False
+    has_ended: bool = False
+    is_log_lost: bool = False
+    is_frozen: bool = False
+    ended_at_s: float = 0.0
     is_paused: bool = False
     is_busy: bool = False
     has_heartbeats: bool = True
@@ -84,7 +95,7 @@
         return EndpointEntry(
             id=EndpointId(self.name),
             service=SERVICE,
-            address=Address("127.0.0.1:1"),
+            address=Address(self.address),
             zone=ZoneId(self.zone),
             slots=5,
             state=self.state,
@@ -92,10 +103,12 @@
             process_started_at_ms=self.born_ms,
         )
 
-    def end(self, *, is_gone: bool) -> None:
+    def end(self, at_s: float, *, is_log_lost: bool) -> None:
         """End the process: its connections and its pause end with it."""
         self.is_up = False
-        self.is_gone = is_gone
+        self.has_ended = True
+        self.is_log_lost = is_log_lost
+        self.ended_at_s = at_s
         self.is_paused = False
         self.connection_epoch += 1
         self.source = None
@@ -127,7 +140,7 @@
     Attributes
     ----------
     holders : tuple of EndpointProcess
-        Processes whose logs hold it, and aren't gone.
+        Processes whose logs hold it, and aren't lost.
     """
 
     acknowledgement: Acknowledgement
@@ -165,22 +178,21 @@
         self.has_writes = True
         self.promotions = 0
 
-    def add(self, name: str, *, zone: str, born_ms: int) -> Database:
+    def add(self, name: str, *, zone: str, address: str, born_ms: int) -> Database:
         """Start a database process without a log."""
-        database = Database(name, born_ms, zone, seen_at_s=self.now_s())
+        database = Database(name, born_ms, zone, address, seen_at_s=now())
         self.processes[database.process] = database
         self.current[name] = database
         return database
 
-    @staticmethod
-    def now_s() -> float:
-        """Return the virtual time."""
-        return asyncio.get_running_loop().time()
-
     def running(self) -> list[Database]:
         """Return the databases that run."""
         return [d for d in self.current.values() if d.is_up]
 
+    def at(self, address: str) -> Database | None:
+        """Return the database that runs at an address."""
+        return next((d for d in self.running() if d.address == address), None)
+
     def primary(self) -> Database | None:
         """Return the primary of the latest term, if it runs."""
         found = [d for d in self.running() if d.role is Role.PRIMARY]
@@ -188,8 +200,8 @@
 
     def tick(self, elapsed_s: float, may_write) -> None:
         """Write, replicate and acknowledge commits."""
-        now_s = self.now_s()
-        running = self.running()
+        now_s = now()
+        running = [d for d in self.running() if not d.is_frozen]
         for source in running:
             is_primary = source.role is Role.PRIMARY
             if is_primary and self.has_writes and may_write(source):
@@ -272,9 +284,10 @@
 
     def refresh_list(self) -> None:
         """Update the entries in the store from the databases' heartbeats."""
-        now_s = self.now_s()
+        now_s = now()
         for database in self.current.values():
-            if database.is_up and database.has_heartbeats:
+            sends = database.has_heartbeats and not database.is_frozen
+            if database.is_up and sends:
                 database.seen_at_s = now_s
                 database.was_listed = True
                 self.listed[database.name] = database.entry()
@@ -283,7 +296,7 @@
 
     def told(self, age_s: float) -> Acknowledgement | None:
         """Return the last commit that was acknowledged this long ago."""
-        limit_s = self.now_s() - age_s
+        limit_s = now() - age_s
         return next((a for a in reversed(self.recent) if a.at_s <= limit_s), None)
 
     def take_effect(self, database: Database) -> list[LostCommit]:
@@ -309,23 +322,28 @@
         return lost
 
     def holders_of(self, commit: int) -> tuple[EndpointProcess, ...]:
-        """Return the processes whose logs hold a commit and aren't gone."""
+        """Return the processes whose logs hold a commit and aren't lost."""
         return tuple(
             process
             for process, database in self.processes.items()
-            if not database.is_gone and any(c == commit for _, c in database.log)
+            if not database.is_log_lost and any(c == commit for _, c in database.log)
         )
 
-    def recover(self, database: Database) -> None:
-        """Start a crashed database again with its log."""
-        database.is_up = True
-        if database.role is Role.PRIMARY and database.term < self.term:
-            database.role = Role.REPLICA
+    def start_again(self, former: Database, name: str, born_ms: int) -> Database:
+        """Start a crashed database with its log, as a replica if another one leads."""
+        database = self.add(
+            name, zone=former.zone, address=former.address, born_ms=born_ms
+        )
+        database.log, former.log = former.log, []
+        database.term = former.term
+        if former.role is Role.PRIMARY and former.term == self.term:
+            database.role = Role.PRIMARY
+        return database
 
 
 def now_sending(database: Database) -> bool:
     """Return whether a database that stepped down still sends its own log."""
-    return database.sends_until_s > DatabaseService.now_s()
+    return database.sends_until_s > now()
 
 
 class SimulatedConnection(ControlConnection):
@@ -387,7 +405,7 @@
         def step_down() -> None:
             if self.peer.role is Role.PRIMARY and self.peer.term < term:
                 self.peer.role = Role.REPLICA
-                self.peer.sends_until_s = DatabaseService.now_s() + IN_FLIGHT_S
+                self.peer.sends_until_s = now() + IN_FLIGHT_S
 
         return await self._call(step_down)
 
@@ -401,7 +419,7 @@
             await self._wait_while_silent()
             self._require_open()
             if self.peer.is_busy and self.random.random() < 0.6:
-                raise error(ErrorCode.OVERLOADED, self.peer.name)
+                raise error(EndpointError, ErrorCode.OVERLOADED, self.peer.name)
             action()
             status = self.peer.status()
             await asyncio.sleep(self.random.uniform(0.002, 0.02))
@@ -414,14 +432,14 @@
 
     async def _wait_while_silent(self) -> None:
         while True:
-            if self.vm not in self.peer.silent_to or not self.is_open:
+            if not is_silent(self.peer, self.vm) or not self.is_open:
                 return
             await asyncio.sleep(SILENCE_POLL_S)
 
     def _require_open(self) -> None:
         if not self.is_open:
             self.close()
-            raise error(ErrorCode.CONNECTION_LOST, self.peer.name)
+            raise error(EndpointError, ErrorCode.CONNECTION_LOST, self.peer.name)
 
 
 class SimulatedConnector(EndpointConnector):
@@ -443,24 +461,30 @@
         )
         await asyncio.sleep(random.uniform(0.002, 0.02))
         while True:
-            peer = self.service.current.get(entry.id)
-            if peer is None or not peer.is_up or self.vm not in peer.silent_to:
+            peer = self.service.at(entry.address)
+            former = self.service.current.get(entry.id)
+            if peer is None and (
+                former is None or former.ended_at_s + REFUSAL_S > now()
+            ):
+                raise error(EndpointGoneError, ErrorCode.CONNECT_FAILED, entry.id)
+            if peer is not None and not is_silent(peer, self.vm):
                 break
             await asyncio.sleep(SILENCE_POLL_S)
-        if peer is None or not peer.is_up:
-            raise EndpointGoneError(
-                code=ErrorCode.CONNECT_FAILED,
-                step=Step.CONNECT,
-                peer=entry.id,
-                outcome=Outcome.NOT_RUN,
-            )
+        if peer.name != entry.id:
+            # Another database answers at an address that is in use again.
+            raise error(EndpointGoneError, ErrorCode.CONNECT_FAILED, entry.id)
         if self.vm in peer.refused:
-            raise error(ErrorCode.CONNECT_FAILED, entry.id, Outcome.NOT_RUN)
+            raise error(EndpointError, ErrorCode.OVERLOADED, entry.id)
         return SimulatedConnection(
             peer=peer, vm=self.vm, random=random, organisation=organisation
         )
 
 
-def error(code: ErrorCode, peer: str, outcome: Outcome | None = None) -> EndpointError:
+def is_silent(database: Database, vm: str) -> bool:
+    """Return whether a database doesn't answer a VM."""
+    return database.is_frozen or vm in database.silent_to
+
+
+def error(kind: type[EndpointError], code: ErrorCode, peer: str) -> EndpointError:
     """Return the error of a call to a database."""
-    return EndpointError(code=code, step=Step.EXECUTE, peer=peer, outcome=outcome)
+    return kind(code=code, step=Step.EXECUTE, peer=peer, outcome=Outcome.NOT_RUN)
--- a/tests/failover_model.py
+++ b/tests/failover_model.py
@@ -53,6 +53,7 @@
     DatabaseService,
     LostCommit,
     SimulatedConnector,
+    is_silent,
 )
 from tests.store_fakes import MemoryStore
 
@@ -227,7 +228,7 @@
                 cause = self.cause()
                 if cause is not None:
                     self.start("failover", self.replace_primary(cause))
-            if not self.busy and self.keeper.due():
+            if self.keeper.due() and "holders" not in self.busy:
                 self.start(
                     "holders", self.keeper.update(SERVICE, may_remove=self.has_watch)
                 )
@@ -239,6 +240,7 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         task.add_done_callback(lambda _: self.busy.discard(name))
+        task.add_done_callback(self.model.record_error)
 
     def apply_list(self) -> None:
         """Apply the list as it was some time ago."""
@@ -318,7 +320,7 @@
         """Read the list from the store."""
         await self.store.list(GROUPS)
         members = list(self.model.service.listed.values())
-        self.keeper.record_listed(SERVICE, members)
+        self.keeper.record_listed(service, members)
         return members
 
     def cancel(self) -> None:
@@ -350,6 +352,7 @@
         self.lists: deque[dict[str, EndpointEntry]] = deque(maxlen=20)
         self.loses_promotions = False
         self.has_barrier = False
+        self.has_lost_log = False
         self.highest_token = 0
         self.group: GroupState | None = None
         self.group_revision = 0
@@ -359,7 +362,8 @@
         self.lines: list[str] = []
         self.choice: tuple[float, str] | None = None
         self.violations: list[str] = []
-        self.uncounted = 0
+        # Commits whose loss isn't counted, by reason.
+        self.uncounted: Counter[str] = Counter()
         for zone in ("b", "a", "b", "a")[: self.random.choice((3, 3, 4))]:
             self.start_database(zone)
         first = self.service.current["db-1"]
@@ -374,7 +378,10 @@
     def start_database(self, zone: str) -> Database:
         """Start a database under a new id."""
         self.names += 1
-        return self.service.add(f"db-{self.names}", zone=zone, born_ms=self.now_ms())
+        name = f"db-{self.names}"
+        return self.service.add(
+            name, zone=zone, address=f"host-{self.names}", born_ms=self.now_ms()
+        )
 
     def now_ms(self) -> int:
         """Return the virtual time in milliseconds."""
@@ -390,6 +397,11 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def record_error(self, task: asyncio.Task) -> None:
+        """Record an error that ended a task of the daemon."""
+        if not task.cancelled() and task.exception() is not None:
+            self.violations.append(f"unexpected error: {task.exception()!r}")
+
     def record(self, line: str) -> None:
         """Add a line to the trace."""
         self.lines.append(f"{self.clock.now_s() - START_S:8.3f} {line}")
@@ -428,7 +440,8 @@
             if found.is_counted:
                 by_branch.setdefault(branch(found, choice), []).append(found)
             else:
-                self.uncounted += 1
+                way = "never listed" if found.holders else "all logs gone"
+                self.uncounted[f"{way} ({branch(found, choice)})"] += 1
         for kind, commits in by_branch.items():
             first = commits[0].acknowledgement
             self.violations.append(
@@ -448,7 +461,7 @@
         return (
             database is not None
             and database.is_up
-            and vm not in database.silent_to
+            and not is_silent(database, vm)
             and vm not in database.refused
         )
 
@@ -480,7 +493,11 @@
                 await asyncio.sleep(self.random.choice((0.1, 0.5, 1.0, 2.0, 3.0)))
             self.heal()
             self.recovered_s = await self._recover()
-            if self.recovered_s is None and not self.may_stay_without_primary:
+            if self.recovered_s is None and self.may_stay_without_primary:
+                is_lost = self.service.acknowledged.keys() - self.held
+                way = "commits are lost" if is_lost else "processes have ended"
+                self.uncounted[f"no primary, {way}"] += 1
+            elif self.recovered_s is None:
                 self.violations.append("no primary after recovery")
         finally:
             ticker.cancel()
@@ -529,31 +546,39 @@
         return None
 
     @property
-    def may_stay_without_primary(self) -> bool:
-        """Whether nobody can know a log that holds all acknowledged commits.
-
-        That is so once the former primary's process is gone and another log holder,
-        too, or once the last log with a commit is gone.
-        """
-        gone = {p for p, d in self.service.processes.items() if d.is_gone}
-        held = {
+    def held(self) -> set[int]:
+        """Commits in the logs that aren't lost."""
+        return {
             commit
             for database in self.service.processes.values()
-            if not database.is_gone
+            if not database.is_log_lost
             for _, commit in database.log
         }
-        if self.service.acknowledged.keys() - held:
+
+    @property
+    def may_stay_without_primary(self) -> bool:
+        """Whether nobody can know a log that holds all acknowledged commits.
+
+        That is so once the process of the former primary, or of a successor that may
+        lead, and that of another log holder have ended, or once the last log with a
+        commit is lost.
+        """
+        ended = {p for p, d in self.service.processes.items() if d.has_ended}
+        if self.service.acknowledged.keys() - self.held:
             return True
         holders = self.leader.keeper.current(SERVICE).endpoints
         group = self.leader.cluster.groups.get(SERVICE)
-        former = group.primary if group is not None else "db-1"
-        by_start = sorted(
-            (e for e in holders if e.id == former),
-            key=lambda e: e.process_started_at_ms,
-        )
-        is_primary_gone = not by_start or by_start[0].process in gone
-        return is_primary_gone and any(
-            e.process in gone for e in holders if e.id != former
+        leading = {"db-1" if group is None else group.primary}
+        if group is not None and group.successor is not None:
+            leading.add(group.successor.partition("@")[0])
+        by_start = sorted(holders, key=lambda e: e.process_started_at_ms)
+        first = {entry.id: entry.process for entry in reversed(by_start)}
+        ended_holders = {e.process for e in holders} & ended
+        # An entry that isn't held any more is that of a process that has ended.
+        return any(
+            (first.get(name) is None or first[name] in ended)
+            and ended_holders - {first.get(name)}
+            for name in leading
         )
 
     def inject(self) -> None:
@@ -577,6 +602,7 @@
             (4, lambda: self.lapse(random.choice(replicas))),
             (1, lambda: self.lapse(target)),
             (3, lambda: self.crash(target)),
+            (2, lambda: self.freeze(target)),
             (2, lambda: self.restart_without_log(target)),
             (2, lambda: self.release(target)),
             (1, self.fail_store),
@@ -644,33 +670,49 @@
         self.end_after(duration_s, lambda: setattr(database, "has_heartbeats", True))
 
     def crash(self, database: Database) -> None:
-        """End a database's process; it usually comes back with its log."""
-        is_gone = self.random.random() < 0.15 and self._may_lose(database)
-        self.record(f"fault: {database.process} crashes, gone={is_gone}")
-        database.end(is_gone=is_gone)
-        if not is_gone:
-            self.end_after(self.duration_s(), lambda: self._recover_database(database))
-
-    def _recover_database(self, database: Database) -> None:
-        if self.service.current[database.name] is database:
-            self.record(f"{database.process} starts again with its log")
-            self.service.recover(database)
-
-    def _may_lose(self, database: Database) -> bool:
-        return len(self.service.running()) > 2 and not any(
-            d.is_gone for d in self.service.processes.values()
-        )
+        """End a database's process; it comes back with its log, or never."""
+        is_lost = self.random.random() < 0.15 and self._may_lose()
+        self.record(f"fault: {database.process} crashes, lost={is_lost}")
+        database.end(self.clock.now_s(), is_log_lost=is_lost)
+        if is_lost:
+            return
+        has_new_name = self.random.random() < 0.5
+
+        def start() -> None:
+            name = database.name
+            if has_new_name:
+                self.names += 1
+                name = f"db-{self.names}"
+            new = self.service.start_again(database, name, self.now_ms())
+            self.record(f"{new.process} has the log of {database.process}")
+
+        self.end_after(self.duration_s(), start)
+
+    def freeze(self, database: Database) -> None:
+        """Stop a database for a while."""
+        self.record(f"fault: {database.process} is frozen")
+        database.is_frozen = True
+        self.end_after(self.duration_s(), lambda: setattr(database, "is_frozen", False))
+
+    def _may_lose(self) -> bool:
+        """Return whether a log may be lost, of which there is one in each run."""
+        may_lose = len(self.service.running()) > 2 and not self.has_lost_log
+        self.has_lost_log |= may_lose
+        return may_lose
 
     def restart_without_log(self, database: Database) -> None:
         """Start a database again under its id, without its log."""
-        if not self._may_lose(database):
+        if not self._may_lose():
             return
         self.record(f"fault: {database.process} restarts without its log")
-        database.end(is_gone=True)
+        database.end(self.clock.now_s(), is_log_lost=True)
 
         def start() -> None:
             new = self.service.add(
-                database.name, zone=database.zone, born_ms=self.now_ms()
+                database.name,
+                zone=database.zone,
+                address=database.address,
+                born_ms=self.now_ms(),
             )
             self.record(f"{new.process} starts")
 
@@ -690,11 +732,13 @@
 
         def end() -> None:
             # A primary drains until it has been replaced.
-            if database.role is Role.PRIMARY and database.is_up:
+            if not database.is_up:
+                return
+            if database.role is Role.PRIMARY:
                 self.end_after(1.0, end)
                 return
             self.record(f"{database.process} has left")
-            database.end(is_gone=True)
+            database.end(self.clock.now_s(), is_log_lost=True)
             database.has_heartbeats = False
             database.seen_at_s = float("-inf")
 
@@ -797,6 +841,9 @@
         return "earlier successor"
     at_s, line = choice
     way = "stepped down" if "stepped_down=True" in line else "paused"
+    basis = re.search(r"basis=(\S+)", line)
+    if basis is not None:
+        way = f"{way}, {basis[1]}"
     missing = re.search(r"missing=(\S+)", line)
     if missing is not None and missing[1] != "-":
         return f"{way}, holders missing"
@@ -860,8 +907,9 @@
             kinds[violation.partition(":")[0]] += 1
             print(f"seed {seed}: {violation}")
         kinds["promotions"] += model.service.promotions
-        kinds["uncounted commits"] += model.uncounted
-    print(dict(kinds))
+        kinds.update({f"uncounted, {k}": n for k, n in model.uncounted.items()})
+    for kind, count in sorted(kinds.items()):
+        print(f"{count:6} {kind}")
 
 
 if __name__ == "__main__":
--- a/tests/test_failover_model.py
+++ b/tests/test_failover_model.py
@@ -35,30 +35,30 @@
 class TestLostCommits:
     """Guards against schedules that have lost acknowledged commits."""
 
-    @pytest.mark.parametrize("seed", [20, 442, 498, 870, 984])
+    @pytest.mark.parametrize("seed", [275, 345, 442, 663, 777])
     def test_holder_that_did_not_answer_has_a_commit(self, seed):
         check(seed)
 
-    @pytest.mark.parametrize("seed", [100, 240, 326, 2084, 2364])
+    @pytest.mark.parametrize("seed", [2, 100, 225, 331, 1125])
     def test_successor_of_an_interrupted_attempt_is_old(self, seed):
         check(seed)
 
-    @pytest.mark.parametrize("seed", [95, 933, 1085, 1441, 2169])
+    @pytest.mark.parametrize("seed", [533, 863, 1191])
     def test_commit_is_acknowledged_between_survey_and_effect(self, seed):
         check(seed)
 
-    @pytest.mark.parametrize("seed", [1191, 1251])
-    def test_unlisted_replica_goes_on_receiving(self, seed):
-        check(seed)
-
-    @pytest.mark.parametrize("seed", [202, 474, 1110])
+    @pytest.mark.parametrize("seed", [257, 389, 440, 526, 1182])
     def test_restarted_process_answers_for_the_one_before(self, seed):
         check(seed)
 
 
 class TestRecovery:
-    """Guards against replicas that nobody resumes after an interrupted failover."""
+    """Guards against services that stay without commits after a failover."""
 
-    @pytest.mark.parametrize("seed", [42, 422, 939])
+    @pytest.mark.parametrize("seed", [101, 171, 219, 294])
     def test_replicas_receive_again_after_the_leader_changed(self, seed):
         check(seed)
+
+    @pytest.mark.parametrize("seed", [166, 780])
+    def test_holders_that_change_during_an_update_raise_no_error(self, seed):
+        check(seed)
