Pause replicas of the stand-in by term, and keep rolled-back ones busy

Cause: the stand-in paused a replica on any term, while databases ignore a PAUSE whose term isn't above the newest; and a replica that was rolled back answered control calls at once, while databases are busy for a moment.

Change: both as databases do it.

--- a/standins/statement_database.py
+++ b/standins/statement_database.py
@@ -6,6 +6,8 @@
 from typing import Any
 
 POLL_INTERVAL_S = 0.005
+# Time for which a replica that is rolled back is busy, in seconds.
+ROLLBACK_S = 0.2
 
 
 @dataclass
@@ -127,6 +129,8 @@
         self.is_unlisted = False
         # Whether it answers control calls with BUSY.
         self.is_busy = False
+        # Time at which it has rolled back what the present primary lacks.
+        self.rolled_back_at_s = float("-inf")
         # Time between two receipts of the log; it lags by up to this time.
         self.receive_interval_s = 0.0
         self.received_at_s = float("-inf")
@@ -238,7 +242,8 @@
             word, _, rest = text.partition(" ")
         control = {"STATUS": self._status, "PAUSE": self._pause}
         control |= {"RESUME": self._resume, "STEPDOWN": self._step_down}
-        if word in control and self.is_busy:
+        is_rolling_back = asyncio.get_running_loop().time() < self.rolled_back_at_s
+        if word in control and (self.is_busy or is_rolling_back):
             return ["ERROR BUSY -"]
         if word in control:
             return control[word](rest)
@@ -325,7 +330,8 @@
         return [row, "COMPLETE -"]
 
     def _pause(self, rest: str) -> list[str]:
-        self.is_paused = True
+        if int(rest) > self.term:
+            self.is_paused = True
         return self._status("")
 
     def _resume(self, rest: str) -> list[str]:
@@ -455,6 +461,9 @@
             if database is primary or database.is_primary or not is_receiving:
                 continue
             if database.term <= primary.term and database.is_due():
+                if database.position > primary.position:
+                    now_s = asyncio.get_running_loop().time()
+                    database.rolled_back_at_s = now_s + ROLLBACK_S
                 database.log = list(primary.log)
                 database.term = primary.term
                 receivers.add(database.process)
