Add a partition of a zone and lapses in an outage to the soak

Cause: the incident touched two services at the same time, which no fault of the soak did; entries never expired while the store was down.

Change: a fault cuts the databases and VMs of a zone from the others, at times from the store; another lets entries of running databases expire in an outage.

--- a/soak/failover_faults.py
+++ b/soak/failover_faults.py
@@ -7,6 +7,7 @@
 from soak.fault_group import FaultGroup, silenced
 from soak.fleet import SoakFleet
 from soak.proxy import Mode
+from standins.object_store import Outage
 from standins.statement_database import Database, DatabaseService
 
 # Time for which a primary is dark, in seconds: VMs take some seconds to replace it.
@@ -32,6 +33,8 @@
             self.join_cut_primary,
             self.lost_promotion_answers,
             self.slow_promotion,
+            self.zone_partition,
+            self.lapse_in_outage,
         ]
 
     async def dark_primary(self) -> None:
@@ -114,6 +117,46 @@
         await self.wait(*DARK_S)
         service.promote_s = usual_s
 
+    async def zone_partition(self) -> None:
+        """Cut the databases and VMs of one zone from the others, at times the store."""
+        zone = self.random.choice([vm.zone for vm in self.fleet.vms])
+        vms, services = self.fleet.vms, self.fleet.platform.services
+        links = [
+            vm.proxy.link(other.peer_address)
+            for vm in vms
+            for other in vms
+            if (vm.zone == zone) != (other.zone == zone)
+        ]
+        if self.random.random() < 0.5:
+            links += [vm.store_proxy for vm in vms if vm.zone == zone]
+        with ExitStack() as stack:
+            for service in services:
+                inside = [n for n in service.databases if service.zones[n] == zone]
+                outside = [n for n in service.databases if n not in inside]
+                for name in inside:
+                    self._cut_off(stack, service, service.databases[name], outside)
+                links += [
+                    self.fleet.link(vm, service.databases[name])
+                    for vm in vms
+                    for name in (outside if vm.zone == zone else inside)
+                ]
+            stack.enter_context(silenced(links))
+            await self.wait(*DARK_S)
+
+    async def lapse_in_outage(self) -> None:
+        """Let entries of running databases expire while the store is down."""
+        platform = self.fleet.platform
+        databases = [d for s in platform.services for d in s.databases.values()]
+        lapsed = self.random.sample(databases, self.random.randint(1, len(databases)))
+        platform.store.outage = Outage.UNAVAILABLE
+        for database in lapsed:
+            database.is_unlisted = True
+        await self.wait()
+        platform.store.outage = Outage.NONE
+        await self.wait(*REGISTRATION_S)
+        for database in lapsed:
+            database.is_unlisted = False
+
     @staticmethod
     def _cut_off(
         stack: ExitStack, service: DatabaseService, primary: Database, names: list[str]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,17 +1,19 @@
 """Tests of a short soak run with a fixed seed, and of the checks on its history."""
 
 import asyncio
+import random
 import signal
 
 import aiohttp
 import pytest
 
 from soak.__main__ import run_seed
+from soak.failover_faults import FailoverFaults
 from soak.fault_group import silenced
-from soak.fleet import SoakFleet
+from soak.fleet import SoakFleet, SoakVm
 from soak.history import History
-from soak.proxy import CONNECTED, VmProxy
-from standins.platform import Platform
+from soak.proxy import CONNECTED, Mode, VmProxy
+from standins.platform import ZONES, Platform
 from standins.statement_database import (
     Acknowledgement,
     DatabaseService,
@@ -276,3 +278,34 @@
             return platform.service.databases["i-1"].is_primary
 
         assert asyncio.run(run())
+
+    def test_zone_partition_separates_both_sides_only(self, tmp_path):
+        async def run() -> tuple[set[frozenset[str]], set[frozenset[str]]]:
+            fleet = SoakFleet(folder=tmp_path, size=3)
+            await fleet.platform.start()
+            for service in fleet.platform.services:
+                for database in service.databases.values():
+                    await fleet.add_proxy(database)
+            fleet.vms = [
+                SoakVm(index=i, zone=zone, folder=tmp_path, platform=fleet.platform)
+                for i, zone in enumerate(ZONES)
+            ]
+            for vm in fleet.vms:
+                await vm.prepare()
+            faults = FailoverFaults(fleet=fleet, random=random.Random(1))
+            partition = asyncio.create_task(faults.zone_partition())
+            await asyncio.sleep(0.1)
+            cuts = fleet.platform.service.cuts.copy()
+            silent = {
+                frozenset({f"i-{vm.index}", name})
+                for vm in fleet.vms
+                for name, database in fleet.platform.service.databases.items()
+                if fleet.link(vm, database).mode is Mode.BLACKHOLE
+            }
+            partition.cancel()
+            await fleet.stop()
+            return cuts, silent
+
+        cuts, silent = asyncio.run(run())
+        assert cuts == silent
+        assert len(cuts) == 2
