Let a successor catch up before the primary steps down

Cause: a successor whose promotion may still take effect is the only one that may be promoted.

Change: the primary steps down only once that successor has its log. One that has stepped down already doesn't block it, if all other logs were read and none has more.

--- a/src/ebonyladder/sessions/log_survey.py
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -46,12 +46,15 @@
     known : Position
         Position that the log is known to have reached: what callers were told of and
         what the former primary inherited.
+    pending : EndpointProcess or None
+        Endpoint whose promotion was requested and may still take effect.
     """
 
     primary: EndpointProcess | None
     holders: Mapping[EndpointProcess, EndpointEntry]
     received: Mapping[EndpointProcess, Position]
     known: Position
+    pending: EndpointProcess | None = None
 
     @property
     def missing(self) -> list[EndpointProcess]:
@@ -93,11 +96,15 @@
         """
         newest = self.newest
         final = self.received.get(self.primary)
-        if final is not None and final >= max(newest or final, self.known):
-            return SurveyBasis.FINAL_POSITION
-        if newest is not None and newest >= self.known and not self.missing:
+        has_all = newest is not None and newest >= self.known and not self.missing
+        has_final = final is not None and final >= max(newest or final, self.known)
+        # Nobody sends the final log to a pending successor any more, and its promotion
+        # can't be withdrawn; it was requested when no other log had more.
+        if has_all and self.received.get(self.pending) == newest:
             return SurveyBasis.ALL_REPLICAS
-        return SurveyBasis.NONE
+        if has_final:
+            return SurveyBasis.FINAL_POSITION
+        return SurveyBasis.ALL_REPLICAS if has_all else SurveyBasis.NONE
 
     def required_position(self) -> Position | None:
         """Return a position that covers every acknowledged commit, None if unknown."""
--- a/src/ebonyladder/sessions/successor.py
+++ b/src/ebonyladder/sessions/successor.py
@@ -168,7 +168,7 @@
         """Let the only endpoint that may be promoted receive what the primary has.
 
         It is paused since the earlier attempt, and a primary that has stepped down
-        sends nothing more.
+        sends nothing more. So this one steps down only once the successor has its log.
         """
         control = attempt.control
         primary = control.endpoints.get(attempt.primary)
@@ -181,10 +181,16 @@
             return
         await control.resume([earlier])
         deadline_s = self.clock.now_s() + CATCH_UP_TIMEOUT_S
-        while self.clock.now_s() < deadline_s:
-            status = await control.status(earlier)
-            if status is None or status.received >= primary.status.received:
+        while True:
+            sent = await control.status(attempt.primary)
+            received = await control.status(earlier)
+            if sent is None or received is None or received.received >= sent.received:
                 return
+            if self.clock.now_s() >= deadline_s:
+                raise aborted(
+                    attempt.service,
+                    f"{earlier} hasn't received the log up to {sent.received}",
+                )
             await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _step_down_primaries(
@@ -302,6 +308,7 @@
                 if self._is_of(process, position, attempt)
             },
             known=told if inherited is None else max(told, inherited),
+            pending=attempt.earlier_successor,
         )
 
     def _is_of(
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -721,6 +721,15 @@
             assert self.world.replace_primary(FailoverCause.INTERRUPTED)
         assert self.world.promoter.calls == [("near", 7), ("near", 7)]
 
+    def test_former_primary_leads_until_the_successor_has_its_log(self):
+        # Model seed 129: it had stepped down, and nobody could send its log any more.
+        self.world.promoter.is_unanswered = False
+        self.world.primary.is_down = False
+        self.world.primary.set_received(position(1, 15))
+        assert not self.world.replace_primary(FailoverCause.INTERRUPTED)
+        assert self.world.primary.status.role is Role.PRIMARY
+        assert self.world.near.paused_term is None
+
     def test_former_primary_is_not_used_again(self):
         # Guards against acknowledged writes at a primary whose successor is promoted
         # late.
