--- a/tests/failover_model.py
+++ b/tests/failover_model.py
@@ -69,6 +69,8 @@
 STALLED_TIMEOUT_S = 0.8
 # All faults have ended; a primary must be there within this time.
 RECOVERY_TIMEOUT_S = 30.0
+# From this seed on, each run prefers some faults and leaves others out.
+FIRST_UNEVEN_SEED = 100_000
 UNAVAILABLE = ErrorCode.STORE_UNAVAILABLE
 
 
@@ -337,7 +339,8 @@
     seed : int
         Seed of all choices. Writes go on during the failovers of odd seeds; with even
         seeds they stop once the VMs have applied that the primary changes. A promotion
-        ends all pauses in two seeds of four.
+        ends all pauses in two seeds of four. The platform checks fencing tokens, except
+        in one of three seeds from ``FIRST_UNEVEN_SEED`` on.
     """
 
     def __init__(self, *, seed: int) -> None:
@@ -353,6 +356,7 @@
         self.loses_promotions = False
         self.has_barrier = False
         self.has_lost_log = False
+        self.checks_tokens = seed < FIRST_UNEVEN_SEED or seed % 3 > 0
         self.highest_token = 0
         self.group: GroupState | None = None
         self.group_revision = 0
@@ -418,10 +422,11 @@
         called_at_s = self.clock.now_s()
         await asyncio.sleep(delay_s)
         database = self.service.current.get(name)
-        if token < self.highest_token or not reaches:
+        is_fenced = token < self.highest_token and self.checks_tokens
+        if is_fenced or not reaches:
             self.record(f"promote of {name} token={token} isn't executed")
             return False
-        self.highest_token = token
+        self.highest_token = max(token, self.highest_token)
         if database is None or not database.is_up:
             return False
         self.record(f"promote of {database.process} token={token} is accepted")
@@ -614,9 +619,21 @@
             (3, self.lose_promotions),
             (3, self.force),
         )
-        weights = [weight for weight, _ in faults]
+        weights = [
+            weight * factor
+            for (weight, _), factor in zip(
+                faults, self.factors(len(faults)), strict=True
+            )
+        ]
         random.choices([f for _, f in faults], weights)[0]()
 
+    def factors(self, count: int) -> list[int]:
+        """Return how much more often than usual each fault occurs in this run."""
+        if self.seed < FIRST_UNEVEN_SEED:
+            return [1] * count
+        random = Random(f"{self.seed} factors")
+        return [random.choice((0, 1, 1, 5)) for _ in range(count)] or [1]
+
     def duration_s(self) -> float:
         """Return for how long a fault lasts."""
         return self.random.choice((0.2, 0.6, 1.5, 3.0, 5.0, 9.0))
