--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -678,6 +678,24 @@
         self.world.promoter.is_unanswered = True
         assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
 
+    def test_late_effect_of_an_unanswered_call_is_waited_for(self):
+        # Guards against replicas that join or restart before it and aren't paused.
+        world = World()
+        world.primary.is_down = True
+
+        async def promote(**fields):
+            def take_effect():
+                world.near.status = type(world.near.status)(
+                    role=Role.PRIMARY, term=2, received=position(1, 10)
+                )
+
+            asyncio.get_running_loop().call_later(0.2, take_effect)
+            raise FakePromoter.error(Outcome.UNKNOWN)
+
+        world.promoter.promote = promote
+        assert world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.group.primary == "near"
+
     def test_successor_is_stored_before_the_call(self):
         # Guards against a next leader that doesn't know of the call.
         assert self.world.group.phase is GroupPhase.MOVING
