Wait under the fence for the effect of an unanswered call

Cause: after a promotion call without an answer the attempt ended, and what joined or started again before its late effect wasn't paused (model).

Change: the effect is waited for, for a second; the inherited position isn't required; an empty log of an endpoint that has been known for five seconds isn't counted where others have commits.

--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -44,6 +44,8 @@
 # Longest time for the platform to answer a promotion call, in seconds.
 PROMOTION_CALL_TIMEOUT_S = 1.0
 POLL_INTERVAL_S = 0.05
+# The same after a call without an answer, which may not have arrived, in seconds.
+UNANSWERED_TIMEOUT_S = 1.0
 # VMs that don't respond stop using the old primary when their group states expire; the
 # rest covers differing clock rates and statements in flight.
 BARRIER_TIMEOUT_S = GROUP_STATE_TTL_S + 0.5
@@ -182,14 +184,14 @@
         try:
             try:
                 await self._require_current(attempt, chosen, inherited)
-                await self._call_platform(attempt, chosen, called_at_s)
+                timeout_s = await self._call_platform(attempt, chosen, called_at_s)
             except (SurveyOutdatedError, EndpointNotRunningError):
                 begun = msgspec.structs.replace(begun, epoch=moving.epoch)
                 await self._give_up(attempt, begun)
                 raise
             # From here on a failure leaves the group in phase MOVING: the promotion may
             # still take effect, so the former primary must not be used again.
-            term = await self._wait_promoted(attempt, chosen)
+            term = await self._wait_promoted(attempt, chosen, timeout_s)
         finally:
             fence.cancel()
             await asyncio.wait([fence])
@@ -346,11 +348,12 @@
 
     async def _call_platform(
         self, attempt: FailoverAttempt, chosen: EndpointEntry, called_at_s: float
-    ) -> None:
+    ) -> float:
         """Request the promotion within this VM's leadership.
 
-        The call ends before another leader may request one for the service: that one
-        waits for the group state stored at ``called_at_s`` to be interrupted.
+        Return the longest time to wait for its effect, in seconds. The call ends before
+        another leader may request one for the service: that one waits for the group
+        state stored at ``called_at_s`` to be interrupted.
         """
         remaining_s = min(
             called_at_s + PROMOTION_CALL_TIMEOUT_S - self.clock.now_s(),
@@ -373,9 +376,17 @@
                 ),
             )
         except StoreError as error:
-            if error.outcome is Outcome.UNKNOWN:
-                self.unanswered_at_s = self.clock.now_s()
-            raise
+            if error.outcome is not Outcome.UNKNOWN:
+                raise
+            logging.warning(
+                "[failover] Promotion call wasn't answered. service=%s endpoint=%s "
+                "error=%s",
+                attempt.service,
+                chosen.process,
+                error,
+            )
+            self.unanswered_at_s = self.clock.now_s()
+            return UNANSWERED_TIMEOUT_S
         finally:
             self.calls_in_flight -= 1
             if not self.calls_in_flight:
@@ -386,6 +397,7 @@
                 f"{chosen.process} isn't running",
                 error=EndpointNotRunningError,
             )
+        return PROMOTE_TIMEOUT_S
 
     def _is_leading(self, attempt: FailoverAttempt) -> bool:
         """Tell whether the leadership in which an attempt began still lasts."""
@@ -400,9 +412,9 @@
         await self._store_stable(attempt, moving, former, moving.term)
 
     async def _wait_promoted(
-        self, attempt: FailoverAttempt, chosen: EndpointEntry
+        self, attempt: FailoverAttempt, chosen: EndpointEntry, timeout_s: float
     ) -> Term:
-        deadline_s = self.clock.now_s() + PROMOTE_TIMEOUT_S
+        deadline_s = self.clock.now_s() + timeout_s
         while self.clock.now_s() < deadline_s:
             status = await attempt.control.status(chosen.process)
             if status is None:
--- a/src/ebonyladder/sessions/fleet/log_holder_keeper.py
+++ b/src/ebonyladder/sessions/fleet/log_holder_keeper.py
@@ -74,6 +74,8 @@
         self.recorded: dict[ServiceId, LogHolders] = {}
         self.known: dict[ServiceId, LogHolders] = {}
         self.next_update_at_s: dict[ServiceId, float] = {}
+        # Time at which this VM first knew of each holder.
+        self.known_since_s: dict[EndpointProcess, float] = {}
         # Unlisted holders whose processes have ended, with what showed it.
         self.ended: dict[EndpointProcess, EndEvidence] = {}
         self.next_probe_at_s: dict[EndpointProcess, float] = {}
@@ -108,6 +110,9 @@
         """
         known = self.known.get(service, LogHolders(service=service))
         self.known[service] = known.with_listed(listed)
+        now_s = self.clock.now_s()
+        for entry in listed:
+            self.known_since_s.setdefault(entry.process, now_s)
         return self.known[service]
 
     def due(self) -> list[ServiceId]:
@@ -180,6 +185,7 @@
         )
         for entry in ended:
             self._forget(entry.process)
+            self.known_since_s.pop(entry.process, None)
 
     def _to_probe(self, service: ServiceId) -> list[EndpointEntry]:
         """Return the departed holders that are to be asked whether they still run."""
--- a/src/ebonyladder/sessions/log_survey.py
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -44,8 +44,7 @@
         Last log positions of the endpoints that answered: the former primary only if
         it acknowledges nothing more, and replicas that receive nothing more from it.
     known : Position
-        Position that the log is known to have reached: what callers were told of and
-        what the former primary inherited.
+        Position that the log is known to have reached, since callers were told of it.
     pending : EndpointProcess or None
         Endpoint whose promotion was requested and may still take effect.
     """
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -263,6 +263,11 @@
         recorded = self.log_holder_keeper.recorded.get(service)
         return [] if recorded is None else [e.process for e in recorded.endpoints]
 
+    def known_since_s(self, process: EndpointProcess) -> float:
+        """Return when this VM first knew of a log holder, now if it doesn't."""
+        now_s = self.kernel.clock.now_s()
+        return self.log_holder_keeper.known_since_s.get(process, now_s)
+
     def acknowledged(self, service: ServiceId) -> Position:
         """Return a position at or before the last commit that callers were told of."""
         return self.leader.barrier.acknowledged(service).lower
--- a/src/ebonyladder/sessions/successor.py
+++ b/src/ebonyladder/sessions/successor.py
@@ -18,6 +18,8 @@
 # registered. The list of members is read this long after the connections were opened,
 # in seconds, so that it names the processes that answer.
 REGISTRATION_TIME_S = 0.5
+# Time within which a database that joins has received a log, in seconds.
+FIRST_RECEIPT_TIME_S = 5.0
 # Interval between checks for endpoints that have to be fenced, in seconds.
 FENCE_INTERVAL_S = 0.1
 
@@ -297,17 +299,17 @@
         self, attempt: FailoverAttempt, received: dict[EndpointProcess, Position]
     ) -> LogSurvey:
         """Return the survey of the logs that were read."""
-        inherited = self.cluster.groups[attempt.service].inherited
-        told = self.coordination.acknowledged(attempt.service)
+        known = self.coordination.acknowledged(attempt.service)
+        has_commits = any(at.position for at in (known, *received.values()))
         return LogSurvey(
             primary=attempt.primary,
             holders=attempt.by_process,
             received={
                 process: position
                 for process, position in received.items()
-                if self._is_of(process, position, attempt)
+                if not has_commits or self._is_of(process, position, attempt)
             },
-            known=told if inherited is None else max(told, inherited),
+            known=known,
             pending=attempt.earlier_successor,
         )
 
@@ -318,14 +320,17 @@
 
         A connection names only the endpoint, so a process that has started again
         without its log answers under the entry of the one before. It is recognized if
-        the list names the new one, or by a log that is shorter than it was; only the
-        log of an older term than the primary's may have been rolled back.
+        the list names the new one, by a log that is shorter than it was, of which only
+        the end of an older term than the primary's may have been rolled back, or by an
+        empty log of an endpoint that has been listed for long.
         """
+        known_s = self.clock.now_s() - self.coordination.known_since_s(process)
+        has_lost_log = not position.position and known_s > FIRST_RECEIPT_TIME_S
         latest = {entry.process for entry in attempt.holders.latest}
         seen = self.cluster.seen.get(process)
         group = self.cluster.groups[attempt.service]
         is_shorter = seen is not None and seen.term >= group.term and position < seen
-        return process in latest and not is_shorter
+        return process in latest and not is_shorter and not has_lost_log
 
     @staticmethod
     async def _wait_registered(attempt: FailoverAttempt) -> None:
--- a/tests/failover_model.py
+++ b/tests/failover_model.py
@@ -311,6 +311,11 @@
         recorded = self.keeper.recorded.get(service)
         return [] if recorded is None else [e.process for e in recorded.endpoints]
 
+    def known_since_s(self, process) -> float:
+        """Return when this VM first knew of a log holder."""
+        now_s = self.model.clock.now_s()
+        return self.keeper.known_since_s.get(process, now_s)
+
     def acknowledged(self, service) -> Position:
         """Return the last commit that a VM has had time to report."""
         told = self.model.service.told(TOLD_AFTER_S)
