Run the soak's seed 3008 as a regression test

Change: regression seeds are run with the faults, duration and number of daemons of the run that had the finding.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from dataclasses import dataclass, field
 
 import aiohttp
 import pytest
@@ -46,22 +47,54 @@
     "release_in_cut",
     "late_promotion",
 ]
-# Seeds that have had a finding and their faults, with the cause of the finding.
-REGRESSION_SEEDS: dict[int, list[str]] = {
+DARK_KINDS = [
+    "dark_primary",
+    "silent_to_some",
+    "busy_database",
+    "deaf_replica",
+    "unlist_in_cut",
+    "database_crash",
+    "slow_replication",
+    "reports_cut",
+]
+
+
+@dataclass(frozen=True)
+class Run:
+    """Run of one seed: faults to draw from, duration in seconds, number of daemons."""
+
+    seed: int
+    kinds: list[str] = field(default_factory=list)
+    duration_s: float = 4.0
+    size: int = 3
+
+
+# Runs that have had a finding, with its cause.
+REGRESSIONS = [
     # A database joined and acknowledged commits before it was registered.
-    405: FIRST_KINDS,
-}
+    Run(405, FIRST_KINDS),
+    # A database was promoted without a commit that only a silent replica had received,
+    # since it had all that callers were told of.
+    Run(3008, DARK_KINDS, duration_s=8.0, size=4),
+]
 
 
 @pytest.mark.xdist_group("processes")
 class TestSoak:
-    @pytest.mark.parametrize(("seed", "kinds"), [(SEED, []), *REGRESSION_SEEDS.items()])
-    def test_promises_hold_under_faults(self, seed, kinds, tmp_path):
+    @pytest.mark.parametrize(
+        "run", [Run(SEED), *REGRESSIONS], ids=lambda run: str(run.seed)
+    )
+    def test_promises_hold_under_faults(self, run, tmp_path):
         # Guards against lost and repeated writes and against stale reads under
         # combinations of faults that no other test covers.
-        history, faults = asyncio.run(
-            run_seed(seed, tmp_path, duration_s=4.0, size=3, kinds=kinds)
+        seeded = run_seed(
+            run.seed,
+            tmp_path,
+            duration_s=run.duration_s,
+            size=run.size,
+            kinds=run.kinds,
         )
+        history, faults = asyncio.run(seeded)
         assert history.findings == [], f"faults: {faults}, logs: {tmp_path}"
         assert history.counts["writes"] > 0
 
