Promote what is left once the other logs are gone for good

Change: an endpoint that had announced that it leaves and has ended took its log with it, and a process that was started again under its id knows nothing. If the primary and all holders that weren't read are such, waiting brings nothing back, and the newest log that is left is promoted. One that crashed, or is only silent, is waited for. The states of holders are stored, so that the next leader knows who was leaving. In the soak nothing listens any more at the address of a database that has left.

--- a/soak/database_faults.py
+++ b/soak/database_faults.py
@@ -112,6 +112,8 @@
         if leaving.position > new.position:
             new.log = list(leaving.log)
         await service.remove(name)
+        # Nothing listens at its address any more.
+        self.fleet.database_proxies[name].stop()
         self.fleet.platform.withdraw(name)
 
     async def unlist(self) -> None:
--- a/src/ebonyladder/sessions/endpoint_control.py
+++ b/src/ebonyladder/sessions/endpoint_control.py
@@ -75,8 +75,8 @@
 class EndpointControl:
     """Connections to the endpoints that answered, one for each.
 
-    An endpoint keeps its pause while its connection stays open, since a restart of its
-    process ends both.
+    An endpoint that was paused keeps its pause while its connection stays open, since a
+    restart of its process ends both.
 
     Parameters
     ----------
@@ -92,7 +92,8 @@
     failures : dict of EndpointProcess to str
         Why the last call to an endpoint failed.
     gone : set of EndpointProcess
-        Endpoints whose processes have ended.
+        Processes that have ended: their addresses refused a connection, or another
+        endpoint answered there.
     """
 
     def __init__(self, *, connector: EndpointConnector) -> None:
--- a/src/ebonyladder/sessions/failover_attempt.py
+++ b/src/ebonyladder/sessions/failover_attempt.py
@@ -5,7 +5,13 @@
 from ebonyladder.sessions.cluster_view import EndpointEntry
 from ebonyladder.sessions.endpoint_control import EndpointControl
 from ebonyladder.sessions.log_holders import LogHolders
-from ebonyladder.types import EndpointProcess, Position, ServiceId, Term
+from ebonyladder.types import (
+    EndpointProcess,
+    EndpointState,
+    Position,
+    ServiceId,
+    Term,
+)
 
 
 class FailoverAbortedError(EbonyladderError):
@@ -37,7 +43,8 @@
     Attributes
     ----------
     primary : EndpointProcess or None
-        Former primary.
+        Last endpoint that may have led: the former primary, or a successor that has
+        left since its promotion was requested.
     earlier_successor : EndpointProcess or None
         Endpoint whose promotion an interrupted attempt has requested.
     term : Term
@@ -73,6 +80,28 @@
         """Log holders by their processes."""
         return {entry.process: entry for entry in self.holders.endpoints}
 
+    def gone(self, ended: frozenset[EndpointProcess]) -> frozenset[EndpointProcess]:
+        """Return the log holders whose logs are gone for good.
+
+        An endpoint that has left takes its log with it, and one that was started again
+        under its id knows nothing of before. One that crashed may come back with it.
+
+        Parameters
+        ----------
+        ended : frozenset of EndpointProcess
+            Unlisted holders that are known to have ended.
+        """
+        latest = {entry.process for entry in self.holders.latest}
+        return frozenset(
+            entry.process
+            for entry in self.holders.endpoints
+            if entry.process not in latest
+            or (
+                entry.state is EndpointState.LEAVING
+                and entry.process in self.control.gone | ended
+            )
+        )
+
     @property
     def has_stepped_down(self) -> bool:
         """Whether the survey rests on a step-down of the former primary."""
--- a/src/ebonyladder/sessions/failover_coordination.py
+++ b/src/ebonyladder/sessions/failover_coordination.py
@@ -42,6 +42,10 @@
     def recorded_log_holders(self, service: ServiceId) -> list[EndpointProcess]:
         """Return the log holders that are stored, for a log line."""
 
+    @abstractmethod
+    def ended_log_holders(self, service: ServiceId) -> frozenset[EndpointProcess]:
+        """Return the unlisted log holders whose processes are known to have ended."""
+
     @abstractmethod
     def known_since_s(self, process: EndpointProcess) -> float:
         """Return when this VM first knew of a log holder, now if it doesn't."""
--- a/src/ebonyladder/sessions/fleet/log_holder_keeper.py
+++ b/src/ebonyladder/sessions/fleet/log_holder_keeper.py
@@ -169,6 +169,10 @@
             ",".join(entry.process for entry in holders.endpoints),
         )
 
+    def ended_processes(self, service: ServiceId) -> frozenset[EndpointProcess]:
+        """Return the departed holders whose processes have ended."""
+        return frozenset(entry.process for entry in self._ended(service))
+
     def _ended(self, service: ServiceId) -> list[EndpointEntry]:
         """Return the departed holders whose processes have ended."""
         departed = self.current(service).departed(self.cluster.members(service))
--- a/src/ebonyladder/sessions/log_holders.py
+++ b/src/ebonyladder/sessions/log_holders.py
@@ -57,9 +57,9 @@
         )
 
     def has_same_processes(self, other: "LogHolders") -> bool:
-        """Tell whether the other value names the same endpoints."""
-        return {e.process for e in self.endpoints} == {
-            e.process for e in other.endpoints
+        """Tell whether the other value names the same endpoints in the same states."""
+        return {(e.process, e.state) for e in self.endpoints} == {
+            (e.process, e.state) for e in other.endpoints
         }
 
 
--- a/src/ebonyladder/sessions/log_survey.py
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -11,7 +11,11 @@
   acknowledged.
 
 A final position is required in full, also if all other logs end before it: a replica
-that isn't listed yet may have received the rest.
+that isn't listed yet may have received the rest. Only a successor whose promotion may
+still take effect needs no more than the newest of the other logs.
+
+If the logs of all others are gone for good, waiting can't bring anything back, and the
+newest log that is left is promoted.
 """
 
 from collections.abc import Callable, Mapping
@@ -28,6 +32,7 @@
 
     ALL_REPLICAS = "all-replicas"
     FINAL_POSITION = "final-position"
+    ALL_THAT_IS_LEFT = "all-that-is-left"
     NONE = "none"
 
 
@@ -37,7 +42,7 @@
     Attributes
     ----------
     primary : EndpointProcess or None
-        Former primary.
+        Last endpoint that may have led.
     holders : dict of EndpointProcess to EndpointEntry
         Log holders, the former primary among them.
     received : dict of EndpointProcess to Position
@@ -47,6 +52,8 @@
         Position that the log is known to have reached, since callers were told of it.
     pending : EndpointProcess or None
         Endpoint whose promotion was requested and may still take effect.
+    gone : frozenset of EndpointProcess
+        Log holders whose logs are gone for good.
     """
 
     primary: EndpointProcess | None
@@ -54,6 +61,7 @@
     received: Mapping[EndpointProcess, Position]
     known: Position
     pending: EndpointProcess | None = None
+    gone: frozenset[EndpointProcess] = frozenset()
 
     @property
     def missing(self) -> list[EndpointProcess]:
@@ -103,14 +111,18 @@
             return SurveyBasis.ALL_REPLICAS
         if has_final:
             return SurveyBasis.FINAL_POSITION
-        return SurveyBasis.ALL_REPLICAS if has_all else SurveyBasis.NONE
+        if has_all:
+            return SurveyBasis.ALL_REPLICAS
+        if newest is not None and {self.primary, *self.missing} <= self.gone:
+            return SurveyBasis.ALL_THAT_IS_LEFT
+        return SurveyBasis.NONE
 
     def required_position(self) -> Position | None:
         """Return a position that covers every acknowledged commit, None if unknown."""
         basis = self.basis
         if basis is SurveyBasis.FINAL_POSITION:
             return self.received[self.primary]
-        return self.newest if basis is SurveyBasis.ALL_REPLICAS else None
+        return None if basis is SurveyBasis.NONE else self.newest
 
     def eligible(self, required: Position) -> list[EndpointEntry]:
         """Return the endpoints whose logs hold a position."""
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -263,6 +263,10 @@
         recorded = self.log_holder_keeper.recorded.get(service)
         return [] if recorded is None else [e.process for e in recorded.endpoints]
 
+    def ended_log_holders(self, service: ServiceId) -> frozenset[EndpointProcess]:
+        """Return the unlisted log holders whose processes are known to have ended."""
+        return self.log_holder_keeper.ended_processes(service)
+
     def known_since_s(self, process: EndpointProcess) -> float:
         """Return when this VM first knew of a log holder, now if it doesn't."""
         now_s = self.kernel.clock.now_s()
--- a/src/ebonyladder/sessions/replica_check.py
+++ b/src/ebonyladder/sessions/replica_check.py
@@ -28,8 +28,9 @@
 class ReplicaCheck:
     """Asks replicas whether they hold commits, with one question for all that wait.
 
-    A failover counts the logs of all replicas that were listed when this VM confirmed
-    its group states last, so a commit that one of them holds isn't lost by it.
+    Replicas that were listed when this VM confirmed its group states last are log
+    holders. A failover reads them, or the final log of the primary, so it doesn't lose
+    a commit that one of them holds.
 
     Parameters
     ----------
--- a/src/ebonyladder/sessions/successor.py
+++ b/src/ebonyladder/sessions/successor.py
@@ -325,6 +325,7 @@
             },
             known=known,
             pending=attempt.earlier_successor,
+            gone=attempt.gone(self.coordination.ended_log_holders(attempt.service)),
         )
 
     def _is_of(
--- a/tests/failover_model.py
+++ b/tests/failover_model.py
@@ -311,6 +311,10 @@
         recorded = self.keeper.recorded.get(service)
         return [] if recorded is None else [e.process for e in recorded.endpoints]
 
+    def ended_log_holders(self, service) -> frozenset[EndpointProcess]:
+        """Return the unlisted log holders that have ended."""
+        return self.keeper.ended_processes(service)
+
     def known_since_s(self, process) -> float:
         """Return when this VM first knew of a log holder."""
         now_s = self.model.clock.now_s()
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -57,6 +57,7 @@
         self.departed: list[EndpointEntry] = []
         self.told: Position = NO_POSITION
         self.listed_s: dict[str, float] = {}
+        self.ended: set[EndpointProcess] = set()
         self.joined: list[EndpointEntry] = []
         self.during_barrier: Callable[[], None] = lambda: None
 
@@ -95,6 +96,10 @@
         """Return no holders, as if none were stored."""
         return []
 
+    def ended_log_holders(self, service):
+        """Return the holders that the test has let end."""
+        return frozenset(self.ended)
+
     def known_since_s(self, process):
         """Return the time that the test has set, by default now."""
         now_s = SystemClock().now_s()
@@ -331,6 +336,36 @@
         self.world.primary.is_down = False
         assert self.world.replace_primary(FailoverCause.LEAVING)
 
+    def test_newest_log_takes_over_once_all_that_may_have_more_have_left(self):
+        # Soak seed 7040: a primary and a replica that was to follow it had both left.
+        world = self.world
+        world.primary.is_down = True
+        del world.cluster.endpoints[EndpointId("primary")]
+        primary, left = (
+            entry(name, state=EndpointState.LEAVING) for name in ("primary", "left")
+        )
+        world.coordination.departed = [left, primary]
+        world.coordination.ended = {left.process}
+        assert world.replace_primary(FailoverCause.UNLISTED)
+        assert world.promoter.calls == [("near", 7)]
+
+    def test_crashed_primary_is_waited_for_though_a_replica_has_left(self):
+        # Guards against losing what it comes back with.
+        world = self.world
+        world.primary.is_down = True
+        world.coordination.departed = [entry("left", state=EndpointState.LEAVING)]
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == []
+
+    def test_silent_primary_that_leaves_is_waited_for(self):
+        world = self.world
+        world.primary.is_unresponsive = True
+        leaving = entry("primary", role=Role.PRIMARY, state=EndpointState.LEAVING)
+        world.cluster.endpoints[EndpointId("primary")] = leaving
+        world.coordination.departed = [entry("left", state=EndpointState.LEAVING)]
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == []
+
     def test_replica_with_the_final_position_takes_over(self):
         # Guards against an outage: nothing is missing in this log.
         self.world.primary.set_received(position(1, 12))
