--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -93,7 +93,7 @@
         self.target_wait = TargetWait(clock=clock)
         self.clock = clock
         self.cluster_changed = asyncio.Event()
-        cluster.listeners.append(self._notify_changed)
+        cluster.listeners.append(self.cluster_changed.set)
 
     def deadline_s(self, route: Route) -> float:
         """Return the deadline of a statement that starts now."""
@@ -298,10 +298,9 @@
         self, request: StatementRequest, sent: SentCommit, answer: Answer
     ) -> Answer:
         """Return the answer to a commit once it is known to be durable."""
-        decision = await self.confirmation.wait(
-            sent, answer.position, request.deadline_s
-        )
-        self.commit_reporter.report(request.command.id, sent, answer.position, decision)
+        position = answer.position
+        decision = await self.confirmation.wait(sent, position, request.deadline_s)
+        self.commit_reporter.report(request.command.id, sent, position, decision)
         if decision.is_durable:
             return answer
         return refusal(AnswerCode.IN_DOUBT, "the primary was replaced")
@@ -497,6 +496,3 @@
 
     def _remaining_s(self, request: StatementRequest) -> float:
         return request.deadline_s - self.clock.now_s()
-
-    def _notify_changed(self) -> None:
-        self.cluster_changed.set()
