--- /dev/null
+++ b/src/ebonyladder/platform/lines.py
@@ -0,0 +1,41 @@
+"""Lines of the statement protocol, which end at CR LF and nowhere else."""
+
+import asyncio
+
+LINE_END = b"\r\n"
+# Largest line, in bytes, without its end.
+MAX_LINE_BYTES = 1024 * 1024
+
+
+class LineError(Exception):
+    """Line that is truncated or exceeds the size limit."""
+
+
+class LineReader(asyncio.StreamReader):
+    """Stream of lines; every byte of a line but its end belongs to its text."""
+
+    def __init__(self) -> None:
+        super().__init__(limit=MAX_LINE_BYTES, loop=asyncio.get_running_loop())
+
+    @property
+    def has_line(self) -> bool:
+        """Whether a whole line was received that nobody has read yet."""
+        return LINE_END in self._buffer
+
+    async def read_line(self) -> bytes | None:
+        """Return the next line without its end, None if the stream has ended.
+
+        Raises
+        ------
+        LineError
+            If the line is truncated or exceeds the size limit.
+        """
+        try:
+            line = await self.readuntil(LINE_END)
+        except asyncio.IncompleteReadError as error:
+            if error.partial:
+                raise LineError("the line is truncated") from error
+            return None
+        except asyncio.LimitOverrunError as error:
+            raise LineError("the line exceeds the size limit") from error
+        return line[: -len(LINE_END)]
