Match answers of endpoints to their queries

Cause: a connection took the next complete answer as the answer to its last query. Endpoints may answer twice, the second time late; after one copy each answer on that connection belonged to the query before.

AnswerMatcher decides from the earlier answers of the connection: a signature that was seen is a copy and is dropped, as is an unsigned success where a signed one is due or one that leaves another transaction state. An error or a BEGIN or ROLLBACK that equals an earlier answer may be either: the connection is closed and the outcome is unknown. A connection that has answered with an error runs no other statement, so a refusal is always the statement's own.

A statement is sent once SET, RESET and PREPARE before it have succeeded; it ran even if they had failed. A call that is cancelled closes its connection, which open_transaction didn't. A transaction that has ended at its endpoint is over at the VM too: its next statement ran outside of it.

Log lines name the connection, the query's number there, state, signature and position of each answer that wasn't the query's own, and why a connection was closed; unmatched_answers counts them.

--- a/src/ebonyladder/platform/endpoint.py
+++ b/src/ebonyladder/platform/endpoint.py
@@ -2,17 +2,21 @@
 
 import asyncio
 import contextlib
+import itertools
 from typing import ClassVar
 
+import msgspec
 from absl import logging
 
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.step import Step
+from ebonyladder.metrics import Metrics
+from ebonyladder.platform.lines import LineError, LineReader
 from ebonyladder.platform.sockets import enable_keep_alive
 from ebonyladder.platform.wire import (
     LINE_END,
-    MAX_LINE_BYTES,
     AnswerReader,
     WireError,
     decode_line,
@@ -21,16 +25,19 @@
     encode_position,
     encode_prepare,
 )
+from ebonyladder.sessions.answer_matching import AnswerMatcher, AnswerOrigin
 from ebonyladder.sessions.cluster_view import EndpointEntry
 from ebonyladder.sessions.command import (
     INTERNAL_COMMAND_ID,
     Answer,
     AnswerCode,
     Command,
+    CommandId,
     CommandKind,
     Prepared,
 )
 from ebonyladder.sessions.connection import (
+    ConnectionId,
     ControlConnection,
     EndpointConnector,
     EndpointGoneError,
@@ -44,31 +51,56 @@
 MAX_PREPARED_STATEMENTS = 200
 
 
+class Query(msgspec.Struct, frozen=True, kw_only=True):
+    """Query to an endpoint."""
+
+    kind: CommandKind
+    text: str
+    id: CommandId = INTERNAL_COMMAND_ID
+
+
 class WireConnection(ControlConnection):
     """Connection to one endpoint.
 
     Parameters
     ----------
+    id : ConnectionId
+        Number of the connection in logs.
     endpoint : EndpointId
         Endpoint that it connects to.
     organisation : OrganisationId
         Organisation that is sent to the endpoint.
-    reader, writer : asyncio.StreamReader, asyncio.StreamWriter
+    metrics : Metrics
+        Receives the number of copies and of answers of unknown origin.
+    reader, writer : LineReader, asyncio.StreamWriter
         Streams of the connection.
+
+    Attributes
+    ----------
+    query_count : int
+        Number of queries that were sent, without control calls.
     """
 
     def __init__(
         self,
         *,
+        id: ConnectionId,
         endpoint: EndpointId,
         organisation: OrganisationId,
-        reader: asyncio.StreamReader,
+        metrics: Metrics,
+        reader: LineReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self.id = id
         self.endpoint = endpoint
         self.organisation = organisation
+        self.metrics = metrics
         self.reader = reader
         self.writer = writer
+        self.matcher = AnswerMatcher()
+        self.answer_reader = AnswerReader()
+        self.greeting = b""
+        self.query_count = 0
         self.values: dict[str, str] = {}
         self.target_variables: dict[str, str] = {}
         self.statement_names: dict[Prepared, str] = {}
@@ -79,6 +111,11 @@
         """Whether the connection can run another command."""
         return not (self.is_closed or self.reader.at_eof() or self.writer.is_closing())
 
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the connection can run commands of another statement."""
+        return self.is_open and self.matcher.is_reusable
+
     def set_variables(self, values: dict[str, str], deadline_s: float) -> None:
         """Set exactly these session variables before the next command."""
         self.target_variables = values
@@ -87,10 +124,9 @@
         self, command: Command, *, min_position: Position | None = None
     ) -> Answer:
         """Open a transaction."""
+        setup = self._variable_queries()
         text = self._after_clause(min_position) + command.text
-        return await self._exchange(
-            [*self._variable_queries(), (INTERNAL_COMMAND_ID, text)]
-        )
+        return await self._exchange(setup, Query(kind=command.kind, text=text))
 
     async def run(
         self,
@@ -101,15 +137,16 @@
     ) -> Answer:
         """Run a command."""
         text = command.text
-        queries = self._variable_queries()
+        setup = self._variable_queries()
         if command.kind is CommandKind.EXECUTE and prepared is not None:
             if prepared not in self.statement_names:
                 self.statement_names[prepared] = f"p{len(self.statement_names)}"
                 prepare = encode_prepare(self.statement_names[prepared], prepared)
-                queries.append((INTERNAL_COMMAND_ID, prepare))
+                setup.append(Query(kind=CommandKind.PREPARE, text=prepare))
             text = encode_execute(command, self.statement_names[prepared])
-        queries.append((command.id, self._after_clause(min_position) + text))
-        return await self._exchange(queries)
+        text = self._after_clause(min_position) + text
+        query = Query(kind=command.kind, text=text, id=command.id)
+        return await self._exchange(setup, query)
 
     async def status(self) -> EndpointStatus:
         """Return the endpoint's status."""
@@ -132,6 +169,12 @@
         if not self.is_closed:
             self.is_closed = True
             self.writer.close()
+            logging.debug(
+                "[platform] Connection closed. endpoint=%s connection=%d queries=%d",
+                self.endpoint,
+                self.id,
+                self.query_count,
+            )
 
     async def start_session(self, service: str) -> None:
         """Start a session at the endpoint.
@@ -143,7 +186,8 @@
         """
         line = f"STARTUP {service} {self.organisation} {self.endpoint}{LINE_END}"
         self.writer.write(line.encode())
-        keyword, _, rest = decode_line(await self._read_line()).partition(" ")
+        self.greeting = await self._read_line()
+        keyword, _, rest = decode_line(self.greeting).partition(" ")
         if keyword != "READY":
             self.close()
             is_overloaded = rest.startswith("TOOMANY")
@@ -160,19 +204,19 @@
                 outcome=Outcome.NOT_RUN,
             )
 
-    def _variable_queries(self) -> list[tuple[str, str]]:
+    def _variable_queries(self) -> list[Query]:
         """Return the queries that set the target variables on the connection."""
         queries = []
         has_stale_value = any(
             self.target_variables.get(n) != v for n, v in self.values.items()
         )
         if has_stale_value or len(self.statement_names) > MAX_PREPARED_STATEMENTS:
-            queries.append((INTERNAL_COMMAND_ID, "RESET"))
+            queries.append(Query(kind=CommandKind.RESET, text="RESET"))
             self.values = {}
             self.statement_names = {}
         for name, value in self.target_variables.items():
             if self.values.get(name) != value:
-                queries.append((INTERNAL_COMMAND_ID, f"SET {name} {value}"))
+                queries.append(Query(kind=CommandKind.SET, text=f"SET {name} {value}"))
         self.values = dict(self.target_variables)
         return queries
 
@@ -180,47 +224,134 @@
     def _after_clause(position: Position | None) -> str:
         return "" if position is None else f"AFTER {encode_position(position)} "
 
-    async def _exchange(self, queries: list[tuple[str, str]]) -> Answer:
-        """Send queries in one write and return the answer to the last one."""
-        lines = [f"QUERY {id} {text}{LINE_END}" for id, text in queries]
+    async def _exchange(self, setup: list[Query], query: Query) -> Answer:
+        """Send queries and return the answer to the last one.
+
+        That one is sent once the others have succeeded, since the endpoint runs it even
+        if one of them failed. A transaction in which nothing has run is harmless.
+        """
+        is_sent = False
         try:
-            self.writer.write("".join(lines).encode())
-            for _, text in queries[:-1]:
-                answer = await self._read_answer()
+            if query.kind is CommandKind.BEGIN:
+                self._send(*setup, query)
+            elif setup:
+                self._send(*setup)
+            for setup_query in setup:
+                answer = await self._read_own_answer(setup_query)
                 if answer.code is not None:
-                    raise WireError(f"{text.split()[0]} failed: {answer.detail}")
-            return await self._read_answer()
-        except (OSError, WireError, asyncio.IncompleteReadError) as error:
-            self.close()
+                    raise WireError(f"{setup_query.kind.name} failed: {answer.detail}")
+            if query.kind is not CommandKind.BEGIN:
+                is_sent = True
+                self._send(query)
+            return await self._read_own_answer(query)
+        except (OSError, WireError, LineError) as error:
+            self._close_after(repr(error), query)
             raise EndpointError(
                 code=ErrorCode.CONNECTION_LOST,
                 step=Step.EXECUTE,
                 peer=self.endpoint,
                 message=f"connection lost: {error!r}",
+                outcome=Outcome.UNKNOWN if is_sent else Outcome.NOT_RUN,
             ) from error
-        except BaseException:
-            # A late answer would be mistaken for the answer to the next command.
-            self.close()
+        except BaseException as error:
+            # The answer may still arrive, and would be taken for the next one.
+            self._close_after(repr(error), query)
             raise
 
-    async def _read_answer(self) -> Answer:
-        reader = AnswerReader()
+    def _send(self, *queries: Query) -> None:
+        lines = [f"QUERY {q.id} {q.text}{LINE_END}" for q in queries]
+        self.writer.write("".join(lines).encode())
+        self.query_count += len(queries)
+
+    async def _read_own_answer(self, query: Query) -> Answer:
+        """Return the answer to a query, dropping copies of earlier ones.
+
+        Raises
+        ------
+        WireError
+            If an answer may be the query's own or a copy.
+        """
         while True:
-            answer = reader.feed(await self._read_line())
-            if answer is not None:
+            answer = await self._read_answer()
+            expected = self.matcher.expect(query.kind)
+            origin = self.matcher.match(answer, expected)
+            if origin is AnswerOrigin.OWN:
                 return answer
+            self.metrics.count("unmatched_answers", origin=origin.value)
+            logging.info(
+                "[platform] Answer isn't known to be the query's own. request=%s "
+                "endpoint=%s connection=%d query=%d kind=%s origin=%s code=%s "
+                "signature=%s state=%s expected=%s position=%s",
+                query.id,
+                self.endpoint,
+                self.id,
+                self.query_count,
+                query.kind.value,
+                origin.value,
+                answer.code.value if answer.code else "-",
+                answer.signature,
+                answer.state.value,
+                expected.state.value,
+                answer.position or "-",
+            )
+            if origin is AnswerOrigin.UNKNOWN:
+                raise WireError("the answer may be a copy of an earlier one")
+
+    def _close_after(self, reason: str, query: Query) -> None:
+        """Close the connection since the answer to a query is missing."""
+        logging.info(
+            "[platform] Connection is closed without an answer. request=%s "
+            "endpoint=%s connection=%d query=%d kind=%s reason=%s",
+            query.id,
+            self.endpoint,
+            self.id,
+            self.query_count,
+            query.kind.value,
+            reason,
+        )
+        self.close()
+
+    async def _read_answer(self) -> Answer:
+        while (answer := self._feed(await self._read_line())) is None:
+            pass
+        return answer
+
+    def _feed(self, line: bytes) -> Answer | None:
+        """Add a line to the next answer; return the answer once it is complete."""
+        if self.answer_reader.is_empty and line == self.greeting:
+            # STARTUP was answered a second time.
+            return None
+        answer = self.answer_reader.feed(line)
+        if answer is not None:
+            self.answer_reader = AnswerReader()
+        return answer
 
     async def _read_line(self) -> bytes:
-        try:
-            line = await self.reader.readline()
-        except ValueError as error:
-            raise WireError("the line exceeds the size limit") from error
-        if not line:
+        line = await self.reader.read_line()
+        if line is None:
             raise WireError("the endpoint closed the connection")
-        return line
+        return line + b"\r\n"
 
     async def _run_control(self, text: str) -> EndpointStatus:
-        answer = await self._exchange([(INTERNAL_COMMAND_ID, text)])
+        """Make a control call; what arrived before it answers an earlier one.
+
+        A call that is cancelled leaves the connection open: its answer still tells a
+        status since the first call, as do copies of earlier answers.
+        """
+        try:
+            while self.reader.has_line:
+                self._feed(await self._read_line())
+            line = f"QUERY {INTERNAL_COMMAND_ID} {text}{LINE_END}"
+            self.writer.write(line.encode())
+            answer = await self._read_answer()
+        except (OSError, WireError, LineError) as error:
+            self.close()
+            raise EndpointError(
+                code=ErrorCode.CONNECTION_LOST,
+                step=Step.FAILURE_DETECT,
+                peer=self.endpoint,
+                message=f"connection lost: {error!r}",
+            ) from error
         if answer.code is not None or not answer.rows:
             is_overloaded = answer.code is AnswerCode.OVERLOADED
             raise EndpointError(
@@ -257,6 +388,11 @@
 
     name: ClassVar[str] = "endpoint-driver"
     provides: ClassVar[tuple[type, ...]] = (EndpointConnector,)
+    requires: ClassVar[tuple[type, ...]] = (Metrics,)
+
+    def __init__(self, *, kernel: Kernel) -> None:
+        super().__init__(kernel=kernel)
+        self.connection_ids = itertools.count(1)
 
     async def open(
         self, entry: EndpointEntry, organisation: OrganisationId
@@ -265,14 +401,14 @@
         writer = None
         try:
             host, port = split_address(entry.address)
-            reader, writer = await asyncio.open_connection(
-                host, port, limit=MAX_LINE_BYTES
-            )
+            reader, writer = await self._connect(host, port)
             with contextlib.suppress(OSError):
                 enable_keep_alive(writer.get_extra_info("socket"))
             connection = WireConnection(
+                id=ConnectionId(next(self.connection_ids)),
                 endpoint=entry.id,
                 organisation=organisation,
+                metrics=self.kernel.get(Metrics),
                 reader=reader,
                 writer=writer,
             )
@@ -299,5 +435,18 @@
             if writer is not None:
                 writer.close()
             raise
-        logging.debug("[platform] Connection opened. endpoint=%s", entry.id)
+        logging.debug(
+            "[platform] Connection opened. endpoint=%s connection=%d",
+            entry.id,
+            connection.id,
+        )
         return connection
+
+    @staticmethod
+    async def _connect(host: str, port: int) -> tuple[LineReader, asyncio.StreamWriter]:
+        loop = asyncio.get_running_loop()
+        reader = LineReader()
+        transport, protocol = await loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(reader, loop=loop), host, port
+        )
+        return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
--- a/src/ebonyladder/platform/wire.py
+++ b/src/ebonyladder/platform/wire.py
@@ -207,6 +207,7 @@
     """Assembles one answer from its lines."""
 
     def __init__(self) -> None:
+        self.is_empty = True
         self.rows: list[str] = []
         self.signature = "-"
         self.code: AnswerCode | None = None
@@ -222,6 +223,9 @@
             If the line is invalid or unexpected at this point of the answer.
         """
         keyword, _, rest = decode_line(line).partition(" ")
+        self.is_empty = False
+        if self.has_result and keyword != "READY":
+            raise WireError(f"unexpected message {keyword[:20]!r} after the result")
         if keyword == "ROW":
             self.rows.append(rest)
         elif keyword == "COMPLETE":
--- a/src/ebonyladder/sessions/command.py
+++ b/src/ebonyladder/sessions/command.py
@@ -11,6 +11,8 @@
 
 # Id of commands that the daemon itself issues.
 INTERNAL_COMMAND_ID = CommandId("-")
+# Signature of an answer that no endpoint has signed.
+UNSIGNED = "-"
 
 
 class CommandKind(Enum):
@@ -25,6 +27,7 @@
     PREPARE = "prepare"
     EXECUTE = "execute"
     DEALLOCATE = "deallocate"
+    RESET = "reset"
 
 
 class Command(msgspec.Struct, frozen=True, kw_only=True):
@@ -117,7 +120,7 @@
     """
 
     rows: tuple[str, ...] = ()
-    signature: str = "-"
+    signature: str = UNSIGNED
     code: AnswerCode | None = None
     detail: str = ""
     state: TransactionState = TransactionState.IDLE
--- a/src/ebonyladder/sessions/connection.py
+++ b/src/ebonyladder/sessions/connection.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from typing import NewType
 
 import msgspec
 
@@ -18,6 +19,8 @@
     VmId,
 )
 
+ConnectionId = NewType("ConnectionId", int)
+
 
 class EndpointGoneError(EndpointError):
     """No process of the endpoint accepts connections at its address.
@@ -64,8 +67,9 @@
 class PooledConnection(ABC):
     """Connection to one endpoint on behalf of one organisation.
 
-    A connection runs one command at a time. If no complete answer arrives, every
-    method raises ``EndpointError`` and leaves the connection closed.
+    A connection runs one command at a time. If no complete answer arrives, or only one
+    that may be a copy of an earlier answer, every method raises ``EndpointError`` and
+    leaves the connection closed. So does a call that is cancelled.
 
     Attributes
     ----------
@@ -77,6 +81,8 @@
         Session variables that are set on the connection.
     is_open : bool
         Whether the connection can run another command.
+    is_reusable : bool
+        Whether the connection can run commands of another statement or transaction.
     """
 
     endpoint: EndpointId
@@ -84,6 +90,11 @@
     values: dict[str, str]
     is_open: bool
 
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the connection can run commands of another statement."""
+        return self.is_open
+
     @abstractmethod
     def set_variables(self, values: dict[str, str], deadline_s: float) -> None:
         """Set exactly these session variables before the next command.
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -130,6 +130,7 @@
                         connection.begin(begin, min_position=target.min_position),
                     )
             except (EndpointError, TimeoutError):
+                connection.close()
                 pool.release(connection)
                 if not await self._backoff(request, tried, target.entry.id):
                     return self._refuse(request, "the endpoint did not answer")
@@ -195,6 +196,10 @@
             if not may_retry:
                 break
             await asyncio.sleep(RETRY_BACKOFF_S)
+        if not is_commit and answer.state is TransactionState.IDLE:
+            # Further statements would run outside the transaction.
+            pinned.connection.close()
+            answer = answer.with_state(TransactionState.FAILED)
         if is_write_commit and answer.code is None:
             return await self._confirm_commit(request, sent, answer)
         return answer
@@ -203,7 +208,7 @@
         """Release a transaction's connection, rolling back what may be open."""
         connection = pinned.connection
         try:
-            if connection.is_open:
+            if connection.is_reusable:
                 connection.set_variables(
                     connection.values, self.clock.now_s() + ROLLBACK_TIMEOUT_S
                 )
--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -224,8 +224,8 @@
             raise
 
     def release(self, connection: PooledConnection) -> None:
-        """Return a connection; one that is closed ends its reservation."""
-        if self.is_closed or not connection.is_open:
+        """Return a connection; one that can't be reused ends its reservation."""
+        if self.is_closed or not connection.is_reusable:
             connection.close()
             self._release_reservation()
             return
