Read the statement protocol in the stand-ins by bytes

The stand-ins of databases and clients ended a line at LF and stripped its end, as the daemon does, so both ends agreed on a changed text and no test could see it. They now have a reader of their own: a line ends at CR LF only, a text has one character for each byte, and fields are split at single blanks.

As the protocol says, a failed transaction accepts only its end, DEALLOCATE drops a name instead of committing, a second BEGIN is malformed, the commit of a transaction that wrote nothing needs no lead, and the item of a READ extends to the end of the line.

--- a/standins/statement_client.py
+++ b/standins/statement_client.py
@@ -4,6 +4,7 @@
 import itertools
 from typing import ClassVar
 
+from standins.lines import STREAM_LIMIT_BYTES, encode_lines, read_line, to_text
 from standins.platform import KEY
 
 # Generous, since CI machines may be busy.
@@ -13,6 +14,8 @@
 class StatementClient:
     """Session on one connection.
 
+    Texts have one character for each byte (`standins.lines`).
+
     Parameters
     ----------
     reader, writer : asyncio.StreamReader, asyncio.StreamWriter
@@ -42,7 +45,9 @@
     ) -> "StatementClient":
         """Open a connection without starting a session."""
         host, port = address.split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(
+            host, int(port), limit=STREAM_LIMIT_BYTES
+        )
         return cls(reader=reader, writer=writer, timeout_s=timeout_s)
 
     @classmethod
@@ -66,26 +71,41 @@
 
     async def start(self, database: str, key: str = KEY) -> str:
         """Start a session and return the greeting."""
-        self.writer.write(f"STARTUP {database} {key}\r\n".encode())
+        self.writer.write(encode_lines(f"STARTUP {database} {key}"))
         self.greeting = await self.read_line()
         return self.greeting
 
     async def read_line(self) -> str:
         """Return the next complete line; empty if the connection has ended."""
         async with asyncio.timeout(self.timeout_s):
-            line = await self.reader.readline()
-        return line.decode().rstrip() if line.endswith(b"\r\n") else ""
+            return await read_line(self.reader) or ""
+
+    async def query(self, text: str | bytes, *, id: str = "") -> list[str]:
+        """Send one query and return the lines of its answer.
 
-    async def query(self, text: str) -> list[str]:
-        """Send one query and return the lines of its answer."""
-        self.writer.write(f"QUERY q{next(self.numbers)} {text}\r\n".encode())
+        Parameters
+        ----------
+        text : str or bytes
+            Text of the query, without a line end.
+        id : str
+            Id of the query; the next unused one if it is empty.
+        """
+        if isinstance(text, bytes):
+            text = to_text(text)
+        id = id or self.next_id()
+        self.writer.write(encode_lines(f"QUERY {id} {text}"))
         lines = []
         while line := await self.read_line():
             lines.append(line)
-            if line.startswith("READY"):
+            if line.split(" ", 1)[0] == "READY":
                 break
         return lines
 
+    @classmethod
+    def next_id(cls) -> str:
+        """Return an id that no other query of this process has."""
+        return f"q{next(cls.numbers)}"
+
     def close(self) -> None:
         """Close the connection without a TERMINATE message."""
         self.opened.discard(self)
--- a/standins/statement_database.py
+++ b/standins/statement_database.py
@@ -2,21 +2,35 @@
 
 import asyncio
 import itertools
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
+from standins.answer_repeats import AnswerRepeats
+from standins.lines import STREAM_LIMIT_BYTES, encode_lines, read_line
+
 POLL_INTERVAL_S = 0.005
 # Time for which a replica that is rolled back is busy, in seconds.
 ROLLBACK_S = 0.2
+# Number of the last answers of a connection that can be copied.
+MAX_KEPT_ANSWERS = 100
 
 
 @dataclass
 class Entry:
-    """Commit in the log."""
+    """Commit in the log.
+
+    Attributes
+    ----------
+    ids : tuple of str
+        Ids of the statements that wrote.
+    """
 
     term: int
     number: int
     writes: dict[str, str]
+    ids: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -71,8 +85,16 @@
 
     Attributes
     ----------
+    text : str
+        Text as it arrived, without ``AFTER`` and its position.
     values : dict of str to str
         Values that the session had set on the connection.
+    connection : int
+        Number of the connection, unique in its service.
+    transaction : int or None
+        Number of the transaction, unique in its service; None outside of one.
+    prepared : tuple of str or None
+        Mode and shape of the prepared statement that an EXECUTE ran.
     """
 
     endpoint: str
@@ -80,6 +102,26 @@
     id: str
     text: str
     values: dict[str, str]
+    connection: int = 0
+    transaction: int | None = None
+    prepared: tuple[str, str] | None = None
+
+
+@dataclass(frozen=True)
+class SignedAnswer:
+    """Statement to whose answer a database gave a signature.
+
+    Attributes
+    ----------
+    text : str
+        Text as it arrived, without ``AFTER`` and its position.
+    """
+
+    endpoint: str
+    connection: int
+    id: str
+    text: str
+    rows: tuple[str, ...]
 
 
 @dataclass
@@ -94,6 +136,14 @@
         Mode and shape of each prepared statement, by name.
     state : str
         ``I`` if idle, ``T`` in a transaction, ``E`` in a failed transaction.
+    number : int
+        Number of the connection, unique in its service.
+    transaction : int or None
+        Number of the open transaction, unique in its service.
+    writing_ids : list of str
+        Ids of the statements whose writes aren't committed yet.
+    answers : deque of bytes
+        Last complete answers, the newest one at the end.
     """
 
     organisation: str
@@ -102,6 +152,37 @@
     state: str = "I"
     read_only: bool = False
     writes: dict[str, str] = field(default_factory=dict)
+    number: int = 0
+    transaction: int | None = None
+    writing_ids: list[str] = field(default_factory=list)
+    writer: asyncio.StreamWriter | None = None
+    answers: deque[bytes] = field(
+        default_factory=lambda: deque(maxlen=MAX_KEPT_ANSWERS)
+    )
+
+    def repeat_answer(self, index: int = -1) -> None:
+        """Write a copy of an answer now, the last one by default."""
+        self.write_copy(self.answers[index])
+
+    def write_copy(self, answer: bytes) -> None:
+        """Write a copy of an answer if the connection is still open.
+
+        Answers are written in one piece, so a copy always lies between two of them.
+        """
+        if not self.writer.is_closing():
+            self.writer.write(answer)
+
+    def end_transaction(self) -> tuple[dict[str, str], tuple[str, ...]]:
+        """Return to the idle state; return the writes and the ids that made them."""
+        found = self.writes, tuple(self.writing_ids)
+        self.state, self.transaction = "I", None
+        self.writes, self.writing_ids = {}, []
+        return found
+
+
+# Called with the connection, the id and the text of each query before it runs; returns
+# the code of an error to refuse it with, or None.
+QueryHook = Callable[[Connection, str, str], str | None]
 
 
 class Database:
@@ -113,6 +194,15 @@
         Service to which the database belongs.
     name : str
         Id of the database.
+
+    Attributes
+    ----------
+    repeats : AnswerRepeats or None
+        Which answers are written twice; those of the service if it is None.
+    query_hook : callable or None
+        Called before each query; it may copy answers and refuse the query.
+    connections : dict of int to Connection
+        Open sessions by their number.
     """
 
     def __init__(self, *, service: "DatabaseService", name: str) -> None:
@@ -139,12 +229,18 @@
         self.statement_s = 0.0
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
+        self.connections: dict[int, Connection] = {}
+        self.repeats: AnswerRepeats | None = None
+        self.query_hook: QueryHook | None = None
+        self.refusals: list[tuple[str, str]] = []
         self.port = 0
 
     async def start(self) -> None:
         """Listen on a free port; a database that starts again has lost its pause."""
         self.is_paused = False
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(
+            self._serve, "127.0.0.1", self.port, limit=STREAM_LIMIT_BYTES
+        )
         self.port = self.server.sockets[0].getsockname()[1]
         self.is_down = False
         self.service.rejoin(self)
@@ -206,33 +302,72 @@
             writer.close()
 
     async def _serve_connection(self, reader, writer) -> None:
-        words = (await reader.readline()).decode().split()
-        if len(words) < 3:
-            # The connection ended before its first line.
+        line = await read_line(reader)
+        if line is None:
             return
-        service, organisation = words[1], words[2]
-        if service != self.service.name or words[3:] not in ([], [self.name]):
-            writer.write(b"ERROR MISROUTED -\r\n")
+        word, *fields = line.split(" ", 3)
+        if word != "STARTUP" or len(fields) < 2:
             return
-        connection = Connection(organisation=organisation)
-        self._write_ready(writer, connection)
-        while line := (await reader.readline()).decode().rstrip("\r\n"):
-            _, id, text = line.split(" ", 2)
-            answer = await self._run(connection, id, text)
-            if self.lost_answers and id != "-":
-                self.lost_answers -= 1
-                continue
-            writer.write(
-                "".join(f"{answer_line}\r\n" for answer_line in answer).encode()
-            )
-            self._write_ready(writer, connection)
-            await writer.drain()
+        service, organisation = fields[:2]
+        if service != self.service.name or fields[2:] not in ([], [self.name]):
+            writer.write(encode_lines("ERROR MISROUTED -"))
+            return
+        connection = Connection(
+            organisation=organisation,
+            number=next(self.service.connection_numbers),
+            writer=writer,
+        )
+        writer.write(encode_lines(self._ready(connection)))
+        self.connections[connection.number] = connection
+        try:
+            while line := await read_line(reader):
+                word, *fields = line.split(" ", 2)
+                if word != "QUERY" or len(fields) < 2:
+                    return
+                await self._answer(connection, *fields)
+        finally:
+            del self.connections[connection.number]
 
-    def _write_ready(self, writer, connection: Connection) -> None:
+    async def _answer(self, connection: Connection, id: str, text: str) -> None:
+        lines = await self._run(connection, id, text)
+        if self.lost_answers and id != "-":
+            self.lost_answers -= 1
+            return
+        answer = encode_lines(*lines, self._ready(connection))
+        connection.answers.append(answer)
+        connection.writer.write(answer)
+        repeats = self.repeats or self.service.repeats
+        delay_s = None if repeats is None else repeats.draw_delay_s()
+        if delay_s is not None:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, connection.write_copy, answer)
+        await connection.writer.drain()
+
+    def _ready(self, connection: Connection) -> str:
         term, number = self.position
-        writer.write(f"READY {connection.state} {term}.{number}\r\n".encode())
+        return f"READY {connection.state} {term}.{number}"
+
+    def refuse_next(self, word: str, code: str) -> None:
+        """Refuse the next query that begins with a word; it doesn't run."""
+        self.refusals.append((word, code))
+
+    def _refusal(self, connection: Connection, id: str, text: str) -> str | None:
+        """Return the code that a query is refused with, None if it may run."""
+        code = None
+        if self.query_hook is not None:
+            code = self.query_hook(connection, id, text)
+        words = text.split(" ", 3)
+        word = words[2] if words[0] == "AFTER" and len(words) > 2 else words[0]
+        for refusal in self.refusals:
+            if code is None and refusal[0] == word:
+                self.refusals.remove(refusal)
+                return refusal[1]
+        return code
 
     async def _run(self, connection: Connection, id: str, text: str) -> list[str]:
+        code = self._refusal(connection, id, text)
+        if code is not None:
+            return [f"ERROR {code} -"]
         word, _, rest = text.partition(" ")
         if word == "AFTER":
             required, _, text = rest.partition(" ")
@@ -240,6 +375,8 @@
             if not self._has_received(term, number):
                 return ["ERROR LAGGING -"]
             word, _, rest = text.partition(" ")
+        if connection.state == "E" and text not in ("COMMIT", "ROLLBACK"):
+            return ["ERROR MALFORMED -"]
         control = {"STATUS": self._status, "PAUSE": self._pause}
         control |= {"RESUME": self._resume, "STEPDOWN": self._step_down}
         is_rolling_back = asyncio.get_running_loop().time() < self.rolled_back_at_s
@@ -247,67 +384,97 @@
             return ["ERROR BUSY -"]
         if word in control:
             return control[word](rest)
+        if word in ("RESET", "SET", "PREPARE", "DEALLOCATE"):
+            return self._change_session(connection, word, rest)
+        return await self._run_statement(connection, id, word, rest, text)
+
+    @staticmethod
+    def _change_session(connection: Connection, word: str, rest: str) -> list[str]:
+        name, _, argument = rest.partition(" ")
         if word == "RESET":
             connection.values, connection.prepared = {}, {}
-            return ["COMPLETE -"]
-        if word == "SET":
-            name, _, value = rest.partition(" ")
-            connection.values[name] = value
-            return ["COMPLETE -"]
-        if word == "PREPARE":
-            name, mode, shape = rest.split(" ", 2)
+        elif word == "SET":
+            connection.values[name] = argument
+        elif word == "PREPARE":
+            mode, _, shape = argument.partition(" ")
+            if mode not in ("READ", "WRITE"):
+                return ["ERROR MALFORMED -"]
             connection.prepared[name] = (mode, shape)
-            return ["COMPLETE -"]
-        return await self._run_statement(connection, id, word, rest, text)
+        else:
+            connection.prepared.pop(name, None)
+        return ["COMPLETE -"]
 
     async def _run_statement(
         self, connection: Connection, id: str, word: str, rest: str, text: str
     ) -> list[str]:
         await asyncio.sleep(self.statement_s)
-        is_read_write = connection.state != "I" and not connection.read_only
-        mode = word
+        if word in ("BEGIN", "ROLLBACK"):
+            return self._run_boundary(connection, text)
+        if word not in ("READ", "WRITE", "EXECUTE") and text != "COMMIT":
+            return ["ERROR MALFORMED -"]
+        mode, prepared = word, None
         if word == "EXECUTE":
             name, _, rest = rest.partition(" ")
             if name not in connection.prepared:
                 return ["ERROR NOSTMT -"]
-            mode = connection.prepared[name][0]
-        if word == "BEGIN":
-            if rest != "READ" and not self.is_primary:
-                return ["ERROR READONLY -"]
-            connection.state, connection.read_only = "T", rest == "READ"
-            return ["COMPLETE -"]
-        if word == "ROLLBACK":
-            connection.state, connection.writes = "I", {}
-            return ["COMPLETE -"]
-        is_write = mode in ("WRITE", "COMMIT") and (
-            mode == "WRITE" or connection.writes
+            prepared = connection.prepared[name]
+            mode = prepared[0]
+        if connection.state == "E":
+            connection.end_transaction()
+            return ["ERROR READONLY -"]
+        is_plain = connection.state == "T" and not connection.read_only
+        needs_lead = mode == "WRITE" or (
+            is_plain and (mode != "COMMIT" or bool(connection.writes))
         )
-        if (is_write or is_read_write) and not self.is_primary:
+        if needs_lead and not self.is_primary:
             connection.state = "E" if connection.state == "T" else "I"
             return ["ERROR READONLY -"]
         self.service.executed.append(
             ExecutedStatement(
-                self.name, connection.organisation, id, text, dict(connection.values)
+                self.name,
+                connection.organisation,
+                id,
+                text,
+                dict(connection.values),
+                connection=connection.number,
+                transaction=connection.transaction,
+                prepared=prepared,
             )
         )
-        signature = f"COMPLETE s{next(self.service.signatures)}"
+        rows: tuple[str, ...] = ()
         if mode == "READ":
-            item = rest.split(" ", 1)[0]
-            visible = {**self.data, **connection.writes}
-            return [f"ROW {visible.get(item, '')}", signature]
-        if mode == "WRITE":
+            # The last field extends to the end of the line.
+            item = rest if prepared is None else rest.partition(" ")[0]
+            rows = ({**self.data, **connection.writes}.get(item, ""),)
+        elif mode == "WRITE":
             item, _, value = rest.partition(" ")
             connection.writes[item] = value
-            if connection.state == "T":
-                return [signature]
-        writes, connection.writes = connection.writes, {}
-        connection.state = "I"
-        if writes:
-            await self._commit(writes)
-        return [signature]
-
-    async def _commit(self, writes: dict[str, str]) -> None:
-        entry = Entry(self.term, self.position[1] + 1, writes)
+            connection.writing_ids.append(id)
+        signature = f"s{next(self.service.signatures)}"
+        self.service.signed[signature] = SignedAnswer(
+            self.name, connection.number, id, text, rows
+        )
+        if mode == "COMMIT" or (mode == "WRITE" and connection.state == "I"):
+            writes, ids = connection.end_transaction()
+            if writes:
+                await self._commit(writes, ids)
+        return [*(f"ROW {row}" for row in rows), f"COMPLETE {signature}"]
+
+    def _run_boundary(self, connection: Connection, text: str) -> list[str]:
+        """Begin a transaction or roll it back."""
+        if text == "ROLLBACK":
+            connection.end_transaction()
+            return ["COMPLETE -"]
+        if text not in ("BEGIN", "BEGIN READ") or connection.state != "I":
+            return ["ERROR MALFORMED -"]
+        if text == "BEGIN" and not self.is_primary:
+            return ["ERROR READONLY -"]
+        connection.state, connection.read_only = "T", text == "BEGIN READ"
+        connection.transaction = next(self.service.transaction_numbers)
+        return ["COMPLETE -"]
+
+    async def _commit(self, writes: dict[str, str], ids: tuple[str, ...] = ()) -> None:
+        entry = Entry(self.term, self.position[1] + 1, writes, ids)
         self.log.append(entry)
         while True:
             if not any(e is entry for e in reversed(self.log)):
@@ -367,6 +534,12 @@
         Commits that databases acknowledged, in this order.
     listed : set of str
         Processes of databases that have been listed in the store.
+    executed : list of ExecutedStatement
+        Reads, writes and commits that databases ran, in this order.
+    signed : dict of str to SignedAnswer
+        What databases signed, by signature.
+    repeats : AnswerRepeats or None
+        Which answers are written twice by databases without a value of their own.
     """
 
     def __init__(
@@ -383,6 +556,10 @@
         self.notice_s = notice_s
         self.databases = {n: Database(service=self, name=n) for n in zones}
         self.signatures = itertools.count(1)
+        self.connection_numbers = itertools.count(1)
+        self.transaction_numbers = itertools.count(1)
+        self.signed: dict[str, SignedAnswer] = {}
+        self.repeats: AnswerRepeats | None = None
         self.executed: list[ExecutedStatement] = []
         self.promotions: list[tuple[str, int]] = []
         self.effects: list[Promotion] = []
