Make each control call that must be current the first of a connection

A database may send an answer again, verbatim and late, on the same connection. Answers to STATUS, PAUSE, RESUME and STEPDOWN name no call, and EndpointControl paired them by their order on one connection for each endpoint. A copy of an earlier STATUS row passed for the answer to a PAUSE that was refused, for the final position of a primary, or for a position that had grown since the survey: commits were lost.

The first call of a connection gets an answer that can only be its own. So pause, step_down, resume, refresh and current_statuses open a connection, which replaces the present one if that one is still open; otherwise the process may have started again, and the endpoint is dropped. status and statuses use the present connection and tell a state since its first call. A connection with an unanswered call is closed. RESUME is repeated over another connection only, so that none is outstanding when a later PAUSE runs.

The checks before a promotion, the survey after a step-down and the position that an earlier successor has to reach use current statuses. A process that refuses a new connection while the former one is open isn't taken as gone.

--- a/src/ebonyladder/sessions/connection.py
+++ b/src/ebonyladder/sessions/connection.py
@@ -118,6 +118,9 @@
 
     A call that the endpoint refuses for want of a slot raises ``EndpointError`` with
     the code OVERLOADED and leaves the connection open.
+
+    The endpoint may send a copy of an earlier answer before that of a call, and nothing
+    tells them apart. Only the first call's answer is sure to be its own.
     """
 
     @abstractmethod
--- a/src/ebonyladder/sessions/endpoint_control.py
+++ b/src/ebonyladder/sessions/endpoint_control.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 from enum import Enum
-from functools import partial
 from typing import TypeVar
 
 import msgspec
@@ -31,10 +30,12 @@
 
 
 class ProbedEndpoint(msgspec.Struct, frozen=True, kw_only=True):
-    """Endpoint that answered a status call, with its connection and first status.
+    """Endpoint that answers, with its connection.
 
     Attributes
     ----------
+    status : EndpointStatus
+        Answer to the first call of the connection.
     opened_at_s : float
         The loop's time at which the connection was open.
     """
@@ -75,8 +76,15 @@
 class EndpointControl:
     """Connections to the endpoints that answered, one for each.
 
-    An endpoint that was paused keeps its pause while its connection stays open, since a
-    restart of its process ends both.
+    An endpoint may send a copy of an earlier answer of the same connection, and control
+    answers don't name their calls. So calls whose answer must be their own are the
+    first of a new connection: ``pause``, ``step_down``, ``resume``, ``refresh`` and
+    ``current_statuses``. What ``status`` and ``statuses`` return was so at some time
+    since the first call of the present connection.
+
+    A new connection replaces the present one only if that one is still open. Since a
+    restart of a process ends its connections, an endpoint that was paused keeps its
+    pause while it stays in ``endpoints`` with an open connection.
 
     Parameters
     ----------
@@ -86,7 +94,7 @@
     Attributes
     ----------
     endpoints : dict of EndpointProcess to ProbedEndpoint
-        Endpoints that answered the first call.
+        Endpoints that answer.
     answers : dict of EndpointProcess to ControlAnswer
         Last answer of each endpoint.
     failures : dict of EndpointProcess to str
@@ -108,29 +116,42 @@
         await asyncio.gather(*(self._probe(entry) for entry in entries))
 
     async def refresh(self) -> None:
-        """Replace the first statuses by current ones."""
-        for process, status in (await self.statuses()).items():
-            self.endpoints[process] = msgspec.structs.replace(
-                self.endpoints[process], status=status
-            )
+        """Replace the statuses of all endpoints by current ones.
 
-    async def statuses(self) -> dict[EndpointProcess, EndpointStatus]:
-        """Return the current status of each endpoint that still answers."""
-        return await self._call_all(
-            ControlCall.STATUS, self._open(), lambda connection: connection.status()
+        One that is busy keeps its former status; others that fail are dropped.
+        """
+        await self.current_statuses(self.endpoints)
+
+    async def current_statuses(
+        self, processes: Iterable[EndpointProcess]
+    ) -> dict[EndpointProcess, EndpointStatus]:
+        """Return statuses of endpoints that are newer than this call."""
+        return await self._call_anew_all(
+            ControlCall.STATUS, processes, lambda connection: connection.status()
         )
 
+    async def statuses(self) -> dict[EndpointProcess, EndpointStatus]:
+        """Return statuses since the first calls of the present connections."""
+        return await self._status_all(self._open())
+
+    async def status(self, process: EndpointProcess) -> EndpointStatus | None:
+        """Return a status since the first call of the present connection.
+
+        None if the endpoint doesn't answer.
+        """
+        return (await self._status_all([process])).get(process)
+
     async def pause(
         self, processes: Iterable[EndpointProcess], term: Term
     ) -> dict[EndpointProcess, EndpointStatus]:
         """Stop replicas from receiving the log; return the statuses of those paused."""
-        return await self._call_all(
+        return await self._call_anew_all(
             ControlCall.PAUSE, processes, lambda connection: connection.pause(term)
         )
 
     async def resume(self, processes: Iterable[EndpointProcess]) -> None:
         """Let replicas receive the log again."""
-        await self._call_all(
+        await self._call_anew_all(
             ControlCall.RESUME, processes, lambda connection: connection.resume()
         )
 
@@ -138,20 +159,13 @@
         self, process: EndpointProcess, term: Term
     ) -> EndpointStatus | None:
         """Make a primary a replica; None if it doesn't answer."""
-        found = await self._call_all(
+        found = await self._call_anew_all(
             ControlCall.STEP_DOWN,
             [process],
             lambda connection: connection.step_down(term),
         )
         return found.get(process)
 
-    async def status(self, process: EndpointProcess) -> EndpointStatus | None:
-        """Return an endpoint's current status, None if it doesn't answer."""
-        found = await self._call_all(
-            ControlCall.STATUS, [process], lambda connection: connection.status()
-        )
-        return found.get(process)
-
     def describe(self, processes: Iterable[EndpointProcess]) -> str:
         """Return what each endpoint answered last, for a log line."""
         return ",".join(
@@ -192,21 +206,101 @@
         else:
             connection.close()
 
-    async def _call_all(
+    async def _status_all(
+        self, processes: Iterable[EndpointProcess]
+    ) -> dict[EndpointProcess, EndpointStatus]:
+        """Request statuses on the present connections that are open."""
+        opened = self._open()
+        return await self._gather(
+            (process for process in processes if process in opened),
+            lambda process: self._status(opened[process]),
+        )
+
+    async def _status(self, probe: ProbedEndpoint) -> EndpointStatus | None:
+        process = probe.entry.process
+        status = await self._call(process, ControlCall.STATUS, probe.connection.status)
+        if status is None and not self._was_busy(process):
+            probe.connection.close()
+        return status
+
+    async def _call_anew_all(
         self,
         call: ControlCall,
         processes: Iterable[EndpointProcess],
         send: Callable[[ControlConnection], Awaitable[EndpointStatus]],
     ) -> dict[EndpointProcess, EndpointStatus]:
-        """Call endpoints whose connections are open; return the statuses."""
+        """Make a call over new connections; return the statuses."""
         opened = self._open()
-        asked = [process for process in processes if process in opened]
-        results = await asyncio.gather(
-            *(
-                self._call(process, call, partial(send, opened[process].connection))
-                for process in asked
-            )
+        return await self._gather(
+            (process for process in processes if process in opened),
+            lambda process: self._call_anew(opened[process], call, send),
         )
+
+    async def _call_anew(
+        self,
+        former: ProbedEndpoint,
+        call: ControlCall,
+        send: Callable[[ControlConnection], Awaitable[EndpointStatus]],
+    ) -> EndpointStatus | None:
+        """Make a call the first one of a connection that replaces the former one.
+
+        The endpoint is dropped if the call fails, except for a status of a busy one.
+        """
+        process = former.entry.process
+        connection: ControlConnection | None = None
+        opened_at_s = former.opened_at_s
+
+        async def open_and_send() -> EndpointStatus:
+            nonlocal connection, opened_at_s
+            if connection is None or not connection.is_open:
+                connection = await self.connector.open(former.entry, OPEN_ORGANISATION)
+                opened_at_s = asyncio.get_running_loop().time()
+            try:
+                return await send(connection)
+            except EndpointError:
+                if call is ControlCall.RESUME:
+                    # A copy of this refusal could answer the next RESUME, which might
+                    # then run after a PAUSE over another connection.
+                    connection.close()
+                raise
+
+        replacement: ProbedEndpoint | None = None
+        try:
+            status = await self._call(process, call, open_and_send)
+            if former.connection.is_open:
+                # A process that runs may have stopped accepting connections.
+                self.gone.discard(process)
+            elif status is not None:
+                # The process may have started again before the new connection.
+                self.failures[process] = ErrorCode.CONNECTION_LOST.value.code
+                status = None
+            if status is not None and connection is not None:
+                replacement = ProbedEndpoint(
+                    entry=former.entry,
+                    connection=connection,
+                    status=status,
+                    opened_at_s=opened_at_s,
+                )
+        finally:
+            if replacement is None and connection is not None:
+                connection.close()
+        if replacement is not None:
+            self.endpoints[process] = replacement
+        elif call is ControlCall.STATUS and self._was_busy(process):
+            return None
+        else:
+            self.endpoints.pop(process, None)
+        former.connection.close()
+        return status
+
+    @staticmethod
+    async def _gather(
+        processes: Iterable[EndpointProcess],
+        call: Callable[[EndpointProcess], Awaitable[EndpointStatus | None]],
+    ) -> dict[EndpointProcess, EndpointStatus]:
+        """Call endpoints at the same time; return the statuses of those that answer."""
+        asked = list(processes)
+        results = await asyncio.gather(*(call(process) for process in asked))
         return {
             process: status
             for process, status in zip(asked, results, strict=True)
@@ -261,6 +355,10 @@
         self.gone.discard(process)
         return result
 
+    def _was_busy(self, process: EndpointProcess) -> bool:
+        """Tell whether the last call failed since the endpoint had no free slot."""
+        return self.failures.get(process) == ErrorCode.OVERLOADED.value.code
+
     def _record_failure(self, process: EndpointProcess, error: Exception) -> None:
         """Record why a call failed; busy calls end with a timeout."""
         if isinstance(error, EndpointGoneError):
@@ -268,5 +366,5 @@
             self.failures[process] = "gone"
         elif isinstance(error, EndpointError):
             self.failures[process] = error.code.value.code
-        elif self.failures.get(process) != ErrorCode.OVERLOADED.value.code:
+        elif not self._was_busy(process):
             self.failures[process] = "timeout"
--- a/src/ebonyladder/sessions/replica_check.py
+++ b/src/ebonyladder/sessions/replica_check.py
@@ -19,7 +19,11 @@
 
 
 class ReplicaAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Last status of a replica, and when it arrived."""
+    """Last status of a replica, and when it arrived.
+
+    It may be older than the question, as the connection is kept: what the replica had
+    received by then it has received. So its age is for logs only.
+    """
 
     status: EndpointStatus
     answered_at_s: float
--- a/src/ebonyladder/sessions/successor.py
+++ b/src/ebonyladder/sessions/successor.py
@@ -1,11 +1,13 @@
 """Choice of the endpoint that takes over from a primary."""
 
 import asyncio
+from collections.abc import Mapping
 
 from absl import logging
 
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry
+from ebonyladder.sessions.connection import EndpointStatus
 from ebonyladder.sessions.failover_attempt import FailoverAttempt, aborted
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.log_survey import LogSurvey
@@ -54,6 +56,8 @@
         The position is that of its log.
         """
         probes = attempt.control.endpoints
+        if not probes:
+            raise aborted(attempt.service, "no endpoint answers any more")
         attempt.term = Term(max(p.status.term for p in probes.values()) + 1)
         await self._let_earlier_successor_catch_up(attempt)
         final_positions = await self._step_down_primaries(attempt)
@@ -101,11 +105,12 @@
         or starts again meanwhile isn't paused.
         """
         surveyed = attempt.by_process.keys()
+        positions = {chosen.process: position, **attempt.fenced}
         _, statuses = await asyncio.gather(
-            self._add_members(attempt), attempt.control.statuses()
+            self._add_members(attempt), attempt.control.current_statuses(positions)
         )
         changed = [p for p in attempt.by_process if p not in surveyed]
-        for process, fenced_at in {chosen.process: position, **attempt.fenced}.items():
+        for process, fenced_at in positions.items():
             status = statuses.get(process)
             if (
                 status is None
@@ -193,7 +198,8 @@
         await control.resume([earlier])
         deadline_s = self.clock.now_s() + CATCH_UP_TIMEOUT_S
         while True:
-            sent = await control.status(attempt.primary)
+            current = await control.current_statuses([attempt.primary])
+            sent = current.get(attempt.primary)
             received = await control.status(earlier)
             if sent is None or received is None or received.received >= sent.received:
                 return
@@ -248,7 +254,7 @@
         await self._add_members(attempt)
         deadline_s = self.clock.now_s() + CATCH_UP_TIMEOUT_S
         while True:
-            received = await self._read_replicas(attempt)
+            received = await self._read_current(attempt)
             has_candidate = any(
                 position >= final_position
                 and self._is_active(attempt.by_process[process])
@@ -261,21 +267,17 @@
         if not has_candidate:
             # A replica that had just joined may have registered by now.
             await self._add_members(attempt)
-            received = await self._read_replicas(attempt)
+            received = await self._read_current(attempt)
         received[attempt.primary] = final_position
         return self._survey(attempt, received)
 
     @staticmethod
-    async def _read_replicas(
+    async def _read_current(
         attempt: FailoverAttempt,
     ) -> dict[EndpointProcess, Position]:
         """Return the log positions of the replicas that answer."""
-        statuses = await attempt.control.statuses()
-        return {
-            process: status.received
-            for process, status in statuses.items()
-            if status.role is Role.REPLICA
-        }
+        control = attempt.control
+        return replica_positions(await control.current_statuses(control.endpoints))
 
     async def _survey_paused(self, attempt: FailoverAttempt) -> LogSurvey:
         """Pause all replicas, also those that join meanwhile, and read their logs."""
@@ -297,14 +299,23 @@
                 await self._wait_registered(attempt)
                 has_waited = True
             await self._add_members(attempt)
-            newest_term = max(p.status.term for p in control.endpoints.values())
+            # A pause has an effect only in a term above the replica's. The status of a
+            # paused one may have the pause's term.
+            newest_term = max(
+                (
+                    probe.status.term
+                    for process, probe in control.endpoints.items()
+                    if process not in paused or probe.status.term > attempt.term
+                ),
+                default=Term(0),
+            )
             if newest_term >= attempt.term:
-                # A pause has an effect only in a term above the replica's.
                 attempt.term = Term(newest_term + 1)
                 paused.clear()
         # The pauses took effect one after the other, and a replica that was started
-        # again since then has lost its pause together with its connection.
-        received = await self._read_replicas(attempt)
+        # again since then has lost its pause together with its connection. An answer
+        # that is older than the last pause is found by ``is_current``.
+        received = replica_positions(await control.statuses())
         return self._survey(
             attempt, {p: at for p, at in received.items() if p in paused}
         )
@@ -383,3 +394,14 @@
             entry.zone != self.cluster.zone,
             entry.id,
         )
+
+
+def replica_positions(
+    statuses: Mapping[EndpointProcess, EndpointStatus],
+) -> dict[EndpointProcess, Position]:
+    """Return the log positions of the replicas among endpoints."""
+    return {
+        process: status.received
+        for process, status in statuses.items()
+        if status.role is Role.REPLICA
+    }
--- a/tests/session_fakes.py
+++ b/tests/session_fakes.py
@@ -1,7 +1,8 @@
 """Fakes of the session daemon's interfaces: endpoints in memory, and cluster views."""
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
+from collections.abc import Callable
 
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
@@ -131,6 +132,10 @@
         self.is_unresponsive = False
         self.is_down = False
         self.busy_calls = 0
+        self.busy_resumes = 0
+        self.refuses_pauses = False
+        # Number of control answers to come that are sent twice.
+        self.repeated_answers = 0
         self.lost_answers = 0
         self.drops_connections = False
         self.paused_term: Term | None = None
@@ -153,6 +158,7 @@
         self.organisation = organisation
         self.values: dict[str, str] = {}
         self.is_open = True
+        self.unread: deque[EndpointStatus | EndpointError] = deque()
         self.state = TransactionState.IDLE
 
     def set_variables(self, values: dict[str, str], deadline_s: float) -> None:
@@ -185,43 +191,72 @@
 
     async def status(self) -> EndpointStatus:
         """Return the status that the test has set."""
-        await self._require_slot()
-        return self.peer.status
+        return await self._control(lambda: None)
 
     async def pause(self, term: Term) -> EndpointStatus:
         """Record the pause."""
-        await self._require_slot()
-        self.peer.paused_term = term
-        self.peer.pauses.append(term)
-        return self.peer.status
+
+        def pause() -> None:
+            if self.peer.refuses_pauses:
+                raise self._busy()
+            self.peer.paused_term = term
+            self.peer.pauses.append(term)
+
+        return await self._control(pause)
 
     async def resume(self) -> EndpointStatus:
         """Record the end of the pause."""
-        await self._require_reachable()
-        self.peer.paused_term = None
-        return self.peer.status
+
+        def resume() -> None:
+            if self.peer.busy_resumes:
+                self.peer.busy_resumes -= 1
+                raise self._busy()
+            self.peer.paused_term = None
+
+        return await self._control(resume, needs_slot=False)
 
     async def step_down(self, term: Term) -> EndpointStatus:
         """Become a replica."""
-        await self._require_slot()
-        self.peer.status = EndpointStatus(
-            role=Role.REPLICA, term=term, received=self.peer.status.received
-        )
-        return self.peer.status
+
+        def step_down() -> None:
+            self.peer.status = EndpointStatus(
+                role=Role.REPLICA, term=term, received=self.peer.status.received
+            )
+
+        return await self._control(step_down)
 
     def close(self) -> None:
         """Close the connection."""
         self.is_open = False
 
-    async def _require_slot(self) -> None:
+    async def _control(
+        self, run: Callable[[], None], *, needs_slot: bool = True
+    ) -> EndpointStatus:
+        """Run a control call; return the first answer that wasn't read yet."""
         await self._require_reachable()
-        if self.peer.busy_calls:
-            self.peer.busy_calls -= 1
-            raise EndpointError(
-                code=ErrorCode.OVERLOADED,
-                step=Step.FAILURE_DETECT,
-                peer=self.peer.name,
-            )
+        try:
+            if needs_slot and self.peer.busy_calls:
+                self.peer.busy_calls -= 1
+                raise self._busy()
+            run()
+            answer = self.peer.status
+        except EndpointError as error:
+            answer = error
+        self.unread.append(answer)
+        if self.peer.repeated_answers:
+            self.peer.repeated_answers -= 1
+            self.unread.append(answer)
+        answer = self.unread.popleft()
+        if isinstance(answer, EndpointError):
+            raise answer
+        return answer
+
+    def _busy(self) -> EndpointError:
+        return EndpointError(
+            code=ErrorCode.OVERLOADED,
+            step=Step.FAILURE_DETECT,
+            peer=self.peer.name,
+        )
 
     async def _require_reachable(self) -> None:
         if self.peer.is_down or self.peer.drops_connections:
@@ -246,6 +281,9 @@
         self.endpoints = {EndpointId(e.name): e for e in endpoints}
         self.opened = 0
         self.opened_to: Counter[str] = Counter()
+        self.connections: list[FakeConnection] = []
+        # Called before each connection is open.
+        self.before_open: Callable[[FakeEndpoint], None] = lambda peer: None
 
     async def open(
         self, entry: EndpointEntry, organisation: OrganisationId
@@ -261,9 +299,11 @@
             )
         if peer.is_unresponsive:
             await asyncio.Event().wait()
+        self.before_open(peer)
         self.opened += 1
         self.opened_to[entry.id] += 1
-        return FakeConnection(peer, organisation)
+        self.connections.append(FakeConnection(peer, organisation))
+        return self.connections[-1]
 
 
 class CountingMetrics(Metrics):
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -568,6 +568,44 @@
         assert self.world.replace_primary(FailoverCause.UNRESPONSIVE)
 
 
+class TestRepeatedAnswers:
+    """Guards against lost commits when endpoints send earlier answers again."""
+
+    def setup_method(self):
+        self.world = World()
+        self.world.primary.is_unresponsive = True
+
+    def test_log_that_grew_after_the_survey_is_seen(self):
+        # A copy of an earlier status showed the position of the survey.
+        world = self.world
+        world.far.repeated_answers = 1
+
+        async def store_successor(group):
+            world.far.set_received(position(1, 11))
+            await world.coordination.write_group(group)
+
+        world.coordination.store_successor = store_successor
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == []
+
+    def test_no_promotion_if_a_replica_refused_its_pause(self):
+        # A copy of an earlier status passed for the answer to PAUSE.
+        world = self.world
+        world.far.repeated_answers = 1
+        world.far.refuses_pauses = True
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == []
+
+    def test_primary_that_stepped_down_is_known_to_have(self):
+        # Guards against a survey without the final position: no replica has it.
+        world = self.world
+        world.primary.is_unresponsive = False
+        world.primary.repeated_answers = 1
+        world.primary.set_received(position(1, 12))
+        assert world.replace_primary(FailoverCause.LEAVING)
+        assert world.promoter.calls == [("primary", 7)]
+
+
 class TestRestartedProcess:
     """Guards against taking the log of a new process for that of the one listed."""
 
