Pass callers' and databases' texts byte for byte

A line ended at a bare LF, so the rest of a value ran as a message of its own; every CR and LF at the end of a line was stripped; EXECUTE was built anew without its trailing white space; error texts were collapsed; a byte that isn't UTF-8 ended the session or the answer.

Lines now end at CR LF only, through LineReader on both sides. A text has one character for each byte inside the daemon, and only wire.py converts it. EXECUTE changes the name and nothing else. A database's name and a caller's key are compared as UTF-8 that keeps invalid bytes apart.

A line that the daemon makes longer than the limit isn't sent: the caller gets MALFORMED, or the read goes to an endpoint without a position. A message between VMs that is too large fails its own statement and leaves the channel open; the limit rises from 4 to 8 MiB, since a statement of 1 MiB without ASCII takes 4 MiB with its argument.

--- a/src/ebonyladder/platform/endpoint.py
+++ b/src/ebonyladder/platform/endpoint.py
@@ -9,17 +9,18 @@
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.step import Step
+from ebonyladder.platform.lines import LINE_END, LineError, LineReader
 from ebonyladder.platform.sockets import enable_keep_alive
 from ebonyladder.platform.wire import (
-    LINE_END,
-    MAX_LINE_BYTES,
     AnswerReader,
     WireError,
-    decode_line,
     decode_position,
+    decode_text,
     encode_execute,
     encode_position,
     encode_prepare,
+    encode_query,
+    exceeds_line,
 )
 from ebonyladder.sessions.cluster_view import EndpointEntry
 from ebonyladder.sessions.command import (
@@ -29,6 +30,8 @@
     Command,
     CommandKind,
     Prepared,
+    TransactionState,
+    refusal,
 )
 from ebonyladder.sessions.connection import (
     ControlConnection,
@@ -53,7 +56,7 @@
         Endpoint that it connects to.
     organisation : OrganisationId
         Organisation that is sent to the endpoint.
-    reader, writer : asyncio.StreamReader, asyncio.StreamWriter
+    reader, writer : LineReader, asyncio.StreamWriter
         Streams of the connection.
     """
 
@@ -62,7 +65,7 @@
         *,
         endpoint: EndpointId,
         organisation: OrganisationId,
-        reader: asyncio.StreamReader,
+        reader: LineReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         self.endpoint = endpoint
@@ -72,6 +75,7 @@
         self.values: dict[str, str] = {}
         self.target_variables: dict[str, str] = {}
         self.statement_names: dict[Prepared, str] = {}
+        self.state = TransactionState.IDLE
         self.is_closed = False
 
     @property
@@ -88,9 +92,10 @@
     ) -> Answer:
         """Open a transaction."""
         text = self._after_clause(min_position) + command.text
-        return await self._exchange(
-            [*self._variable_queries(), (INTERNAL_COMMAND_ID, text)]
-        )
+        sent_state = self.values, self.statement_names
+        queries = [*self._variable_queries(), (INTERNAL_COMMAND_ID, text)]
+        refused = self._refuse_oversized(queries, sent_state, min_position)
+        return refused or await self._exchange(queries)
 
     async def run(
         self,
@@ -101,15 +106,18 @@
     ) -> Answer:
         """Run a command."""
         text = command.text
+        sent_state = self.values, self.statement_names
         queries = self._variable_queries()
         if command.kind is CommandKind.EXECUTE and prepared is not None:
             if prepared not in self.statement_names:
-                self.statement_names[prepared] = f"p{len(self.statement_names)}"
-                prepare = encode_prepare(self.statement_names[prepared], prepared)
+                name = f"p{len(self.statement_names)}"
+                self.statement_names = {**self.statement_names, prepared: name}
+                prepare = encode_prepare(name, prepared)
                 queries.append((INTERNAL_COMMAND_ID, prepare))
             text = encode_execute(command, self.statement_names[prepared])
         queries.append((command.id, self._after_clause(min_position) + text))
-        return await self._exchange(queries)
+        refused = self._refuse_oversized(queries, sent_state, min_position)
+        return refused or await self._exchange(queries)
 
     async def status(self) -> EndpointStatus:
         """Return the endpoint's status."""
@@ -141,9 +149,9 @@
         EndpointError
             OVERLOADED or CONNECT_FAILED, not run, if the endpoint refuses it.
         """
-        line = f"STARTUP {service} {self.organisation} {self.endpoint}{LINE_END}"
-        self.writer.write(line.encode())
-        keyword, _, rest = decode_line(await self._read_line()).partition(" ")
+        line = f"STARTUP {service} {self.organisation} {self.endpoint}"
+        self.writer.write(line.encode() + LINE_END)
+        keyword, _, rest = decode_text(await self._read_line()).partition(" ")
         if keyword != "READY":
             self.close()
             is_overloaded = rest.startswith("TOOMANY")
@@ -180,16 +188,55 @@
     def _after_clause(position: Position | None) -> str:
         return "" if position is None else f"AFTER {encode_position(position)} "
 
+    def _refuse_oversized(
+        self,
+        queries: list[tuple[str, str]],
+        sent_state: tuple[dict[str, str], dict[Prepared, str]],
+        min_position: Position | None,
+    ) -> Answer | None:
+        """Return a refusal of queries that don't fit in lines; they aren't sent.
+
+        ``sent_state`` has the values and statement names of the connection without
+        the queries.
+
+        Raises
+        ------
+        EndpointError
+            ENDPOINT_REFUSED, not run, if only the AFTER clause is too much: a primary
+            needs none.
+        """
+        if not any(exceeds_line(id, text) for id, text in queries):
+            return None
+        self.values, self.statement_names = sent_state
+        id, text = queries[-1]
+        without_clause = (id, text[len(self._after_clause(min_position)) :])
+        if not any(exceeds_line(*query) for query in (*queries[:-1], without_clause)):
+            raise EndpointError(
+                code=ErrorCode.ENDPOINT_REFUSED,
+                step=Step.EXECUTE,
+                peer=self.endpoint,
+                message="the statement and its AFTER clause exceed the size limit",
+                outcome=Outcome.NOT_RUN,
+            )
+        return refusal(
+            AnswerCode.MALFORMED,
+            "the statement exceeds the size limit",
+            state=self.state,
+        )
+
     async def _exchange(self, queries: list[tuple[str, str]]) -> Answer:
         """Send queries in one write and return the answer to the last one."""
-        lines = [f"QUERY {id} {text}{LINE_END}" for id, text in queries]
+        lines = [encode_query(id, text) for id, text in queries]
         try:
-            self.writer.write("".join(lines).encode())
+            self.writer.write(b"".join(lines))
             for _, text in queries[:-1]:
                 answer = await self._read_answer()
                 if answer.code is not None:
-                    raise WireError(f"{text.split()[0]} failed: {answer.detail}")
-            return await self._read_answer()
+                    keyword = text.partition(" ")[0]
+                    raise WireError(f"{keyword} failed: {answer.detail}")
+            answer = await self._read_answer()
+            self.state = answer.state
+            return answer
         except (OSError, WireError, asyncio.IncompleteReadError) as error:
             self.close()
             raise EndpointError(
@@ -212,10 +259,10 @@
 
     async def _read_line(self) -> bytes:
         try:
-            line = await self.reader.readline()
-        except ValueError as error:
-            raise WireError("the line exceeds the size limit") from error
-        if not line:
+            line = await self.reader.read_line()
+        except LineError as error:
+            raise WireError(str(error)) from error
+        if line is None:
             raise WireError("the endpoint closed the connection")
         return line
 
@@ -265,9 +312,11 @@
         writer = None
         try:
             host, port = split_address(entry.address)
-            reader, writer = await asyncio.open_connection(
-                host, port, limit=MAX_LINE_BYTES
-            )
+            reader = LineReader()
+            loop = asyncio.get_running_loop()
+            protocol = asyncio.StreamReaderProtocol(reader)
+            transport, _ = await loop.create_connection(lambda: protocol, host, port)
+            writer = asyncio.StreamWriter(transport, protocol, reader, loop)
             with contextlib.suppress(OSError):
                 enable_keep_alive(writer.get_extra_info("socket"))
             connection = WireConnection(
--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -5,15 +5,15 @@
 import time
 from typing import ClassVar
 
+import msgspec
 from absl import logging
 
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.metrics import Metrics
+from ebonyladder.platform.lines import LINE_END, LineError, LineReader
 from ebonyladder.platform.sockets import enable_keep_alive
 from ebonyladder.platform.wire import (
-    LINE_END,
-    MAX_LINE_BYTES,
     Malformed,
     Startup,
     Terminate,
@@ -21,6 +21,7 @@
     decode_message,
     encode_answer,
     encode_error,
+    encode_name,
 )
 from ebonyladder.sessions.catalog import CallerKey, DatabaseName
 from ebonyladder.sessions.cluster_view import ClusterView
@@ -46,15 +47,6 @@
 LISTEN_BACKLOG = 512
 
 
-class CallerReader(asyncio.StreamReader):
-    """Stream from a caller that tells whether a request has arrived."""
-
-    @property
-    def has_line(self) -> bool:
-        """Whether a whole line was received that nobody has read yet."""
-        return b"\n" in self._buffer
-
-
 class SessionConnection:
     """Connection of one caller, served by one task.
 
@@ -66,7 +58,7 @@
         Cluster view with the active configuration.
     metrics : Metrics
         Counters and histograms of this daemon.
-    reader, writer : CallerReader, asyncio.StreamWriter
+    reader, writer : LineReader, asyncio.StreamWriter
         Streams of the connection.
     """
 
@@ -76,7 +68,7 @@
         session_factory: SessionFactory,
         cluster: ClusterView,
         metrics: Metrics,
-        reader: CallerReader,
+        reader: LineReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         self.session_factory = session_factory
@@ -92,7 +84,10 @@
         """Serve the caller until either side closes the connection."""
         try:
             async with asyncio.timeout(STARTUP_TIMEOUT_S):
-                message = decode_message(await self.reader.readline())
+                line = await self.reader.read_line()
+            if line is None:
+                return
+            message = decode_message(line)
             if not isinstance(message, Startup):
                 raise WireError("the first message isn't STARTUP")
             opened = self.session_factory.open(
@@ -100,12 +95,12 @@
             )
             if isinstance(opened, Answer):
                 self.metrics.count("refused_sessions", code=opened.code.value)
-                await self._send((encode_error(opened) + LINE_END).encode())
+                await self._send(encode_error(self._spell_names(opened)) + LINE_END)
                 return
             self.session = opened
-            await self._send(f"READY I -{LINE_END}".encode())
+            await self._send(b"READY I -" + LINE_END)
             await self._serve_commands(opened)
-        except (WireError, ValueError) as error:
+        except (LineError, WireError, ValueError) as error:
             logging.info(
                 "[front] Invalid message, closing the connection. error=%s", error
             )
@@ -123,7 +118,7 @@
             or session.state is not TransactionState.IDLE
         ):
             line = await self._next_line(session)
-            if not line:
+            if line is None:
                 return
             self.is_busy = True
             try:
@@ -137,13 +132,13 @@
             if session.must_close:
                 return
 
-    async def _next_line(self, session: Session) -> bytes:
+    async def _next_line(self, session: Session) -> bytes | None:
         """Return the next line; abort a transaction that is idle for too long."""
         if session.state is not TransactionState.OPEN:
-            return await self.reader.readline()
+            return await self.reader.read_line()
         catalog = self.cluster.catalog
         idle_s = catalog.transaction_idle_s if catalog else STARTUP_TIMEOUT_S
-        read_task = asyncio.ensure_future(self.reader.readline())
+        read_task = asyncio.ensure_future(self.reader.read_line())
         try:
             done, _ = await asyncio.wait({read_task}, timeout=idle_s)
             if not done:
@@ -167,7 +162,13 @@
             outcome=answer.code.value if answer.code else "ok",
             seconds=time.monotonic() - started_at_s,
         )
-        return answer
+        # Only a session that lost access must close.
+        return self._spell_names(answer) if session.must_close else answer
+
+    @staticmethod
+    def _spell_names(refusal: Answer) -> Answer:
+        """Return a refusal of access with the caller's own spelling of names."""
+        return msgspec.structs.replace(refusal, detail=encode_name(refusal.detail))
 
     async def _send(self, data: bytes) -> None:
         self.writer.write(data)
@@ -271,10 +272,9 @@
             connection.writer.close()
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
-        reader = CallerReader(limit=MAX_LINE_BYTES)
-        return asyncio.StreamReaderProtocol(reader, self._accept)
+        return asyncio.StreamReaderProtocol(LineReader(), self._accept)
 
-    async def _accept(self, reader: CallerReader, writer: asyncio.StreamWriter) -> None:
+    async def _accept(self, reader: LineReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError):
             enable_keep_alive(writer.get_extra_info("socket"))
         connection = SessionConnection(
--- a/src/ebonyladder/platform/wire.py
+++ b/src/ebonyladder/platform/wire.py
@@ -1,7 +1,13 @@
-"""Encoding of the statement protocol: commands from lines, lines from answers."""
+"""Encoding of the statement protocol: commands from lines, lines from answers.
+
+Inside the daemon a text of the protocol is a string with one character for each byte,
+so it keeps every byte without any assumption about its encoding. Names that are
+compared with the configuration are UTF-8 instead.
+"""
 
 import msgspec
 
+from ebonyladder.platform.lines import LINE_END, MAX_LINE_BYTES
 from ebonyladder.sessions.command import (
     Answer,
     AnswerCode,
@@ -13,9 +19,6 @@
 )
 from ebonyladder.types import LogPosition, Position, RequestKind, Term
 
-MAX_LINE_BYTES = 1024 * 1024
-LINE_END = "\r\n"
-
 WIRE_CODES = {
     AnswerCode.OVERLOADED: "BUSY",
     AnswerCode.ABORTED: "ABORTED",
@@ -63,31 +66,54 @@
     problem: str
 
 
-def decode_line(line: bytes) -> str:
-    """Return the text of a line without its line ending.
+def decode_text(data: bytes) -> str:
+    """Return a text with one character for each byte."""
+    return data.decode("latin-1")
 
-    Raises
-    ------
-    WireError
-        If the line is truncated or isn't UTF-8.
+
+def encode_text(text: str) -> bytes:
+    """Return the bytes of a text.
+
+    Only the daemon's own details have characters that don't stand for one byte; these
+    are encoded as UTF-8.
     """
-    if not line.endswith(b"\n"):
-        raise WireError("the line is truncated")
     try:
-        return line.decode().rstrip("\r\n")
-    except UnicodeDecodeError as error:
-        raise WireError("the line isn't valid UTF-8") from error
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return b"".join(_encode_character(character) for character in text)
+
+
+def _encode_character(character: str) -> bytes:
+    if character <= "\xff":
+        return character.encode("latin-1")
+    if "\udc80" <= character <= "\udcff":
+        return character.encode(errors="surrogateescape")
+    return character.encode(errors="surrogatepass")
+
+
+def decode_name(text: str) -> str:
+    """Return a name in the form in which the configuration has it.
+
+    Bytes that aren't UTF-8 become lone surrogates, so that different names stay
+    different.
+    """
+    return text.encode("latin-1").decode(errors="surrogateescape")
+
+
+def encode_name(name: str) -> str:
+    """Return the text of a name from ``decode_name``."""
+    return decode_text(name.encode(errors="surrogateescape"))
 
 
 def decode_message(line: bytes) -> Startup | Terminate | Command | Malformed:
-    """Decode a caller's line.
+    """Decode a caller's line, given without its end.
 
     Raises
     ------
     WireError
         If the line isn't a message of the protocol.
     """
-    keyword, _, rest = decode_line(line).partition(" ")
+    keyword, _, rest = decode_text(line).partition(" ")
     if keyword == "QUERY":
         id, _, text = rest.partition(" ")
         if not id or not text:
@@ -100,7 +126,7 @@
         database, _, caller = rest.partition(" ")
         if not database:
             raise WireError("STARTUP has no database name")
-        return Startup(database=database, caller=caller)
+        return Startup(database=decode_name(database), caller=decode_name(caller))
     if keyword == "TERMINATE":
         return Terminate()
     raise WireError(f"unknown message {keyword[:20]!r}")
@@ -153,21 +179,35 @@
 
 def encode_answer(answer: Answer) -> bytes:
     """Encode an answer as lines."""
-    lines = [f"ROW {row}" for row in answer.rows]
+    lines = [encode_text(f"ROW {row}") for row in answer.rows]
     if answer.code is None:
-        lines.append(f"COMPLETE {answer.signature}")
+        lines.append(encode_text(f"COMPLETE {answer.signature}"))
     else:
         lines.append(encode_error(answer))
-    lines.append(
-        f"READY {WIRE_STATES[answer.state]} {encode_position(answer.position)}"
-    )
-    return (LINE_END.join(lines) + LINE_END).encode()
+    ready = f"READY {WIRE_STATES[answer.state]} {encode_position(answer.position)}"
+    lines.append(encode_text(ready))
+    return LINE_END.join(lines) + LINE_END
+
+
+def encode_error(answer: Answer) -> bytes:
+    """Encode the error line of an unsuccessful answer, without its end.
 
+    Only the daemon's own details can contain a line end or be too long: they may quote
+    exceptions and texts of endpoints.
+    """
+    detail = encode_text(answer.detail).replace(LINE_END, b" ")
+    prefix = encode_text(f"ERROR {WIRE_CODES[answer.code]} ")
+    return (prefix + detail)[:MAX_LINE_BYTES]
+
+
+def encode_query(id: str, text: str) -> bytes:
+    """Encode a query as a line."""
+    return encode_text(f"QUERY {id} {text}") + LINE_END
 
-def encode_error(answer: Answer) -> str:
-    """Encode the error line of an unsuccessful answer."""
-    detail = " ".join(answer.detail.split()) or "-"
-    return f"ERROR {WIRE_CODES[answer.code]} {detail}"
+
+def exceeds_line(id: str, text: str) -> bool:
+    """Tell whether a query is longer than a line may be."""
+    return len("QUERY ") + len(id) + len(" ") + len(text) > MAX_LINE_BYTES
 
 
 def encode_position(position: Position | None) -> str:
@@ -193,8 +233,12 @@
 
 
 def encode_execute(command: Command, name: str) -> str:
-    """Return an EXECUTE command with another name for the prepared statement."""
-    return f"EXECUTE {name} {command.argument}".rstrip()
+    """Return an EXECUTE command with another name for the prepared statement.
+
+    Everything after the caller's name stays as it was sent.
+    """
+    keyword = "EXECUTE "
+    return keyword + name + command.text[len(keyword) + len(command.name) :]
 
 
 def encode_prepare(name: str, prepared: Prepared) -> str:
@@ -214,14 +258,14 @@
         self.has_result = False
 
     def feed(self, line: bytes) -> Answer | None:
-        """Add a line; return the answer once it is complete.
+        """Add a line without its end; return the answer once it is complete.
 
         Raises
         ------
         WireError
             If the line is invalid or unexpected at this point of the answer.
         """
-        keyword, _, rest = decode_line(line).partition(" ")
+        keyword, _, rest = decode_text(line).partition(" ")
         if keyword == "ROW":
             self.rows.append(rest)
         elif keyword == "COMPLETE":
--- a/src/ebonyladder/sessions/fleet/follower.py
+++ b/src/ebonyladder/sessions/fleet/follower.py
@@ -14,7 +14,7 @@
 from ebonyladder.sessions.cluster_view import ClusterView, GroupPhase
 from ebonyladder.sessions.fleet.leadership import Leadership
 from ebonyladder.sessions.messages import (
-    MAX_MESSAGE_BYTES,
+    MAX_ENCODED_BYTES,
     ClusterSnapshot,
     LeaderUpdate,
     Report,
@@ -189,7 +189,7 @@
         return connect(
             f"ws://{address}{REPORT_PATH}",
             compression=None,
-            max_size=MAX_MESSAGE_BYTES,
+            max_size=MAX_ENCODED_BYTES,
             open_timeout=timeout_s,
             close_timeout=0.2,
             ping_interval=None,
--- a/src/ebonyladder/sessions/forwarding_pool.py
+++ b/src/ebonyladder/sessions/forwarding_pool.py
@@ -11,18 +11,26 @@
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.cluster_view import EndpointEntry, Owner
-from ebonyladder.sessions.command import Answer, Command, Prepared, TransactionState
+from ebonyladder.sessions.command import (
+    Answer,
+    AnswerCode,
+    Command,
+    Prepared,
+    TransactionState,
+    refusal,
+)
 from ebonyladder.sessions.connection import MinPosition, PooledConnection, ReadBound
 from ebonyladder.sessions.health import EndpointHealth
 from ebonyladder.sessions.messages import (
-    MAX_MESSAGE_BYTES,
+    MAX_ENCODED_BYTES,
     Envelope,
     ForwardedStatement,
     ForwardReply,
+    MessageTooLargeError,
     PositionRequest,
     ReleaseTransaction,
     decode,
-    encode,
+    encode_bounded,
 )
 from ebonyladder.sessions.pool import EndpointConnectionPool
 from ebonyladder.types import OrganisationId
@@ -67,7 +75,7 @@
                 self.connection = await connect(
                     f"ws://{self.owner.address}{FORWARD_PATH}",
                     compression=None,
-                    max_size=MAX_MESSAGE_BYTES,
+                    max_size=MAX_ENCODED_BYTES,
                     open_timeout=CONNECT_TIMEOUT_S,
                     close_timeout=0.2,
                     ping_interval=1.0,
@@ -85,6 +93,8 @@
         ------
         EndpointError
             CONNECTION_LOST; the outcome is unknown once the message was sent.
+        MessageTooLargeError
+            If the message exceeds the size limit; it isn't sent.
         """
         await self.open()
         reply: asyncio.Future[ForwardReply] = asyncio.get_running_loop().create_future()
@@ -100,11 +110,12 @@
 
     async def send(self, envelope: Envelope) -> None:
         """Send a message without waiting for a reply."""
+        data = encode_bounded(envelope)
         connection = self.connection
         if connection is None:
             raise self._error(ConnectionError("closed"), Outcome.NOT_RUN)
         try:
-            await connection.send(encode(envelope))
+            await connection.send(data)
         except (WebSocketException, OSError) as error:
             raise self._error(error, Outcome.UNKNOWN) from error
 
@@ -253,6 +264,12 @@
         )
         try:
             reply = await channel.call(Envelope(forward=forward), request_id)
+        except MessageTooLargeError as error:
+            return refusal(
+                AnswerCode.MALFORMED,
+                f"the statement with the session's values is too large: {error}",
+                state=self._state(is_begin=is_begin),
+            )
         except BaseException:
             self.close()
             raise
@@ -262,6 +279,10 @@
             raise reply.failure.to_error()
         return reply.answer
 
+    def _state(self, *, is_begin: bool) -> TransactionState:
+        has_transaction = self.handle and not is_begin
+        return TransactionState.OPEN if has_transaction else TransactionState.IDLE
+
 
 class ForwardingPool(EndpointConnectionPool):
     """Forwards statements to the owner of an endpoint.
--- a/src/ebonyladder/sessions/forwarding_service.py
+++ b/src/ebonyladder/sessions/forwarding_service.py
@@ -26,7 +26,7 @@
     PositionRequest,
     StatementFailure,
     decode,
-    encode,
+    encode_bounded,
 )
 from ebonyladder.sessions.pool import DirectPool, EndpointConnectionPool
 from ebonyladder.sessions.primary_positions import PositionSample
@@ -94,10 +94,32 @@
         else:
             reply = await self._run(envelope.forward, transactions)
         try:
-            await connection.send(encode(reply))
+            await connection.send(self._encode_reply(reply, envelope))
         except (WebSocketException, OSError) as error:
             logging.info("[owner] Reply could not be sent. error=%r", error)
 
+    def _encode_reply(self, reply: ForwardReply, envelope: Envelope) -> bytes:
+        """Return an encoded reply, or a failure if the reply can't be encoded."""
+        try:
+            return encode_bounded(reply)
+        except ValueError as error:
+            # Besides a reply that is too large: text that CBOR can't hold.
+            logging.info("[owner] Reply can't be encoded. error=%s", error)
+            if envelope.forward is None:
+                return encode_bounded(ForwardReply(id=reply.id))
+            failure = self._error(
+                envelope.forward,
+                f"the answer can't be sent: {error}",
+                Outcome.UNKNOWN if reply.failure is None else reply.failure.outcome,
+            )
+            return encode_bounded(
+                ForwardReply(
+                    id=reply.id,
+                    failure=StatementFailure.from_error(failure),
+                    load=reply.load,
+                )
+            )
+
     def _latest_sample(self, request: PositionRequest) -> ForwardReply:
         samples = self.executor.positions.samples.get(request.service)
         if not samples:
--- a/src/ebonyladder/sessions/messages.py
+++ b/src/ebonyladder/sessions/messages.py
@@ -33,8 +33,12 @@
 
 T = TypeVar("T")
 
-# Largest message, in bytes: a catalog with 10,000 routes takes 2 MB.
-MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+# Largest message before compression, in bytes: a catalog with 10,000 routes takes 2 MB;
+# a statement of 1 MiB without ASCII characters takes 4 MiB with its argument, and its
+# shape takes another 2 MiB.
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+# Largest message as it is sent, with its first byte.
+MAX_ENCODED_BYTES = MAX_MESSAGE_BYTES + 1
 
 # Messages above this size are compressed, in bytes; smaller ones gain little.
 COMPRESSION_THRESHOLD_BYTES = 512
@@ -45,6 +49,10 @@
 PLAIN, COMPRESSED = b"\0", b"\1"
 
 
+class MessageTooLargeError(ValueError):
+    """Message that exceeds the size limit; the receiver would end the connection."""
+
+
 class StoreListing(msgspec.Struct, frozen=True, kw_only=True):
     """Endpoints and closed zones as the store lists them."""
 
@@ -310,10 +318,35 @@
     level : int
         Compression level of zlib.
     """
-    data = cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+    return _compress(_dump(message), level)
+
+
+def encode_bounded(message: msgspec.Struct) -> bytes:
+    """Return a message as CBOR, if the receiver accepts its size.
+
+    Raises
+    ------
+    MessageTooLargeError
+        If the message exceeds the size limit.
+    """
+    data = _dump(message)
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise MessageTooLargeError(
+            f"{len(data)} bytes, {MAX_MESSAGE_BYTES} bytes allowed"
+        )
+    return _compress(data, FAST_LEVEL)
+
+
+def _dump(message: msgspec.Struct) -> bytes:
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
+
+
+def _compress(data: bytes, level: int) -> bytes:
     if len(data) <= COMPRESSION_THRESHOLD_BYTES:
         return PLAIN + data
-    return COMPRESSED + zlib.compress(data, level)
+    compressed = zlib.compress(data, level)
+    # Data without patterns grow when they are compressed.
+    return COMPRESSED + compressed if len(compressed) < len(data) else PLAIN + data
 
 
 def decode(data: bytes, kind: type[T]) -> T:
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -34,7 +34,7 @@
 from ebonyladder.sessions.forwarding_pool import FORWARD_PATH
 from ebonyladder.sessions.forwarding_service import ForwardingService
 from ebonyladder.sessions.log_holders import LogHolders
-from ebonyladder.sessions.messages import MAX_MESSAGE_BYTES
+from ebonyladder.sessions.messages import MAX_ENCODED_BYTES
 from ebonyladder.sessions.objects import VMS, ObjectStore
 from ebonyladder.sessions.plugins.sessions import SessionFactory
 from ebonyladder.sessions.quota import GrantedQuota, PermitAllocator
@@ -176,7 +176,7 @@
             address,
             port,
             compression=None,
-            max_size=MAX_MESSAGE_BYTES,
+            max_size=MAX_ENCODED_BYTES,
             ping_interval=None,
         )
         self.watch_manager.add(self.group_watcher)
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ebonyladder.kernel.clock import SystemClock
-from ebonyladder.platform.session_front_end import CallerReader, SessionConnection
+from ebonyladder.platform.lines import LineReader
+from ebonyladder.platform.session_front_end import SessionConnection
 from ebonyladder.sessions.command import Answer, TransactionState
 from ebonyladder.sessions.session import authorize
 from tests.session_fakes import catalog, cluster
@@ -69,7 +70,7 @@
 
     async def serve(self, close) -> None:
         """Serve a session; close it right after the bytes of a command arrived."""
-        reader = CallerReader()
+        reader = LineReader()
         connection = SessionConnection(
             session_factory=SimpleNamespace(open=lambda *_: self.session),
             cluster=self.view,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,9 +1,12 @@
 """Encoding of the statement protocol."""
 
+import asyncio
+
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from ebonyladder.platform.lines import LINE_END, LineError, LineReader
 from ebonyladder.platform.wire import (
     AnswerReader,
     Malformed,
@@ -25,18 +28,19 @@
 from ebonyladder.types import RequestKind
 from tests.session_fakes import position
 
-FIELDS = st.text(
-    st.characters(blacklist_categories=("Cc", "Cs", "Zs", "Zl", "Zp")), min_size=1
+# Texts of all bytes; the end of a line can't be part of one.
+FIELDS = st.text(st.characters(max_codepoint=0xFF), min_size=1).filter(
+    lambda text: "\r\n" not in text
 )
 
 
 class TestCallerMessages:
     def test_known_messages(self):
         # Guards against fields that are mixed up when a line is split.
-        startup = decode_message(b"STARTUP lepu270 key\r\n")
+        startup = decode_message(b"STARTUP lepu270 key")
         assert startup == Startup(database="lepu270", caller="key")
-        assert decode_message(b"TERMINATE\r\n") == Terminate()
-        command = decode_message(b"QUERY 5c PREPARE s1 WRITE q2c\r\n")
+        assert decode_message(b"TERMINATE") == Terminate()
+        command = decode_message(b"QUERY 5c PREPARE s1 WRITE q2c")
         assert isinstance(command, Command)
         assert command.kind is CommandKind.PREPARE
         assert (command.name, command.argument) == ("s1", "q2c")
@@ -45,7 +49,7 @@
 
     def test_last_field_keeps_its_spaces(self):
         # Guards against a statement that the endpoint gets in a changed form.
-        command = decode_message(b"QUERY 1 WRITE a b  c \r\n")
+        command = decode_message(b"QUERY 1 WRITE a b  c ")
         assert command.text == "WRITE a b  c "
 
     @pytest.mark.parametrize(
@@ -53,7 +57,7 @@
     )
     def test_invalid_command_keeps_its_id(self, text):
         # Guards against a session that ends because of one malformed query.
-        found = decode_message(f"QUERY 7 {text}\r\n".encode())
+        found = decode_message(f"QUERY 7 {text}".encode())
         assert isinstance(found, Malformed)
         assert found.id == "7"
 
@@ -67,6 +71,7 @@
 
 
 class TestAnswers:
+    @settings(derandomize=True)
     @given(
         rows=st.lists(FIELDS, max_size=4),
         code=st.none() | st.sampled_from(AnswerCode),
@@ -87,7 +92,8 @@
             position=None if number is None else position(3, number),
         )
         reader = AnswerReader()
-        lines = encode_answer(answer).splitlines(keepends=True)
+        *lines, rest = encode_answer(answer).split(LINE_END)
+        assert rest == b""
         found = [reader.feed(line) for line in lines]
         assert found[:-1] == [None] * (len(lines) - 1)
         assert found[-1] == answer
@@ -95,12 +101,18 @@
     def test_ready_without_result_is_refused(self):
         # Guards against a truncated answer that counts as complete.
         with pytest.raises(WireError):
-            AnswerReader().feed(b"READY I 3.1\r\n")
+            AnswerReader().feed(b"READY I 3.1")
 
     def test_truncated_line_is_refused(self):
         # Guards against half of a line, from a closed connection, in an answer.
-        with pytest.raises(WireError):
-            AnswerReader().feed(b"COMPLETE 7.1")
+        async def read() -> None:
+            reader = LineReader()
+            reader.feed_data(b"COMPLETE 7.1")
+            reader.feed_eof()
+            await reader.read_line()
+
+        with pytest.raises(LineError):
+            asyncio.run(read())
 
 
 class TestAnswerReader:
@@ -110,7 +122,7 @@
         reader = AnswerReader()
         try:
             for line in lines:
-                reader.feed(line + b"\r\n")
+                reader.feed(line)
         except WireError:
             return
 
