--- a/src/ebonyladder/platform/endpoint.py
+++ b/src/ebonyladder/platform/endpoint.py
@@ -13,17 +13,18 @@
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.step import Step
 from ebonyladder.metrics import Metrics
-from ebonyladder.platform.lines import LineError, LineReader
+from ebonyladder.platform.lines import LINE_END, LineError, LineReader
 from ebonyladder.platform.sockets import enable_keep_alive
 from ebonyladder.platform.wire import (
-    LINE_END,
     AnswerReader,
     WireError,
-    decode_line,
     decode_position,
+    decode_text,
     encode_execute,
     encode_position,
     encode_prepare,
+    encode_query,
+    exceeds_line,
 )
 from ebonyladder.sessions.answer_matching import AnswerMatcher, AnswerOrigin
 from ebonyladder.sessions.cluster_view import EndpointEntry
@@ -35,6 +36,7 @@
     CommandId,
     CommandKind,
     Prepared,
+    refusal,
 )
 from ebonyladder.sessions.connection import (
     ConnectionId,
@@ -124,9 +126,10 @@
         self, command: Command, *, min_position: Position | None = None
     ) -> Answer:
         """Open a transaction."""
+        sent_state = self.values, self.statement_names
         setup = self._variable_queries()
-        text = self._after_clause(min_position) + command.text
-        return await self._exchange(setup, Query(kind=command.kind, text=text))
+        query = Query(kind=command.kind, text=command.text)
+        return await self._exchange(setup, query, min_position, sent_state)
 
     async def run(
         self,
@@ -137,16 +140,17 @@
     ) -> Answer:
         """Run a command."""
         text = command.text
+        sent_state = self.values, self.statement_names
         setup = self._variable_queries()
         if command.kind is CommandKind.EXECUTE and prepared is not None:
             if prepared not in self.statement_names:
-                self.statement_names[prepared] = f"p{len(self.statement_names)}"
-                prepare = encode_prepare(self.statement_names[prepared], prepared)
+                name = f"p{len(self.statement_names)}"
+                self.statement_names = {**self.statement_names, prepared: name}
+                prepare = encode_prepare(name, prepared)
                 setup.append(Query(kind=CommandKind.PREPARE, text=prepare))
             text = encode_execute(command, self.statement_names[prepared])
-        text = self._after_clause(min_position) + text
         query = Query(kind=command.kind, text=text, id=command.id)
-        return await self._exchange(setup, query)
+        return await self._exchange(setup, query, min_position, sent_state)
 
     async def status(self) -> EndpointStatus:
         """Return the endpoint's status."""
@@ -184,10 +188,10 @@
         EndpointError
             OVERLOADED or CONNECT_FAILED, not run, if the endpoint refuses it.
         """
-        line = f"STARTUP {service} {self.organisation} {self.endpoint}{LINE_END}"
-        self.writer.write(line.encode())
+        line = f"STARTUP {service} {self.organisation} {self.endpoint}"
+        self.writer.write(line.encode() + LINE_END)
         self.greeting = await self._read_line()
-        keyword, _, rest = decode_line(self.greeting).partition(" ")
+        keyword, _, rest = decode_text(self.greeting).partition(" ")
         if keyword != "READY":
             self.close()
             is_overloaded = rest.startswith("TOOMANY")
@@ -224,12 +228,60 @@
     def _after_clause(position: Position | None) -> str:
         return "" if position is None else f"AFTER {encode_position(position)} "
 
-    async def _exchange(self, setup: list[Query], query: Query) -> Answer:
+    def _refuse_oversized(
+        self, setup: list[Query], query: Query, clause: str
+    ) -> Answer | None:
+        """Return a refusal if a query doesn't fit in a line, None if all do.
+
+        Raises
+        ------
+        EndpointError
+            ENDPOINT_REFUSED, not run, if only the AFTER clause is too much: a primary
+            needs none.
+        """
+        if any(exceeds_line(q.id, q.text) for q in (*setup, query)):
+            return refusal(
+                AnswerCode.MALFORMED,
+                "the statement exceeds the size limit",
+                state=self.matcher.state,
+            )
+        if exceeds_line(query.id, clause + query.text):
+            raise EndpointError(
+                code=ErrorCode.ENDPOINT_REFUSED,
+                step=Step.EXECUTE,
+                peer=self.endpoint,
+                message="the statement and its AFTER clause exceed the size limit",
+                outcome=Outcome.NOT_RUN,
+            )
+        return None
+
+    async def _exchange(
+        self,
+        setup: list[Query],
+        query: Query,
+        min_position: Position | None,
+        sent_state: tuple[dict[str, str], dict[Prepared, str]],
+    ) -> Answer:
         """Send queries and return the answer to the last one.
 
         That one is sent once the others have succeeded, since the endpoint runs it even
         if one of them failed. A transaction in which nothing has run is harmless.
+
+        Parameters
+        ----------
+        sent_state : tuple
+            Values and statement names of the connection without the queries.
         """
+        clause = self._after_clause(min_position)
+        try:
+            refused = self._refuse_oversized(setup, query, clause)
+        except EndpointError:
+            self.values, self.statement_names = sent_state
+            raise
+        if refused is not None:
+            self.values, self.statement_names = sent_state
+            return refused
+        query = msgspec.structs.replace(query, text=clause + query.text)
         is_sent = False
         try:
             if query.kind is CommandKind.BEGIN:
@@ -259,8 +311,7 @@
             raise
 
     def _send(self, *queries: Query) -> None:
-        lines = [f"QUERY {q.id} {q.text}{LINE_END}" for q in queries]
-        self.writer.write("".join(lines).encode())
+        self.writer.write(b"".join(encode_query(q.id, q.text) for q in queries))
         self.query_count += len(queries)
 
     async def _read_own_answer(self, query: Query) -> Answer:
@@ -330,7 +381,7 @@
         line = await self.reader.read_line()
         if line is None:
             raise WireError("the endpoint closed the connection")
-        return line + b"\r\n"
+        return line
 
     async def _run_control(self, text: str) -> EndpointStatus:
         """Make a control call; what arrived before it answers an earlier one.
@@ -341,8 +392,7 @@
         try:
             while self.reader.has_line:
                 self._feed(await self._read_line())
-            line = f"QUERY {INTERNAL_COMMAND_ID} {text}{LINE_END}"
-            self.writer.write(line.encode())
+            self.writer.write(encode_query(INTERNAL_COMMAND_ID, text))
             answer = await self._read_answer()
         except (OSError, WireError, LineError) as error:
             self.close()
