--- a/tests/test_endpoint_control.py
+++ b/tests/test_endpoint_control.py
@@ -81,8 +81,9 @@
 
     def test_status_after_a_pause_is_not_from_before_it(self):
         async def scenario():
-            self.far.repeated_answers = 1
+            self.far.repeated_answers = 2
             await self.probe()
+            await self.control.statuses()
             self.far.set_received(position(1, 12))
             await self.control.pause([FAR], TERM)
             status = await self.control.status(FAR)
