--- a/tests/failover_databases.py
+++ b/tests/failover_databases.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import heapq
 from dataclasses import dataclass, field
 from random import Random
 
@@ -41,6 +42,9 @@
 SILENCE_POLL_S = 0.05
 # The address of a process that has ended refuses connections for this long.
 REFUSAL_S = 3.0
+# Share of the answers that a database sends twice, and the interval of reading them.
+REPEATED_SHARE = 0.4
+READ_POLL_S = 0.002
 
 
 def now() -> float:
@@ -347,10 +351,22 @@
 
 
 class SimulatedConnection(ControlConnection):
-    """Connection of one VM to one database process."""
+    """Connection of one VM to one database process.
+
+    Parameters
+    ----------
+    copies : Random or None
+        Decides which answers the database sends again, and when; None for none.
+    """
 
     def __init__(
-        self, *, peer: Database, vm: str, random: Random, organisation: OrganisationId
+        self,
+        *,
+        peer: Database,
+        vm: str,
+        random: Random,
+        organisation: OrganisationId,
+        copies: Random | None = None,
     ) -> None:
         self.peer = peer
         self.vm = vm
@@ -360,6 +376,12 @@
         self.values: dict[str, str] = {}
         self.epoch = peer.connection_epoch
         self.is_closed = False
+        self.copies = copies
+        self.serving = asyncio.Lock()
+        self.requests: set[asyncio.Task] = set()
+        # Answers on their way, by their times of arrival.
+        self.unread: list[tuple[float, int, EndpointStatus | EndpointError]] = []
+        self.sent = 0
 
     @property
     def is_open(self) -> bool:
@@ -414,6 +436,42 @@
         self.is_closed = True
 
     async def _call(self, action) -> EndpointStatus:
+        if self.copies is None:
+            return await self._run(action)
+        request = asyncio.create_task(self._serve(action))
+        self.requests.add(request)
+        request.add_done_callback(self.requests.discard)
+        try:
+            while not (self.unread and self.unread[0][0] <= now()):
+                self._require_open()
+                await asyncio.sleep(READ_POLL_S)
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        _, _, answer = heapq.heappop(self.unread)
+        if isinstance(answer, EndpointError):
+            raise answer
+        return answer
+
+    async def _serve(self, action) -> None:
+        """Run one call after the other, and send some of the answers twice."""
+        async with self.serving:
+            try:
+                answer = await self._run(action)
+            except EndpointError as failure:
+                if not self.is_open:
+                    return
+                answer = failure
+        self._send(answer, now())
+        if self.copies.random() < REPEATED_SHARE:
+            delay_s = self.copies.choice((0.0, 0.0, self.copies.uniform(0.0, 2.0)))
+            self._send(answer, now() + delay_s)
+
+    def _send(self, answer: EndpointStatus | EndpointError, at_s: float) -> None:
+        self.sent += 1
+        heapq.heappush(self.unread, (at_s, self.sent, answer))
+
+    async def _run(self, action) -> EndpointStatus:
         try:
             await asyncio.sleep(self.random.uniform(0.002, 0.02))
             await self._wait_while_silent()
@@ -445,10 +503,14 @@
 class SimulatedConnector(EndpointConnector):
     """Connector of one VM; whatever process runs under an id answers."""
 
-    def __init__(self, *, service: DatabaseService, vm: str, seed: int) -> None:
+    def __init__(
+        self, *, service: DatabaseService, vm: str, seed: int, has_copies: bool = False
+    ) -> None:
         self.service = service
         self.vm = vm
         self.seed = seed
+        self.copies = Random(f"{seed} {vm} copies") if has_copies else None
+        self.opened = 0
         # One generator for each database, since a set decides the order of the calls.
         self.randoms: dict[str, Random] = {}
 
@@ -475,8 +537,13 @@
             raise error(EndpointGoneError, ErrorCode.CONNECT_FAILED, entry.id)
         if self.vm in peer.refused:
             raise error(EndpointError, ErrorCode.OVERLOADED, entry.id)
+        self.opened += 1
         return SimulatedConnection(
-            peer=peer, vm=self.vm, random=random, organisation=organisation
+            peer=peer,
+            vm=self.vm,
+            random=random,
+            organisation=organisation,
+            copies=self.copies,
         )
 
 
--- a/tests/failover_model.py
+++ b/tests/failover_model.py
@@ -71,6 +71,8 @@
 RECOVERY_TIMEOUT_S = 30.0
 # From this seed on, each run prefers some faults and leaves others out.
 FIRST_UNEVEN_SEED = 100_000
+# From this seed on, databases also send control answers twice, some of them late.
+FIRST_REPEATING_SEED = 200_000
 UNAVAILABLE = ErrorCode.STORE_UNAVAILABLE
 
 
@@ -192,7 +194,12 @@
             store=self.store, cluster=self.cluster, watcher=self.watcher, clock=clock
         )
         self.registry = EndpointRegistry(cluster=self.cluster, clock=clock)
-        connector = SimulatedConnector(service=model.service, vm=name, seed=model.seed)
+        self.connector = connector = SimulatedConnector(
+            service=model.service,
+            vm=name,
+            seed=model.seed,
+            has_copies=model.seed >= FIRST_REPEATING_SEED,
+        )
         self.keeper = LogHolderKeeper(
             cluster=self.cluster, store=self.store, connector=connector, clock=clock
         )
@@ -349,7 +356,8 @@
         Seed of all choices. Writes go on during the failovers of odd seeds; with even
         seeds they stop once the VMs have applied that the primary changes. A promotion
         ends all pauses in two seeds of four. The platform checks fencing tokens, except
-        in one of three seeds from ``FIRST_UNEVEN_SEED`` on.
+        in one of three seeds from ``FIRST_UNEVEN_SEED`` on. Databases send answers
+        twice from ``FIRST_REPEATING_SEED`` on.
     """
 
     def __init__(self, *, seed: int) -> None:
@@ -385,6 +393,7 @@
         self.service.refresh_list()
         self.lists.append(dict(self.service.listed))
         self.vms = 0
+        self.connectors: list[SimulatedConnector] = []
         self.leader: LeaderVm | None = None
         self.start_leader()
 
@@ -404,6 +413,7 @@
         """Let the next VM lead."""
         self.vms += 1
         self.leader = LeaderVm(model=self, name=f"vm-{self.vms}", token=self.vms)
+        self.connectors.append(self.leader.connector)
 
     def keep(self, task: asyncio.Task) -> None:
         """Hold a task of the platform until it ends."""
@@ -933,6 +943,7 @@
             kinds[violation.partition(":")[0]] += 1
             print(f"seed {seed}: {violation}")
         kinds["promotions"] += model.service.promotions
+        kinds["connections"] += sum(c.opened for c in model.connectors)
         kinds.update({f"uncounted, {k}": n for k, n in model.uncounted.items()})
     for kind, count in sorted(kinds.items()):
         print(f"{count:6} {kind}")
--- a/tests/test_failover_model.py
+++ b/tests/test_failover_model.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.failover_model import run_seed
+from tests.failover_model import FIRST_REPEATING_SEED, run_seed
 
 SEEDS = int(os.environ.get("FAILOVER_MODEL_SEEDS", "200"))
 FIRST_SEED = int(os.environ.get("FAILOVER_MODEL_FIRST_SEED", "0"))
@@ -88,3 +88,18 @@
     @pytest.mark.parametrize("seed", [166, 780])
     def test_holders_that_change_during_an_update_raise_no_error(self, seed):
         check(seed)
+
+
+class TestRepeatedAnswers:
+    """Guards against trusting control answers that databases send again."""
+
+    @pytest.mark.parametrize(
+        "first", range(FIRST_REPEATING_SEED, FIRST_REPEATING_SEED + 60, SEEDS_PER_TEST)
+    )
+    def test_no_acknowledged_commit_is_lost(self, first):
+        for seed in range(first, first + SEEDS_PER_TEST):
+            check(seed)
+
+    def test_copies_of_a_former_role_and_position_are_not_believed(self):
+        # 274 commits were lost, and the first primary was stored again in its old term.
+        check(201183)
