Keep texts in log lines from changing other fields

A text that looked like fields replaced level, time or code of its line, any white space separated fields, a last LF was lost, and U+0085 broke a line for readers that split at every line separator. Only a blank separates fields now, the first value of a field counts, level and time are the record's, and JSON escapes the separators. A detail that looks like fields is still split at them, in its own line only.

--- a/src/ebonyladder/logs.py
+++ b/src/ebonyladder/logs.py
@@ -12,7 +12,10 @@
 LINES_PER_S = 150.0
 BURST_LINES = 300.0
 PREFIX = re.compile(r"^\[([a-z-]+)\] ")
-FIELD = re.compile(r"(?:^|\s)([a-z_]+)=(.*?)(?=\s[a-z_]+=|$)", re.DOTALL)
+# Only a blank separates fields: ids and names can contain other white space.
+FIELD = re.compile(r"(?:^| )([a-z_]+)=(.*?)(?= [a-z_]+=|\Z)", re.DOTALL)
+# Line separators that JSON doesn't escape.
+SEPARATORS = {ord(c): f"\\u{ord(c):04x}" for c in "\x85\u2028\u2029"}
 
 
 def split_message(text: str) -> dict[str, str]:
@@ -25,7 +28,8 @@
     matches = list(FIELD.finditer(text))
     fields["message"] = (text[: matches[0].start()] if matches else text).strip()
     for match in matches:
-        fields[match.group(1)] = match.group(2)
+        # The last field may quote a text that looks like fields.
+        fields.setdefault(match.group(1), match.group(2))
     return fields
 
 
@@ -34,14 +38,11 @@
 
     def format(self, record: standard_logging.LogRecord) -> str:
         """Return the record as one line of JSON."""
-        fields = {
-            "at": round(record.created, 3),
-            "level": record.levelname.lower(),
-            **split_message(record.getMessage()),
-        }
+        fields = {"at": round(record.created, 3), "level": record.levelname.lower()}
+        fields = {**fields, **split_message(record.getMessage()), **fields}
         if record.exc_info:
             fields["traceback"] = self.formatException(record.exc_info)
-        return json.dumps(fields, ensure_ascii=False)
+        return json.dumps(fields, ensure_ascii=False).translate(SEPARATORS)
 
 
 class BoundedHandler(standard_logging.Handler):
--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -1,7 +1,9 @@
 """Texts of callers and databases, which pass byte for byte."""
 
 import asyncio
+import json
 from contextlib import asynccontextmanager
+from logging import INFO, LogRecord
 from types import SimpleNamespace
 
 import pytest
@@ -11,6 +13,7 @@
 
 from ebonyladder.kernel.clock import SystemClock
 from ebonyladder.kernel.error import EndpointError, Outcome
+from ebonyladder.logs import JsonFormatter
 from ebonyladder.metrics import Metrics
 from ebonyladder.platform.endpoint import WireConnection, WireEndpointConnector
 from ebonyladder.platform.lines import MAX_LINE_BYTES, LineError, LineReader
@@ -362,6 +365,34 @@
         asyncio.run(run())
 
 
+class TestLoggedTexts:
+    """Guards against a caller's text that changes other parts of the log."""
+
+    def format(self, *values: str) -> str:
+        """Return the line of a record with an id and a detail."""
+        message = "[session] Command failed. request=%s code=%s detail=%s"
+        return JsonFormatter().format(
+            LogRecord("absl", INFO, "", 0, message, values, None)
+        )
+
+    @FIXED
+    @given(NAMES, TEXTS)
+    def test_id_and_detail_stay_on_one_line(self, id, detail):
+        line = self.format(decode_text(id), "failed", decode_text(detail))
+        assert line.splitlines() == [line]
+        found = json.loads(line)
+        assert (found["request"], found["code"]) == (decode_text(id), "failed")
+        assert found["detail"] == decode_text(detail)
+
+    def test_text_changes_no_other_field(self):
+        line = self.format("a\tlevel=b\xa0code=c", "failed", "d at=1 code=e level=f")
+        found = json.loads(line)
+        assert found["code"] == "failed"
+        assert found["level"] == "info"
+        assert found["request"] == "a\tlevel=b\xa0code=c"
+        assert found["at"] != "1"
+
+
 class ByteDatabase:
     """Database that follows the protocol to the byte.
 
