Let tests of longer lines fail instead of waiting

Without the end of the stream, a connection that sends one query more than expected waits for its answer, and so does the test.

--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -631,6 +631,7 @@
         reader = LineReader()
         reader.feed_data(b"COMPLETE -\r\nREADY I 1.10\r\n")
         reader.feed_data(b"COMPLETE s1\r\nREADY I 1.10\r\n")
+        reader.feed_eof()
         return WireConnection(
             id=ConnectionId(1),
             endpoint=EndpointId("near"),
