Let a read that a replica refused run at the primary

The choice of the endpoint is checked again once a connection is free. That check left out the endpoints already tried, so it found the replica again and took it for a change of the primary: the read was refused with BUSY at its deadline. It happened to each read that a replica refused without being marked as lagging or suspect, such as one that leaves no room for its AFTER clause.

The check now leaves out what the first choice left out. The new test of test_texts.py fails before with "the primary changed during the wait" and passes now, with the other tests of that file.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -118,7 +118,9 @@
                 target = await self._choose_target(request, tried)
                 if isinstance(target, NoTarget):
                     return self._refuse(request, target.value)
-                pool, connection = await self._acquire_connection(request, target)
+                pool, connection = await self._acquire_connection(
+                    request, target, tried
+                )
             except EndpointError as error:
                 if not await self._backoff(request, tried, error.peer):
                     return self._refuse(request, error.message)
@@ -319,7 +321,7 @@
     async def _send(
         self, request: StatementRequest, target: Target, tried: set[EndpointId]
     ) -> Answer:
-        pool, connection = await self._acquire_connection(request, target)
+        pool, connection = await self._acquire_connection(request, target, tried)
         tried.add(target.entry.id)
         try:
             is_write = request.access is RequestKind.WRITE
@@ -340,7 +342,7 @@
         return answer
 
     async def _acquire_connection(
-        self, request: StatementRequest, target: Target
+        self, request: StatementRequest, target: Target, tried: set[EndpointId]
     ) -> tuple[EndpointConnectionPool, PooledConnection]:
         """Return a connection with the session's variables, if the target is valid.
 
@@ -357,6 +359,7 @@
             organisation=request.organisation,
             access=request.access,
             last_commit=request.last_commit,
+            tried=frozenset(tried),
             is_transaction=request.is_transaction,
         )
         if target.is_primary and target.min_position is None and current != target:
--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -59,7 +59,7 @@
 )
 from ebonyladder.sessions.plugins.sessions import SessionFactory
 from ebonyladder.sessions.pool import PoolSet
-from ebonyladder.sessions.primary_positions import PrimaryPositions
+from ebonyladder.sessions.primary_positions import PositionSample, PrimaryPositions
 from ebonyladder.sessions.quota import Quota
 from ebonyladder.sessions.readiness import Readiness
 from ebonyladder.sessions.replica_check import ReplicaCheck
@@ -74,6 +74,7 @@
 )
 from tests.session_fakes import (
     ORGANISATION,
+    SERVICE,
     CountingMetrics,
     catalog,
     cluster,
@@ -459,8 +460,9 @@
         self.cluster = cluster(self.clock)
         self.cluster.catalog = catalog(sync_replicas=0)
         address = Address(f"127.0.0.1:{port}")
-        primary = entry("primary", role=Role.PRIMARY, address=address)
-        self.cluster.endpoints = {primary.id: primary}
+        primary = entry("primary", role=Role.PRIMARY, zone="b", address=address)
+        near = entry("near", address=address)
+        self.cluster.endpoints = {e.id: e for e in (primary, near)}
         connector = WireEndpointConnector(
             kernel=SimpleNamespace(get=lambda _: CountingMetrics())
         )
@@ -497,6 +499,11 @@
             )
         )
 
+    def record_sample(self) -> None:
+        """Record a position of the primary, so that replicas serve reads."""
+        sample = PositionSample(sent_at_s=self.clock.now_s(), position=position(1, 10))
+        self.executor.positions.record(SERVICE, sample)
+
     def open(self, database, key):
         """Return a new session, or why it is refused."""
         access = authorize(self.cluster, database, key)
@@ -523,6 +530,7 @@
         """Send bytes to a front end; return what comes until it closes."""
         server = await asyncio.start_server(self.database.serve, "127.0.0.1", 0)
         vm = Vm(server.sockets[0].getsockname()[1])
+        vm.record_sample()
         await vm.front_end.start()
         address = vm.front_end.server.sockets[0].getsockname()
         reader, writer = await asyncio.open_connection(*address)
@@ -538,9 +546,9 @@
             vm.pools.close()
             server.close()
 
-    def run(self, *lines: bytes) -> bytes:
+    def run(self, *lines: bytes, route: bytes = b"primary") -> bytes:
         """Start a session, send lines, end it, and return the answers."""
-        lines = (b"STARTUP primary key-1", *lines, b"TERMINATE")
+        lines = (b"STARTUP " + route + b" key-1", *lines, b"TERMINATE")
         data = b"".join(line + b"\r\n" for line in lines)
         found = asyncio.run(self.exchange(data))
         assert found.startswith(b"READY I -\r\n")
@@ -602,6 +610,18 @@
         assert self.database.lines[-1] == line
         assert found == row + b"\r\nCOMPLETE 7.1\r\nREADY I 1.10\r\n"
 
+    def test_read_without_room_for_its_position_runs_at_the_primary(self):
+        short = b"QUERY 1 READ a"
+        line = b"QUERY 2 READ "
+        line += b"b" * (MAX_LINE_BYTES - len(line))
+        found = self.run(short, line, route=b"bounded")
+        end = b"\r\nREADY I 1.10\r\n"
+        assert found == b"COMPLETE 7.1" + end + b"COMPLETE 7.2" + end
+        first, second = (q for q in self.database.lines if q.startswith(b"QUERY "))
+        assert first == b"QUERY 1 AFTER 1.10 READ a"
+        assert second == line
+        assert self.database.lines[-2].endswith(b" primary")
+
     def test_line_above_the_limit_is_not_run(self):
         # The session ends, since its next line can't be found.
         line = b"QUERY 1 WRITE a " + b"b" * MAX_LINE_BYTES
