Bound the length of log lines

Ids and error texts of callers have up to 1 MiB, and a failed command logs both in full: a caller could fill the log and keep the VM busy with parsing it. The new test failed with a line of 3 MiB.

--- a/src/ebonyladder/logs.py
+++ b/src/ebonyladder/logs.py
@@ -11,6 +11,8 @@
 # Lines below warning level beyond this rate and burst are counted, not written.
 LINES_PER_S = 150.0
 BURST_LINES = 300.0
+# Longest message of a line; ids and details of callers have up to 1 MiB.
+MAX_MESSAGE_CHARACTERS = 4000
 PREFIX = re.compile(r"^\[([a-z-]+)\] ")
 # Only a blank separates fields: ids and names can contain other white space.
 FIELD = re.compile(r"(?:^| )([a-z_]+)=(.*?)(?= [a-z_]+=|\Z)", re.DOTALL)
@@ -39,7 +41,8 @@
     def format(self, record: standard_logging.LogRecord) -> str:
         """Return the record as one line of JSON."""
         fields = {"at": round(record.created, 3), "level": record.levelname.lower()}
-        fields = {**fields, **split_message(record.getMessage()), **fields}
+        text = record.getMessage()[:MAX_MESSAGE_CHARACTERS]
+        fields = {**fields, **split_message(text), **fields}
         if record.exc_info:
             fields["traceback"] = self.formatException(record.exc_info)
         return json.dumps(fields, ensure_ascii=False).translate(SEPARATORS)
--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -13,7 +13,7 @@
 
 from ebonyladder.kernel.clock import SystemClock
 from ebonyladder.kernel.error import EndpointError, Outcome
-from ebonyladder.logs import JsonFormatter
+from ebonyladder.logs import MAX_MESSAGE_CHARACTERS, JsonFormatter
 from ebonyladder.metrics import Metrics
 from ebonyladder.platform.endpoint import WireConnection, WireEndpointConnector
 from ebonyladder.platform.lines import MAX_LINE_BYTES, LineError, LineReader
@@ -393,6 +393,10 @@
         assert found["request"] == "a\tlevel=b\xa0code=c"
         assert found["at"] != "1"
 
+    def test_line_is_short_whatever_the_text(self):
+        line = self.format("a" * MAX_LINE_BYTES, "failed", "b " * MAX_LINE_BYTES)
+        assert len(line) < 2 * MAX_MESSAGE_CHARACTERS
+
 
 class ByteDatabase:
     """Database that follows the protocol to the byte.
