Separate the connection to an endpoint from its connector

WireConnection moves to platform/connection.py, and what callers are told of statements without an answer to sessions/refusals.py.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-import msgspec
 from absl import logging
 
 from ebonyladder.kernel.clock import Clock
@@ -28,6 +27,7 @@
 from ebonyladder.sessions.endpoint_selector import EndpointSelector, NoTarget, Target
 from ebonyladder.sessions.pool import EndpointConnectionPool, PoolSet
 from ebonyladder.sessions.primary_positions import PositionSample, PrimaryPositions
+from ebonyladder.sessions.refusals import fail_read, refuse, time_out
 from ebonyladder.sessions.replica_check import ReplicaCheck
 from ebonyladder.sessions.statement_request import PinnedConnection, StatementRequest
 from ebonyladder.sessions.target_wait import TargetWait
@@ -42,8 +42,6 @@
 PRIMARY_POLL_INTERVAL_S = 0.1
 # Transit time of the answer to the caller.
 ANSWER_MARGIN_S = 0.02
-# Retry-After of a refusal during a failover.
-PRIMARY_RETRY_AFTER_S = 0.5
 # Timeout of a rollback; its connection is closed then.
 ROLLBACK_TIMEOUT_S = 0.5
 
@@ -117,13 +115,13 @@
             try:
                 target = await self._choose_target(request, tried)
                 if isinstance(target, NoTarget):
-                    return self._refuse(request, target.value)
+                    return refuse(request, target.value)
                 pool, connection = await self._acquire_connection(
                     request, target, tried
                 )
             except EndpointError as error:
                 if not await self._backoff(request, tried, error.peer):
-                    return self._refuse(request, error.message)
+                    return refuse(request, error.message)
                 continue
             try:
                 with self._track(pool, request, target, is_commit=False):
@@ -135,7 +133,7 @@
                 connection.close()
                 pool.release(connection)
                 if not await self._backoff(request, tried, target.entry.id):
-                    return self._refuse(request, "the endpoint did not answer")
+                    return refuse(request, "the endpoint did not answer")
                 continue
             except BaseException:
                 connection.close()
@@ -252,7 +250,7 @@
                     if done:
                         return done.pop().result()
                     if self._remaining_s(request) <= 0:
-                        return self._timeout(request)
+                        return time_out(request)
                     if not is_hedged:
                         break
         finally:
@@ -266,12 +264,12 @@
             try:
                 target = await self._choose_target(request, tried)
                 if isinstance(target, NoTarget):
-                    return self._fail_read(request, target.value)
+                    return fail_read(request, target.value)
                 answer = await self._send(request, target, tried)
             except EndpointError as error:
                 # A read changes nothing, so it may run again after any failure.
                 if not await self._backoff(request, tried, error.peer):
-                    return self._fail_read(request, error.message)
+                    return fail_read(request, error.message)
                 continue
             if answer.code is None:
                 return answer
@@ -284,17 +282,17 @@
             try:
                 target = await self._choose_target(request, tried)
                 if isinstance(target, NoTarget):
-                    return self._refuse(request, target.value)
+                    return refuse(request, target.value)
                 sent = self.confirmation.sent(target.entry)
                 async with asyncio.timeout(max(self._remaining_s(request), 0)):
                     answer = await self._send(request, target, tried)
             except TimeoutError:
-                return self._timeout(request)
+                return time_out(request)
             except EndpointError as error:
                 if error.outcome is not Outcome.NOT_RUN:
                     return refusal(AnswerCode.IN_DOUBT, error.message)
                 if not await self._backoff(request, tried, error.peer):
-                    return self._refuse(request, error.message)
+                    return refuse(request, error.message)
                 continue
             if answer.code is None:
                 return await self._confirm_commit(request, sent, answer)
@@ -484,23 +482,5 @@
                 PositionSample(sent_at_s=sent_at_s, position=answer.position),
             )
 
-    def _refuse(self, request: StatementRequest, detail: str) -> Answer:
-        answer = refusal(
-            AnswerCode.OVERLOADED, detail, retry_after_s=PRIMARY_RETRY_AFTER_S
-        )
-        return msgspec.structs.replace(answer, is_refused_here=not request.was_sent)
-
-    def _fail_read(self, request: StatementRequest, detail: str) -> Answer:
-        """Refuse a read; one that may have run isn't reported as not run."""
-        if request.unresolved_attempts:
-            return refusal(AnswerCode.FAILED, detail)
-        return self._refuse(request, detail)
-
-    def _timeout(self, request: StatementRequest) -> Answer:
-        if request.unresolved_attempts == 0:
-            # It was not sent before the deadline, so the caller may retry.
-            return self._refuse(request, "no endpoint was free in time")
-        return refusal(AnswerCode.TIMEOUT, "statement timeout")
-
     def _remaining_s(self, request: StatementRequest) -> float:
         return request.deadline_s - self.clock.now_s()
--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -15,7 +15,8 @@
 from ebonyladder.kernel.error import EndpointError, Outcome
 from ebonyladder.logs import MAX_MESSAGE_CHARACTERS, JsonFormatter
 from ebonyladder.metrics import Metrics
-from ebonyladder.platform.endpoint import WireConnection, WireEndpointConnector
+from ebonyladder.platform.connection import WireConnection
+from ebonyladder.platform.endpoint import WireEndpointConnector
 from ebonyladder.platform.lines import MAX_LINE_BYTES, LineError, LineReader
 from ebonyladder.platform.session_front_end import SessionFrontEnd
 from ebonyladder.platform.wire import (
