Tell the end of a connection behind unread copies

A connection whose endpoint had closed it counted as open while a copy of an answer lay unread before the end of the stream. A paused replica that had started again, and so had lost its pause, passed for paused, and a promotion could lose what it acknowledged; the pool handed such a connection out, and a write that reached nobody was in doubt.

LineReader records the end when it arrives. Both tests of TestEndedConnection failed before: the pool kept the connection, and current_statuses returned the replica that had started again.

--- a/src/ebonyladder/platform/connection.py
+++ b/src/ebonyladder/platform/connection.py
@@ -110,7 +110,9 @@
     @property
     def is_open(self) -> bool:
         """Whether the connection can run another command."""
-        return not (self.is_closed or self.reader.at_eof() or self.writer.is_closing())
+        # Unread copies of answers may lie before the end of the stream.
+        has_ended = self.reader.has_ended or self.writer.is_closing()
+        return not (self.is_closed or has_ended)
 
     @property
     def is_reusable(self) -> bool:
--- a/src/ebonyladder/platform/lines.py
+++ b/src/ebonyladder/platform/lines.py
@@ -12,9 +12,17 @@
 
 
 class LineReader(asyncio.StreamReader):
-    """Stream of lines; every byte of a line but its end belongs to its text."""
+    """Stream of lines; every byte of a line but its end belongs to its text.
+
+    Attributes
+    ----------
+    has_ended : bool
+        Whether the other side has closed the stream, also if lines that came before
+        haven't been read yet.
+    """
 
     def __init__(self) -> None:
+        self.has_ended = False
         super().__init__(limit=MAX_LINE_BYTES, loop=asyncio.get_running_loop())
 
     @property
@@ -22,6 +30,16 @@
         """Whether a whole line was received that nobody has read yet."""
         return LINE_END in self._buffer
 
+    def feed_eof(self) -> None:
+        """Record the end of the stream."""
+        self.has_ended = True
+        super().feed_eof()
+
+    def set_exception(self, exc: Exception) -> None:
+        """Record the loss of the connection."""
+        self.has_ended = True
+        super().set_exception(exc)
+
     async def read_line(self) -> bytes | None:
         """Return the next line without its end, None if the stream has ended.
 
--- a/tests/test_endpoint_answers.py
+++ b/tests/test_endpoint_answers.py
@@ -11,7 +11,10 @@
 from ebonyladder.platform.endpoint import WireEndpointConnector
 from ebonyladder.platform.wire import decode_command
 from ebonyladder.sessions.command import AnswerCode, TransactionState
-from ebonyladder.types import OrganisationId
+from ebonyladder.sessions.endpoint_control import EndpointControl
+from ebonyladder.types import OrganisationId, Term
+from standins.statement_database import DatabaseService
+from tests.platform_fleet import until
 from tests.session_fakes import CountingMetrics, entry
 
 
@@ -221,3 +224,48 @@
                 assert answer.state is TransactionState.OPEN
 
         asyncio.run(exercise())
+
+
+class TestEndedConnection(ConnectionTest):
+    """Guards against a connection that has ended behind an unread copy."""
+
+    def test_pool_does_not_hand_it_out(self):
+        # A write that reached nobody was in doubt.
+        async def exercise():
+            writers = []
+            serve = self.endpoint.serve
+
+            async def serve_and_record(reader, writer):
+                writers.append(writer)
+                await serve(reader, writer)
+
+            self.endpoint.serve = serve_and_record
+            async with self.connected() as connection:
+                await self.run(connection, "READ a")
+                writers[0].write(self.endpoint.answers["READ"].encode())
+                writers[0].close()
+                await until(lambda: not connection.is_reusable, "end")
+
+        asyncio.run(exercise())
+
+    def test_paused_replica_that_started_again_is_dropped(self):
+        async def exercise():
+            service = DatabaseService(name="ledger", zones={"i-1": "a", "i-2": "a"})
+            for database in service.databases.values():
+                await database.start()
+            replica = service.databases["i-2"]
+            kernel = SimpleNamespace(get=lambda _: self.metrics)
+            control = EndpointControl(connector=WireEndpointConnector(kernel=kernel))
+            listed = entry("i-2", address=f"127.0.0.1:{replica.port}")
+            await control.probe([listed])
+            assert await control.pause([listed.process], Term(9))
+            replica.connections[max(replica.connections)].repeat_answer()
+            await asyncio.sleep(0.05)
+            await replica.stop()
+            await asyncio.sleep(0.05)
+            await replica.start()
+            assert await control.current_statuses([listed.process]) == {}
+            control.close()
+            await service.stop()
+
+        asyncio.run(exercise())
