Release a forwarded transaction once

The owner of an endpoint gave a connection back to its pool twice if the sender's release arrived while a statement of the transaction was running or its commit was being proved: two callers then got the same connection, or one caller's connection was closed by the other's failure. A release that arrived before BEGIN was answered left the transaction open until the VMs' channel ended.

ForwardedTransaction says whether a statement is running; that one gives the connection back, which the release only closes.

--- a/src/ebonyladder/sessions/forwarding_service.py
+++ b/src/ebonyladder/sessions/forwarding_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 from absl import logging
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import WebSocketException
@@ -42,6 +43,24 @@
 MIN_REMAINING_S = 0.005
 
 
+class ForwardedTransaction(msgspec.Struct, kw_only=True):
+    """Transaction of another VM.
+
+    Attributes
+    ----------
+    pinned : PinnedConnection or None
+        Its connection, None until BEGIN is answered.
+    is_running : bool
+        Whether a statement is running on it.
+    is_released : bool
+        Whether the other VM has given it up.
+    """
+
+    pinned: PinnedConnection | None = None
+    is_running: bool = True
+    is_released: bool = False
+
+
 class ForwardingService:
     """Runs forwarded statements, with one task for each connection of a VM.
 
@@ -59,7 +78,7 @@
 
     async def serve(self, connection: ServerConnection) -> None:
         """Serve a VM until its connection ends, then roll back its transactions."""
-        transactions: dict[int, PinnedConnection] = {}
+        transactions: dict[int, ForwardedTransaction] = {}
         tasks: set[asyncio.Task[None]] = set()
         try:
             async for data in connection:
@@ -74,20 +93,19 @@
         finally:
             for task in tasks:
                 task.cancel()
-            for pinned in list(transactions.values()):
-                pinned.connection.close()
-                pinned.pool.release(pinned.connection)
+            for transaction in list(transactions.values()):
+                await self._release(transaction, may_roll_back=False)
 
     async def _serve(
         self,
         connection: ServerConnection,
         envelope: Envelope,
-        transactions: dict[int, PinnedConnection],
+        transactions: dict[int, ForwardedTransaction],
     ) -> None:
         if envelope.release is not None:
-            pinned = transactions.pop(envelope.release.handle, None)
-            if pinned is not None:
-                await self.executor.release_pinned(pinned)
+            transaction = transactions.pop(envelope.release.handle, None)
+            if transaction is not None:
+                await self._release(transaction)
             return
         if envelope.sample is not None:
             reply = self._latest_sample(envelope.sample)
@@ -132,7 +150,7 @@
         )
 
     async def _run(
-        self, forward: ForwardedStatement, transactions: dict[int, PinnedConnection]
+        self, forward: ForwardedStatement, transactions: dict[int, ForwardedTransaction]
     ) -> ForwardReply:
         pool = self.executor.pools.pools.get(forward.endpoint)
         load = pool.load if pool is not None else 0.0
@@ -167,15 +185,54 @@
         self,
         forward: ForwardedStatement,
         pool: EndpointConnectionPool | None,
-        transactions: dict[int, PinnedConnection],
+        transactions: dict[int, ForwardedTransaction],
     ) -> Answer:
-        if forward.handle and not forward.is_begin:
+        if forward.is_begin:
+            return await self._begin(forward, pool, transactions)
+        if forward.handle:
             return await self._run_pinned(forward, transactions)
+        answer, pinned = await self._run_on_new(forward, pool)
+        if pinned is not None:
+            pinned.pool.release(pinned.connection)
+        return answer
+
+    async def _begin(
+        self,
+        forward: ForwardedStatement,
+        pool: EndpointConnectionPool | None,
+        transactions: dict[int, ForwardedTransaction],
+    ) -> Answer:
+        transaction = ForwardedTransaction()
+        transactions[forward.handle] = transaction
+        try:
+            answer, pinned = await self._run_on_new(forward, pool)
+        except BaseException:
+            transactions.pop(forward.handle, None)
+            raise
+        if pinned is None:
+            transactions.pop(forward.handle, None)
+        elif transaction.is_released:
+            await self.executor.release_pinned(pinned)
+        elif answer.state is TransactionState.OPEN:
+            transaction.pinned = pinned
+        else:
+            transactions.pop(forward.handle, None)
+            pinned.pool.release(pinned.connection)
+        transaction.is_running = False
+        return answer
+
+    async def _run_on_new(
+        self, forward: ForwardedStatement, pool: EndpointConnectionPool | None
+    ) -> tuple[Answer, PinnedConnection | None]:
+        """Run a statement on a connection of the pool; return both.
+
+        There is no connection if the statement wasn't sent.
+        """
         if not isinstance(pool, DirectPool):
             raise self._error(forward, "this VM doesn't own the endpoint")
         min_position = self._min_position(forward, pool)
         if isinstance(min_position, Answer):
-            return min_position
+            return min_position, None
         deadline_s = self.clock.now_s() + forward.remaining_s
         connection = await pool.acquire(
             forward.organisation, forward.values, deadline_s - REPLY_TRANSIT_S
@@ -194,24 +251,23 @@
             connection.close()
             pool.release(connection)
             raise
-        if forward.is_begin and answer.state is TransactionState.OPEN:
-            transactions[forward.handle] = PinnedConnection(
-                pool=pool, connection=connection, target=target
-            )
-        else:
-            pool.release(connection)
-        return answer
+        pinned = PinnedConnection(pool=pool, connection=connection, target=target)
+        return answer, pinned
 
     async def _run_pinned(
-        self, forward: ForwardedStatement, transactions: dict[int, PinnedConnection]
+        self,
+        forward: ForwardedStatement,
+        transactions: dict[int, ForwardedTransaction],
     ) -> Answer:
-        pinned = transactions.get(forward.handle)
-        if pinned is None:
+        transaction = transactions.get(forward.handle)
+        if transaction is None or transaction.is_running:
             raise self._error(forward, "the transaction has ended")
+        pinned = transaction.pinned
         deadline_s = self.clock.now_s() + forward.remaining_s
         pinned.connection.set_variables(forward.values, deadline_s)
         sent = self.executor.confirmation.sent(pinned.pool.entry)
         pinned.has_written |= forward.is_write
+        transaction.is_running = True
         try:
             answer = await self._send(forward, pinned.pool, pinned.connection, None)
             if forward.command.kind is CommandKind.COMMIT and pinned.has_written:
@@ -221,11 +277,28 @@
             pinned.connection.close()
             pinned.pool.release(pinned.connection)
             raise
-        if answer.state is TransactionState.IDLE:
+        transaction.is_running = False
+        if answer.state is TransactionState.IDLE or transaction.is_released:
             transactions.pop(forward.handle, None)
             pinned.pool.release(pinned.connection)
         return answer
 
+    async def _release(
+        self, transaction: ForwardedTransaction, *, may_roll_back: bool = True
+    ) -> None:
+        """Roll back a transaction; its connection goes back to the pool once.
+
+        A statement that is running on it gives the connection back.
+        """
+        transaction.is_released = True
+        pinned = transaction.pinned
+        if pinned is None:
+            return
+        if transaction.is_running or not may_roll_back:
+            pinned.connection.close()
+        if not transaction.is_running:
+            await self.executor.release_pinned(pinned)
+
     async def _prove(
         self, forward: ForwardedStatement, sent: SentCommit, answer: Answer
     ) -> None:
