Abort a transaction whose COMMIT wasn't sent

Callers were told IN_DOUBT of a COMMIT that had not reached its endpoint, since a statement before it failed or its owner no longer knew the transaction, and so couldn't repeat the operation. The error says that it has not run; the endpoint rolls back.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -182,7 +182,7 @@
                     state=TransactionState.FAILED,
                 )
             except EndpointError as error:
-                if is_commit:
+                if is_commit and error.outcome is not Outcome.NOT_RUN:
                     return refusal(AnswerCode.IN_DOUBT, error.message)
                 return refusal(
                     AnswerCode.ABORTED, error.message, state=TransactionState.FAILED
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -5,6 +5,8 @@
 import pytest
 
 from ebonyladder.kernel.clock import SystemClock
+from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.catalog import CallerKey, Consistency, DatabaseName
 from ebonyladder.sessions.cluster_view import GroupPhase, GroupState
 from ebonyladder.sessions.command import AnswerCode, TransactionState
@@ -239,6 +241,26 @@
 
         assert asyncio.run(run()).code is AnswerCode.IN_DOUBT
 
+    def test_commit_that_was_not_sent_is_aborted(self, world):
+        # Guards against a doubt about a commit that can't have been made.
+        session = world.session()
+
+        async def refuse(*_, **__):
+            raise EndpointError(
+                code=ErrorCode.CONNECTION_LOST,
+                step=Step.EXECUTE,
+                peer="primary",
+                outcome=Outcome.NOT_RUN,
+            )
+
+        async def run():
+            await session.handle(command("BEGIN"))
+            await session.handle(command("WRITE a b"))
+            session.transaction.pinned.connection.run = refuse
+            return await session.handle(command("COMMIT"))
+
+        assert asyncio.run(run()).code is AnswerCode.ABORTED
+
     def test_failed_transaction_accepts_only_its_end(self, world):
         # Guards against statements that run outside of the failed transaction.
         session = world.session()
