Answer statements behind a doubtful or silent setup

A copy of an earlier answer could acknowledge a SET that was refused. Its error then came as the answer to the write sent after it: the caller was told "not run" of a write that ran. An error of a single write is unknown now if a setup before it equalled an earlier answer. A setup without an answer held a write until its deadline, which was then unknown; it fails after 0.5 s as not run, so the write runs over another connection. A success with an empty signature counts as unsigned. Signatures are kept as digests, since they have any length.

--- a/src/ebonyladder/platform/connection.py
+++ b/src/ebonyladder/platform/connection.py
@@ -38,10 +38,20 @@
     EndpointGoneError,
     EndpointStatus,
 )
-from ebonyladder.types import EndpointId, OrganisationId, Position, Role, Term
+from ebonyladder.types import (
+    EndpointId,
+    OrganisationId,
+    Position,
+    RequestKind,
+    Role,
+    Term,
+)
 
 # A connection with more prepared statements than this is reset.
 MAX_PREPARED_STATEMENTS = 200
+# Timeout of what precedes a statement, in seconds: it needs no slot of the endpoint,
+# and the statement can still run over another connection.
+SETUP_TIMEOUT_S = 0.5
 
 
 class Query(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,6 +60,7 @@
     kind: CommandKind
     text: str
     id: CommandId = INTERNAL_COMMAND_ID
+    is_write: bool = False
 
 
 class Setup(msgspec.Struct, kw_only=True):
@@ -139,6 +150,7 @@
     ) -> Answer:
         """Run a command."""
         text = command.text
+        is_write = command.kind is CommandKind.WRITE
         setup = self._set_up()
         if command.kind is CommandKind.EXECUTE and prepared is not None:
             if prepared not in setup.statement_names:
@@ -147,7 +159,8 @@
                 prepare = encode_prepare(name, prepared)
                 setup.queries.append(Query(kind=CommandKind.PREPARE, text=prepare))
             text = encode_execute(command, setup.statement_names[prepared])
-        query = Query(kind=command.kind, text=text, id=command.id)
+            is_write = prepared.access is RequestKind.WRITE
+        query = Query(kind=command.kind, text=text, id=command.id, is_write=is_write)
         return await self._exchange(setup, query, min_position)
 
     async def status(self) -> EndpointStatus:
@@ -279,10 +292,7 @@
                 self._send(*setup.queries, query)
             else:
                 self._send(*setup.queries)
-            for setup_query in setup.queries:
-                answer = await self._read_own_answer(setup_query)
-                if answer.code is not None:
-                    raise WireError(f"{setup_query.kind.name} failed: {answer.detail}")
+            await self._read_setup_answers(setup)
             if query.kind is not CommandKind.BEGIN:
                 is_sent = True
                 self._send(query)
@@ -301,6 +311,16 @@
             self._close_after(repr(error), query)
             raise
 
+    async def _read_setup_answers(self, setup: Setup) -> None:
+        try:
+            async with asyncio.timeout(SETUP_TIMEOUT_S):
+                for query in setup.queries:
+                    answer = await self._read_own_answer(query)
+                    if answer.code is not None:
+                        raise WireError(f"{query.kind.name} failed: {answer.detail}")
+        except TimeoutError as error:
+            raise WireError("the setup was not answered in time") from error
+
     def _send(self, *queries: Query) -> None:
         if not queries:
             return
@@ -317,7 +337,7 @@
         """
         while True:
             answer = await self._read_answer()
-            expected = self.matcher.expect(query.kind)
+            expected = self.matcher.expect(query.kind, is_write=query.is_write)
             origin = self.matcher.match(answer, expected)
             if origin is AnswerOrigin.OWN:
                 return answer
--- a/src/ebonyladder/platform/wire.py
+++ b/src/ebonyladder/platform/wire.py
@@ -9,6 +9,7 @@
 
 from ebonyladder.platform.lines import LINE_END, MAX_LINE_BYTES
 from ebonyladder.sessions.command import (
+    UNSIGNED,
     Answer,
     AnswerCode,
     Command,
@@ -253,7 +254,7 @@
     def __init__(self) -> None:
         self.is_empty = True
         self.rows: list[str] = []
-        self.signature = "-"
+        self.signature = UNSIGNED
         self.code: AnswerCode | None = None
         self.detail = ""
         self.has_result = False
--- a/src/ebonyladder/sessions/answer_matching.py
+++ b/src/ebonyladder/sessions/answer_matching.py
@@ -1,15 +1,18 @@
 """Which answers of an endpoint belong to the query that waits for one.
 
 An endpoint may answer a query twice, the second time late, and an answer doesn't name
-its query. A connection has one unanswered query that matters at a time, so an answer is
-either the query's own or a copy of an earlier answer of the connection:
+its query. Queries are answered in their order, so an answer is either that of the
+first unanswered query or a copy of an earlier answer of the connection:
 
 - A signature is given once. One that the connection hasn't seen is the query's own.
-- An error is the query's own if the connection hasn't seen an equal one.
+- An error is the query's own if the connection hasn't seen an equal one. That of a
+  write outside a transaction must also not be the refusal of a setup whose success may
+  have been a copy.
 - An unsigned success is a copy if the query's success would be signed, or would leave
   the transaction in another state. That of BEGIN or ROLLBACK is its own if the
-  connection hasn't seen an equal one. SET, PREPARE and RESET are refused only inside a
-  transaction, whose further statements then fail too, so theirs is believed.
+  connection hasn't seen an equal one. Those of SET, PREPARE and RESET are believed:
+  inside a transaction its further statements fail after a refusal, and the protocol
+  names no refusal of them outside.
 
 What remains may be either. Its connection is closed, and its outcome is unknown.
 """
@@ -17,9 +20,9 @@
 from enum import Enum
 
 import msgspec
+from xxhash import xxh3_64_intdigest
 
 from ebonyladder.sessions.command import (
-    UNSIGNED,
     Answer,
     AnswerCode,
     CommandKind,
@@ -28,7 +31,7 @@
 from ebonyladder.types import Position
 
 # A connection with more remembered answers than this is replaced, which bounds its
-# memory to some hundred kilobytes.
+# memory.
 MAX_REMEMBERED_ANSWERS = 2000
 
 SIGNED_KINDS = frozenset(
@@ -66,11 +69,14 @@
         State in which it leaves the transaction.
     may_hide_refusal : bool
         Whether a copy of an equal answer may stand in for a refusal.
+    is_single_write : bool
+        Whether the query writes outside a transaction.
     """
 
     is_signed: bool
     state: TransactionState
     may_hide_refusal: bool
+    is_single_write: bool
 
 
 class AnswerMatcher:
@@ -80,19 +86,23 @@
     ----------
     state : TransactionState
         State after the last answer that belonged to its query.
-    signatures : set of str
-        Signatures of all successes.
+    signatures : set of int
+        Digests of the signatures of all successes, which have any length.
     unsigned : set of tuple
         States and positions of all successes without a signature.
     errors : set of tuple
         Codes and details of all errors.
+    has_doubtful_setup : bool
+        Whether a setup was acknowledged by what may be a copy, and no signed answer
+        has come since.
     """
 
     def __init__(self) -> None:
         self.state = TransactionState.IDLE
-        self.signatures: set[str] = set()
+        self.signatures: set[int] = set()
         self.unsigned: set[tuple[TransactionState, Position | None]] = set()
         self.errors: set[tuple[AnswerCode, str]] = set()
+        self.has_doubtful_setup = False
 
     @property
     def is_reusable(self) -> bool:
@@ -103,12 +113,13 @@
         remembered = len(self.signatures) + len(self.unsigned)
         return not self.errors and remembered < MAX_REMEMBERED_ANSWERS
 
-    def expect(self, kind: CommandKind) -> ExpectedSuccess:
-        """Return the success of a query that is sent now."""
+    def expect(self, kind: CommandKind, *, is_write: bool = False) -> ExpectedSuccess:
+        """Return the success of the first unanswered query."""
         return ExpectedSuccess(
             is_signed=kind in SIGNED_KINDS,
             state=STATES_AFTER.get(kind, self.state),
             may_hide_refusal=kind in (CommandKind.BEGIN, CommandKind.ROLLBACK),
+            is_single_write=is_write and self.state is TransactionState.IDLE,
         )
 
     def match(self, answer: Answer, expected: ExpectedSuccess) -> AnswerOrigin:
@@ -116,24 +127,30 @@
         origin = self._origin(answer, expected)
         if answer.code is not None:
             self.errors.add((answer.code, answer.detail))
-        elif answer.signature != UNSIGNED:
-            self.signatures.add(answer.signature)
+        elif answer.is_signed:
+            self.signatures.add(xxh3_64_intdigest(answer.signature.encode()))
+            if origin is AnswerOrigin.OWN:
+                self.has_doubtful_setup = False
         else:
-            self.unsigned.add((answer.state, answer.position))
+            key = (answer.state, answer.position)
+            if origin is AnswerOrigin.OWN and key in self.unsigned:
+                self.has_doubtful_setup = True
+            self.unsigned.add(key)
         if origin is AnswerOrigin.OWN:
             self.state = answer.state
         return origin
 
     def _origin(self, answer: Answer, expected: ExpectedSuccess) -> AnswerOrigin:
         if answer.code is not None:
-            is_known = (answer.code, answer.detail) in self.errors
-            return AnswerOrigin.UNKNOWN if is_known else AnswerOrigin.OWN
+            is_doubtful = (answer.code, answer.detail) in self.errors or (
+                expected.is_single_write and self.has_doubtful_setup
+            )
+            return AnswerOrigin.UNKNOWN if is_doubtful else AnswerOrigin.OWN
         is_expected = (
-            expected.is_signed == (answer.signature != UNSIGNED)
-            and answer.state is expected.state
+            expected.is_signed == answer.is_signed and answer.state is expected.state
         )
-        if answer.signature != UNSIGNED:
-            if answer.signature in self.signatures:
+        if answer.is_signed:
+            if xxh3_64_intdigest(answer.signature.encode()) in self.signatures:
                 return AnswerOrigin.COPY
             return AnswerOrigin.OWN if is_expected else AnswerOrigin.UNKNOWN
         if not is_expected:
--- a/src/ebonyladder/sessions/command.py
+++ b/src/ebonyladder/sessions/command.py
@@ -127,6 +127,11 @@
     position: Position | None = None
     is_refused_here: bool = False
 
+    @property
+    def is_signed(self) -> bool:
+        """Whether an endpoint has signed the answer."""
+        return self.signature not in ("", UNSIGNED)
+
     def with_state(self, state: TransactionState) -> "Answer":
         """Return the same answer for a session in ``state``."""
         return msgspec.structs.replace(self, state=state)
--- a/tests/test_answer_matching.py
+++ b/tests/test_answer_matching.py
@@ -50,8 +50,10 @@
         self.answer(CommandKind.SET)
         assert self.answer(CommandKind.WRITE) is AnswerOrigin.COPY
 
-    def test_success_without_signature_is_unknown_if_it_is_no_copy(self):
-        assert self.answer(CommandKind.WRITE) is AnswerOrigin.UNKNOWN
+    @pytest.mark.parametrize("signature", ["-", ""])
+    def test_success_without_signature_is_unknown_if_it_is_no_copy(self, signature):
+        found = self.answer(CommandKind.WRITE, signature=signature)
+        assert found is AnswerOrigin.UNKNOWN
 
     def test_state_of_another_transaction_is_unknown(self):
         self.begin(1)
--- a/tests/test_endpoint_answers.py
+++ b/tests/test_endpoint_answers.py
@@ -188,6 +188,34 @@
 
         asyncio.run(exercise())
 
+    @pytest.mark.parametrize("code", ["BUSY", "FAILED"])
+    def test_refusal_behind_a_copy_does_not_say_that_the_write_did_not_run(self, code):
+        async def exercise():
+            async with self.connected() as connection:
+                connection.set_variables({"zone": "west"}, 0.0)
+                await self.run(connection, "READ a")
+                self.endpoint.refused["SET"] = code
+                self.endpoint.copies["SET"] = ["SET"]
+                connection.set_variables({"zone": "west", "size": "1"}, 0.0)
+                with pytest.raises(EndpointError) as raised:
+                    await self.run(connection, "WRITE a 1")
+                assert raised.value.outcome is Outcome.UNKNOWN
+
+        asyncio.run(exercise())
+
+    def test_statement_can_run_elsewhere_after_a_setup_without_answer(self):
+        # A write that was never sent was unknown at its deadline.
+        async def exercise():
+            async with self.connected() as connection:
+                self.endpoint.silent = {"SET"}
+                connection.set_variables({"zone": "west"}, 0.0)
+                with pytest.raises(EndpointError) as raised:
+                    await self.run(connection, "WRITE a 1")
+                assert raised.value.outcome is Outcome.NOT_RUN
+                assert self.endpoint.received == ["SET zone west"]
+
+        asyncio.run(exercise())
+
 
 class TestLateAnswer(ConnectionTest):
     """Guards against the answer of a statement that was given up."""
