Count registration from the first connection to a process

The survey reads the list of members 0.5 s after the last connection was opened, since a process that starts again without its log answers before it registers. Control calls that open connections put this time off to the pause. A new connection replaces one that is still open, so the process is the same, and its first connection counts.

--- a/src/ebonyladder/sessions/endpoint_control.py
+++ b/src/ebonyladder/sessions/endpoint_control.py
@@ -37,7 +37,7 @@
     status : EndpointStatus
         Answer to the first call of the connection.
     opened_at_s : float
-        The loop's time at which the connection was open.
+        The loop's time at which the first connection to this process was open.
     """
 
     entry: EndpointEntry
@@ -248,13 +248,11 @@
         """
         process = former.entry.process
         connection: ControlConnection | None = None
-        opened_at_s = former.opened_at_s
 
         async def open_and_send() -> EndpointStatus:
-            nonlocal connection, opened_at_s
+            nonlocal connection
             if connection is None or not connection.is_open:
                 connection = await self.connector.open(former.entry, OPEN_ORGANISATION)
-                opened_at_s = asyncio.get_running_loop().time()
             try:
                 return await send(connection)
             except EndpointError:
@@ -275,11 +273,8 @@
                 self.failures[process] = ErrorCode.CONNECTION_LOST.value.code
                 status = None
             if status is not None and connection is not None:
-                replacement = ProbedEndpoint(
-                    entry=former.entry,
-                    connection=connection,
-                    status=status,
-                    opened_at_s=opened_at_s,
+                replacement = msgspec.structs.replace(
+                    former, connection=connection, status=status
                 )
         finally:
             if replacement is None and connection is not None:
