Close the connection of a probe that is cancelled

A control call that is cancelled leaves its connection open since answers are matched. A probe that was cancelled with its failover then kept a connection, and so a slot, until it was collected.

The test failed before with an open connection at its end.

--- a/src/ebonyladder/sessions/endpoint_control.py
+++ b/src/ebonyladder/sessions/endpoint_control.py
@@ -195,7 +195,14 @@
         if connection is None:
             return
         opened_at_s = asyncio.get_running_loop().time()
-        status = await self._call(entry.process, ControlCall.STATUS, connection.status)
+        status: EndpointStatus | None = None
+        try:
+            status = await self._call(
+                entry.process, ControlCall.STATUS, connection.status
+            )
+        finally:
+            if status is None:
+                connection.close()
         if status is not None:
             self.endpoints[entry.process] = ProbedEndpoint(
                 entry=entry,
@@ -203,8 +210,6 @@
                 status=status,
                 opened_at_s=opened_at_s,
             )
-        else:
-            connection.close()
 
     async def _status_all(
         self, processes: Iterable[EndpointProcess]
--- a/tests/test_endpoint_control.py
+++ b/tests/test_endpoint_control.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from unittest.mock import patch
 
 import pytest
 
@@ -11,6 +12,7 @@
 from ebonyladder.sessions.endpoint_control import EndpointControl
 from ebonyladder.types import EndpointProcess, Role, Term
 from tests.session_fakes import (
+    FakeConnection,
     FakeConnector,
     FakeEndpoint,
     entry,
@@ -184,3 +186,17 @@
             assert FAR not in await self.control.statuses()
 
         self.run(scenario())
+
+    def test_cancelled_probe_leaves_no_connection_open(self):
+        # Guards against connections that take slots for good.
+        async def wait_for_ever(connection):
+            await asyncio.Event().wait()
+
+        async def scenario():
+            with patch.object(FakeConnection, "status", wait_for_ever):
+                probing = asyncio.create_task(self.probe())
+                await asyncio.sleep(0.05)
+                probing.cancel()
+                await asyncio.wait([probing])
+
+        self.run(scenario())
