Abort a transaction whose COMMIT was refused once

A refused COMMIT was sent again on its connection. A second refusal there may be a copy of the first, so the commit was in doubt and the caller couldn't repeat it. After the first refusal nothing is kept, so the caller is told so.

The new test failed with a COMMIT that was sent again.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -187,9 +187,12 @@
                 return refusal(
                     AnswerCode.ABORTED, error.message, state=TransactionState.FAILED
                 )
+            # A second refusal may be a copy of the first one, which leaves a commit in
+            # doubt; after the first one the caller can repeat the operation.
             may_retry = (
                 answer.code is AnswerCode.OVERLOADED
                 and answer.state is TransactionState.OPEN
+                and not is_write_commit
                 and self._remaining_s(request) > RETRY_BACKOFF_S
             )
             self.cluster.record_seen(entry.process, answer.position)
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -241,6 +241,24 @@
 
         assert asyncio.run(run()).code is AnswerCode.IN_DOUBT
 
+    def test_refused_commit_is_not_sent_again(self, world):
+        # Guards against a second refusal, which may be a copy and leaves a doubt.
+        session = world.session()
+
+        async def run():
+            await session.handle(command("BEGIN"))
+            await session.handle(command("WRITE a b"))
+            world.primary.refusal = AnswerCode.OVERLOADED
+            asyncio.get_running_loop().call_later(
+                0.01, setattr, world.primary, "refusal", None
+            )
+            return await session.handle(command("COMMIT"))
+
+        answer = asyncio.run(run())
+        assert answer.code is AnswerCode.OVERLOADED
+        assert answer.state is TransactionState.IDLE
+        assert "COMMIT" not in world.primary.ran
+
     def test_commit_that_was_not_sent_is_aborted(self, world):
         # Guards against a doubt about a commit that can't have been made.
         session = world.session()
