--- a/src/ebonyladder/platform/connection.py
+++ b/src/ebonyladder/platform/connection.py
@@ -130,11 +130,6 @@
         """Whether the connection can run commands of another statement."""
         return self.is_open and self.matcher.is_reusable
 
-    @property
-    def tells_refusals(self) -> bool:
-        """Whether a refusal of the next statement would be known as its own."""
-        return self.matcher.tells_refusals
-
     def set_variables(self, values: dict[str, str], deadline_s: float) -> None:
         """Set exactly these session variables before the next command."""
         self.target_variables = values
--- a/src/ebonyladder/sessions/answer_matching.py
+++ b/src/ebonyladder/sessions/answer_matching.py
@@ -5,9 +5,9 @@
 first unanswered query or a copy of an earlier answer of the connection:
 
 - A signature is given once. One that the connection hasn't seen is the query's own.
-- An error is the query's own if the connection hasn't seen an equal one, its READY
-  included. That of a write outside a transaction must also not be the refusal of a
-  setup whose success may have been a copy.
+- An error is the query's own if the connection hasn't seen an equal one. That of a
+  write outside a transaction must also not be the refusal of a setup whose success may
+  have been a copy.
 - An unsigned success is a copy if the query's success would be signed, or would leave
   the transaction in another state. That of BEGIN or ROLLBACK is its own if the
   connection hasn't seen an equal one. Those of SET, PREPARE and RESET are believed:
@@ -50,14 +50,6 @@
 }
 
 
-ErrorKey = tuple[AnswerCode | None, str, TransactionState, Position | None]
-
-
-def error_key(answer: Answer) -> ErrorKey:
-    """Return what an error has in common with its copies."""
-    return answer.code, answer.detail, answer.state, answer.position
-
-
 class AnswerOrigin(Enum):
     """Query that an answer belongs to."""
 
@@ -99,7 +91,7 @@
     unsigned : set of tuple
         States and positions of all successes without a signature.
     errors : set of tuple
-        Codes, details, states and positions of all errors.
+        Codes and details of all errors.
     has_doubtful_setup : bool
         Whether a setup was acknowledged by what may be a copy, and no signed answer
         has come since.
@@ -109,22 +101,17 @@
         self.state = TransactionState.IDLE
         self.signatures: set[int] = set()
         self.unsigned: set[tuple[TransactionState, Position | None]] = set()
-        self.errors: set[ErrorKey] = set()
+        self.errors: set[tuple[AnswerCode, str]] = set()
         self.has_doubtful_setup = False
 
     @property
     def is_reusable(self) -> bool:
-        """Whether the connection can remember the answers of another statement."""
-        remembered = len(self.signatures) + len(self.unsigned) + len(self.errors)
-        return remembered < MAX_REMEMBERED_ANSWERS
-
-    @property
-    def tells_refusals(self) -> bool:
-        """Whether any refusal of the next statement would be known as its own.
+        """Whether any error of another statement would be known as its own.
 
-        A write whose refusal may be a copy may have run, so it can't be sent again.
+        A refusal that may be a copy can't be retried: the statement may have run.
         """
-        return not self.errors
+        remembered = len(self.signatures) + len(self.unsigned)
+        return not self.errors and remembered < MAX_REMEMBERED_ANSWERS
 
     def expect(self, kind: CommandKind, *, is_write: bool = False) -> ExpectedSuccess:
         """Return the success of the first unanswered query."""
@@ -139,7 +126,7 @@
         """Return the origin of the next answer, and remember it."""
         origin = self._origin(answer, expected)
         if answer.code is not None:
-            self.errors.add(error_key(answer))
+            self.errors.add((answer.code, answer.detail))
         elif answer.is_signed:
             self.signatures.add(xxh3_64_intdigest(answer.signature.encode()))
             if origin is AnswerOrigin.OWN:
@@ -155,7 +142,7 @@
 
     def _origin(self, answer: Answer, expected: ExpectedSuccess) -> AnswerOrigin:
         if answer.code is not None:
-            is_doubtful = error_key(answer) in self.errors or (
+            is_doubtful = (answer.code, answer.detail) in self.errors or (
                 expected.is_single_write and self.has_doubtful_setup
             )
             return AnswerOrigin.UNKNOWN if is_doubtful else AnswerOrigin.OWN
--- a/src/ebonyladder/sessions/connection.py
+++ b/src/ebonyladder/sessions/connection.py
@@ -83,8 +83,6 @@
         Whether the connection can run another command.
     is_reusable : bool
         Whether the connection can run commands of another statement or transaction.
-    tells_refusals : bool
-        Whether a refusal of the next statement would be known as its own.
     """
 
     endpoint: EndpointId
@@ -97,11 +95,6 @@
         """Whether the connection can run commands of another statement."""
         return self.is_open
 
-    @property
-    def tells_refusals(self) -> bool:
-        """Whether a refusal of the next statement would be known as its own."""
-        return True
-
     @abstractmethod
     def set_variables(self, values: dict[str, str], deadline_s: float) -> None:
         """Set exactly these session variables before the next command.
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -350,11 +350,7 @@
         Raises ``EndpointError``, not run, if the primary changed meanwhile.
         """
         pool = self.pools.get(target.entry.id)
-        is_single_write = (
-            request.access is RequestKind.WRITE and not request.is_transaction
-        )
-        acquire = pool.acquire_for_write if is_single_write else pool.acquire
-        connection = await acquire(
+        connection = await pool.acquire(
             request.organisation_id, request.values, request.deadline_s
         )
         connection.set_variables(request.values, request.deadline_s)
--- a/src/ebonyladder/sessions/forwarding_service.py
+++ b/src/ebonyladder/sessions/forwarding_service.py
@@ -234,9 +234,7 @@
         if isinstance(min_position, Answer):
             return min_position, None
         deadline_s = self.clock.now_s() + forward.remaining_s
-        is_single_write = forward.is_write and not forward.is_begin
-        acquire = pool.acquire_for_write if is_single_write else pool.acquire
-        connection = await acquire(
+        connection = await pool.acquire(
             forward.organisation, forward.values, deadline_s - REPLY_TRANSIT_S
         )
         target = Target(entry=pool.entry, is_primary=forward.needs_primary)
--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -97,20 +97,6 @@
             Not run, if none became available by ``deadline_s``.
         """
 
-    async def acquire_for_write(
-        self, organisation: OrganisationId, values: dict[str, str], deadline_s: float
-    ) -> PooledConnection:
-        """Return a connection on which a refusal of a single write is its own.
-
-        Others are closed. Raises as ``acquire``.
-        """
-        while True:
-            connection = await self.acquire(organisation, values, deadline_s)
-            if connection.tells_refusals:
-                return connection
-            connection.close()
-            self.release(connection)
-
     @abstractmethod
     def release(self, connection: PooledConnection) -> None:
         """Return a connection to the pool."""
