--- a/src/ebonyladder/platform/endpoint.py
+++ b/src/ebonyladder/platform/endpoint.py
@@ -43,6 +43,8 @@
         self, entry: EndpointEntry, organisation: OrganisationId
     ) -> ControlConnection:
         """Open a connection and start a session on it."""
+        metrics = self.kernel.get(Metrics)
+        metrics.count("endpoint_connections")
         writer = None
         try:
             host, port = split_address(entry.address)
@@ -53,7 +55,7 @@
                 id=ConnectionId(next(self.connection_ids)),
                 endpoint=entry.id,
                 organisation=organisation,
-                metrics=self.kernel.get(Metrics),
+                metrics=metrics,
                 reader=reader,
                 writer=writer,
             )
--- a/tests/test_endpoint_answers.py
+++ b/tests/test_endpoint_answers.py
@@ -104,6 +104,17 @@
         return await connection.run(command)
 
 
+class TestConnections(ConnectionTest):
+    """Guards against many new connections that no metric shows."""
+
+    async def exercise_open(self):
+        async with self.connected(), self.connected():
+            assert self.metrics.counts["endpoint_connections",] == 2
+
+    def test_connections_are_counted(self):
+        asyncio.run(self.exercise_open())
+
+
 class TestSecondAnswer(ConnectionTest):
     """Guards against an answer that belongs to an earlier statement."""
 
