Open few connections to an endpoint at a time

Nothing limited how many connections a VM opened at a time. Each takes a slot of the endpoint for 12 ms. While 63 of them (median) were being opened at an endpoint of 6 slots, it refused nearly all statements; each refusal ended a connection, and its statement opened another one.

A VM now opens at most half as many at a time as the endpoint has slots. Statements that wait take a released connection of their organisation or their turn to open one. A released connection is closed for another organisation only if a connection may open in its place. If the endpoint can't be reached, all that wait fail at once: otherwise they would wait for one timeout after the other.

Two of the new tests fail on the former pool: 28 connections open at a time, and a released connection isn't given to a waiting statement of its organisation.

--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -27,6 +27,11 @@
 # A released connection goes to the first waiter of its organisation among this many at
 # the head of the queue, which saves opening a connection.
 AFFINITY_WINDOW = 4
+# Fraction of an endpoint's slots that connections of this VM may take while they open,
+# and the least number of them. Each takes a slot for 12 ms, and an endpoint without a
+# free one refuses statements.
+OPENING_FRACTION = 0.5
+MIN_OPENING = 2
 # Time to open a connection before the endpoint counts as unreachable: two
 # round trips between regions, the 12 ms of a new connection, and a queue.
 OPEN_TIMEOUT_S = 0.5
@@ -145,7 +150,7 @@
     used : int
         Connections that are open or being opened.
     opening : int
-        Connections that are being opened.
+        Connections that are being opened, or reserved for it.
     """
 
     def __init__(
@@ -175,6 +180,12 @@
         """Statements of this VM at the endpoint or waiting, per slot."""
         return (self.running + len(self.waiting)) / max(self.entry.slots, 1)
 
+    @property
+    def may_open(self) -> bool:
+        """Whether the endpoint has slots to open another connection."""
+        limit = max(MIN_OPENING, int(self.entry.slots * OPENING_FRACTION))
+        return self.opening < limit
+
     async def acquire(
         self, organisation: OrganisationId, values: dict[str, str], deadline_s: float
     ) -> PooledConnection:
@@ -229,7 +240,9 @@
             connection.close()
             self._release_reservation()
             return
-        for waiter in list(self.waiting)[:AFFINITY_WINDOW]:
+        # Those at the head can't open a connection in its place at present.
+        window = AFFINITY_WINDOW if self.may_open else len(self.waiting)
+        for waiter in list(self.waiting)[:window]:
             if (
                 waiter.organisation == connection.organisation
                 and not waiter.ready.done()
@@ -237,11 +250,8 @@
                 self.waiting.remove(waiter)
                 waiter.ready.set_result(connection)
                 return
-        if self.waiting:
-            connection.close()
-            self._release_reservation()
-            return
         self.idle.append((connection, self.clock.now_s()))
+        self._serve_waiting()
 
     async def probe(self) -> bool:
         """Request the endpoint's status on a separate connection."""
@@ -283,16 +293,19 @@
         self.idle.remove(best)
         if best[0].is_open:
             return best[0]
-        self._release_reservation()
+        self.used -= 1
         return self._acquire_idle(organisation, values)
 
     def _reserve(self) -> bool:
+        if not self.may_open:
+            return False
         limit = self.cap.current
         if self.used >= limit and self.idle:
             self._close_oldest()
         if self.used >= limit:
             return False
         self.used += 1
+        self.opening += 1
         return True
 
     def _close_oldest(self) -> None:
@@ -302,20 +315,34 @@
 
     def _release_reservation(self) -> None:
         self.used -= 1
-        self._grant_reservations()
+        self._serve_waiting()
 
-    def _grant_reservations(self) -> None:
-        """Let waiting statements open connections as far as the cap allows."""
-        while self.waiting and self.used < self.cap.current:
+    def _serve_waiting(self) -> None:
+        """Give idle connections to waiting statements, or turns to open one."""
+        while self.waiting:
+            waiter = self.waiting[0]
+            if not waiter.ready.done():
+                connection = self._acquire_idle(waiter.organisation, {})
+                if connection is None and not self._reserve():
+                    return
+                waiter.ready.set_result(connection)
+            self.waiting.popleft()
+
+    def _fail_waiting(self) -> None:
+        """Fail the statements that wait for a connection to an unreachable endpoint.
+
+        Otherwise each would wait for a timeout of its own, a few at a time.
+        """
+        while self.waiting:
             waiter = self.waiting.popleft()
             if not waiter.ready.done():
-                self.used += 1
-                waiter.ready.set_result(None)
+                error = self._failed("the endpoint can't be reached")
+                waiter.ready.set_exception(error)
 
     def _grow(self) -> None:
         """Try more connections at an interval while the endpoint refuses them."""
         self.growth = None
-        self._grant_reservations()
+        self._serve_waiting()
         self._ensure_growth()
 
     def _ensure_growth(self) -> None:
@@ -329,8 +356,11 @@
         if waiter in self.waiting:
             self.waiting.remove(waiter)
         elif waiter.ready.done() and not waiter.ready.cancelled():
+            if waiter.ready.exception() is not None:
+                return
             connection = waiter.ready.result()
             if connection is None:
+                self.opening -= 1
                 self._release_reservation()
             else:
                 self.release(connection)
@@ -340,7 +370,6 @@
     ) -> PooledConnection:
         """Open a connection for a reservation; an error releases the reservation."""
         remaining_s = deadline_s - self.clock.now_s()
-        self.opening += 1
         try:
             async with asyncio.timeout(min(remaining_s, OPEN_TIMEOUT_S)):
                 connection = await self.connector.open(self.entry, organisation)
@@ -354,7 +383,7 @@
         self.opening -= 1
         self.health.mark_reachable()
         self.cap.record_opened(self.used - self.opening)
-        self._grant_reservations()
+        self._serve_waiting()
         return connection
 
     def _record_open_failure(self, error: BaseException, remaining_s: float) -> None:
@@ -369,6 +398,7 @@
             isinstance(error, TimeoutError) and remaining_s >= OPEN_TIMEOUT_S
         ):
             self.health.mark_unreachable()
+            self._fail_waiting()
 
     def _failed(self, message: str) -> EndpointError:
         return EndpointError(
--- a/tests/test_connection_cap.py
+++ b/tests/test_connection_cap.py
@@ -14,7 +14,7 @@
     MAX_GROWTH_INTERVAL_S,
     ConnectionCap,
 )
-from ebonyladder.sessions.pool import DirectPool
+from ebonyladder.sessions.pool import OPEN_TIMEOUT_S, DirectPool
 from ebonyladder.types import OrganisationId
 from tests.fleet import run_virtual
 from tests.session_fakes import entry
@@ -66,11 +66,19 @@
         self.open = 0
         self.attempts = 0
         self.refused = 0
+        self.opening = 0
+        self.most_opening = 0
+        self.is_dark = False
 
     async def open_connection(self, organisation: OrganisationId) -> OpenConnection:
         """Accept or refuse a connection after the handshake."""
         self.attempts += 1
-        await asyncio.sleep(HANDSHAKE_S)
+        self.opening += 1
+        self.most_opening = max(self.most_opening, self.opening)
+        try:
+            await asyncio.sleep(3600 if self.is_dark else HANDSHAKE_S)
+        finally:
+            self.opening -= 1
         stale = self.stale if self.clock.now_s() < self.stale_until_s else 0
         if self.open + stale >= CAP:
             self.refused += 1
@@ -197,6 +205,89 @@
         assert run.endpoint.open <= CAP
 
 
+class TestOpening:
+    """Guards against connections that take all slots of an endpoint while they open.
+
+    A busy endpoint once refused most statements for as long as up to 69 connections
+    were being opened, each of them for a statement that another refusal had cost its
+    connection.
+    """
+
+    @pytest.fixture(autouse=True)
+    def run(self):
+        self.run = Run(0.0, stale=0)
+        self.pool = self.run.pool
+        self.endpoint = self.run.endpoint
+
+    async def acquire(self, organisation: str = "a") -> PooledConnection:
+        """Return a connection of an organisation."""
+        deadline_s = self.run.clock.now_s() + DEADLINE_S
+        return await self.pool.acquire(OrganisationId(organisation), {}, deadline_s)
+
+    def play(self, steps):
+        """Run a coroutine in virtual time."""
+        return run_virtual(steps, self.run.clock)
+
+    def test_half_of_the_slots_are_left_for_statements(self):
+        async def acquire_all():
+            return await asyncio.gather(*(self.acquire() for _ in range(LIMIT)))
+
+        connections = self.play(acquire_all())
+        assert self.endpoint.most_opening == self.pool.entry.slots // 2
+        assert len(set(connections)) == LIMIT
+
+    def test_waiting_statement_takes_a_released_connection(self):
+        async def release_during_the_wait() -> float:
+            connection = await self.acquire()
+            others = [asyncio.create_task(self.acquire("b")) for _ in range(10)]
+            waiting = asyncio.create_task(self.acquire())
+            await asyncio.sleep(0)
+            self.pool.release(connection)
+            assert await waiting is connection
+            await asyncio.gather(*others)
+            return self.endpoint.attempts
+
+        assert self.play(release_during_the_wait()) == 11
+
+    def test_released_connection_stays_open_if_none_can_take_its_place(self):
+        async def release_during_the_wait():
+            connection = await self.acquire()
+            others = [asyncio.create_task(self.acquire("b")) for _ in range(10)]
+            await asyncio.sleep(0)
+            self.pool.release(connection)
+            assert connection.is_open
+            await asyncio.gather(*others)
+
+        self.play(release_during_the_wait())
+
+    def test_statements_do_not_wait_one_after_the_other_for_a_dark_endpoint(self):
+        # Each once waited for a timeout of its own, three at a time.
+        self.endpoint.is_dark = True
+
+        async def fail_all() -> float:
+            started_at_s = self.run.clock.now_s()
+            errors = await asyncio.gather(
+                *(self.acquire() for _ in range(LIMIT)), return_exceptions=True
+            )
+            assert {error.outcome for error in errors} == {Outcome.NOT_RUN}
+            return self.run.clock.now_s() - started_at_s
+
+        assert self.play(fail_all()) <= 1.01 * OPEN_TIMEOUT_S
+        assert self.pool.used == self.pool.opening == 0
+
+    def test_cancelled_wait_gives_its_turn_to_the_next_statement(self):
+        async def cancel_during_the_wait() -> int:
+            tasks = [asyncio.create_task(self.acquire()) for _ in range(8)]
+            await asyncio.sleep(0)
+            for task in tasks[2:5]:
+                task.cancel()
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+            return sum(isinstance(r, PooledConnection) for r in results)
+
+        assert self.play(cancel_during_the_wait()) == 5
+        assert (self.pool.used, self.pool.opening) == (5, 0)
+
+
 class TestCap:
     @pytest.fixture(autouse=True)
     def cap(self):
