--- a/src/ebonyladder/sessions/ownership.py
+++ b/src/ebonyladder/sessions/ownership.py
@@ -7,7 +7,7 @@
 
 from ebonyladder.sessions.catalog import Service
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry, Owner, VmEntry
-from ebonyladder.sessions.pool import MIN_CONNECTIONS, POOLED_FRACTION
+from ebonyladder.sessions.connection_limit import MIN_CONNECTIONS, POOLED_FRACTION
 from ebonyladder.types import EndpointId, VmId
 
 # With fewer connections to a primary than this, a VM can't serve several organisations.
