Fail waiting statements only if the endpoint doesn't answer others either

Callers were refused, or their statements were sent again to another endpoint, although the endpoint worked: one attempt to connect that was reset or lost its READY failed all statements that waited at this VM, for an endpoint's owner those of the whole fleet.

A failed attempt was taken for an endpoint that can't be reached. Now all fail only if the process has ended (EndpointGoneError), or if an attempt timed out and the endpoint has answered nothing since it began. A dark endpoint still fails them after one timeout.

--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -12,7 +12,11 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.catalog import OPEN_ORGANISATION
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry, Owner
-from ebonyladder.sessions.connection import EndpointConnector, PooledConnection
+from ebonyladder.sessions.connection import (
+    EndpointConnector,
+    EndpointGoneError,
+    PooledConnection,
+)
 from ebonyladder.sessions.connection_cap import ConnectionCap
 from ebonyladder.sessions.connection_limit import MIN_CONNECTIONS, connection_limit
 from ebonyladder.sessions.health import EndpointHealth
@@ -337,13 +341,14 @@
         self, organisation: OrganisationId, deadline_s: float
     ) -> PooledConnection:
         """Open a connection for a reservation; an error releases the reservation."""
-        remaining_s = deadline_s - self.clock.now_s()
+        started_at_s = self.clock.now_s()
+        remaining_s = deadline_s - started_at_s
         try:
             async with asyncio.timeout(min(remaining_s, OPEN_TIMEOUT_S)):
                 connection = await self.connector.open(self.entry, organisation)
         except BaseException as error:
             self.opening -= 1
-            self._record_open_failure(error, remaining_s)
+            self._record_open_failure(error, remaining_s, started_at_s)
             self._release_reservation()
             if isinstance(error, TimeoutError):
                 raise self._failed("the connection did not open in time") from None
@@ -354,7 +359,9 @@
         self._serve_waiting()
         return connection
 
-    def _record_open_failure(self, error: BaseException, remaining_s: float) -> None:
+    def _record_open_failure(
+        self, error: BaseException, remaining_s: float, started_at_s: float
+    ) -> None:
         is_refused = (
             isinstance(error, EndpointError) and error.code is ErrorCode.OVERLOADED
         )
@@ -366,7 +373,12 @@
             isinstance(error, TimeoutError) and remaining_s >= OPEN_TIMEOUT_S
         ):
             self.health.mark_unreachable()
-            self._fail_waiting()
+            # One attempt may be lost while the other connections work.
+            is_silent = self.health.last_answer_at_s <= started_at_s
+            if isinstance(error, EndpointGoneError) or (
+                isinstance(error, TimeoutError) and is_silent
+            ):
+                self._fail_waiting()
 
     def _failed(self, message: str) -> EndpointError:
         return EndpointError(
--- a/tests/test_connection_cap.py
+++ b/tests/test_connection_cap.py
@@ -8,7 +8,11 @@
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
-from ebonyladder.sessions.connection import EndpointConnector, PooledConnection
+from ebonyladder.sessions.connection import (
+    EndpointConnector,
+    EndpointGoneError,
+    PooledConnection,
+)
 from ebonyladder.sessions.connection_cap import (
     GROWTH_INTERVAL_S,
     MAX_GROWTH_INTERVAL_S,
@@ -69,6 +73,8 @@
         self.opening = 0
         self.most_opening = 0
         self.is_dark = False
+        # Errors of the attempts to come, one each.
+        self.failures: list[type[EndpointError]] = []
 
     async def open_connection(self, organisation: OrganisationId) -> OpenConnection:
         """Accept or refuse a connection after the handshake."""
@@ -79,6 +85,12 @@
             await asyncio.sleep(3600 if self.is_dark else HANDSHAKE_S)
         finally:
             self.opening -= 1
+        if self.failures:
+            raise self.failures.pop()(
+                code=ErrorCode.CONNECT_FAILED,
+                step=Step.CONNECT,
+                outcome=Outcome.NOT_RUN,
+            )
         stale = self.stale if self.clock.now_s() < self.stale_until_s else 0
         if self.open + stale >= CAP:
             self.refused += 1
@@ -275,6 +287,52 @@
         assert self.play(fail_all()) <= 1.01 * OPEN_TIMEOUT_S
         assert self.pool.used == self.pool.opening == 0
 
+    def test_one_lost_attempt_fails_only_its_own_statement(self):
+        # A connection whose STARTUP was reset once failed all statements that waited,
+        # although the endpoint answered the others.
+        self.endpoint.failures = [EndpointError]
+
+        async def acquire_all():
+            tasks = [self.acquire() for _ in range(8)]
+            return await asyncio.gather(*tasks, return_exceptions=True)
+
+        results = self.play(acquire_all())
+        assert sum(isinstance(r, EndpointError) for r in results) == 1
+        assert (self.pool.used, self.pool.opening) == (7, 0)
+
+    def test_one_silent_attempt_fails_only_its_own_statement(self):
+        # The answer to one STARTUP may be lost.
+        self.endpoint.is_dark = True
+
+        async def acquire_all():
+            first = asyncio.create_task(self.acquire())
+            await asyncio.sleep(0)
+            self.endpoint.is_dark = False
+            await asyncio.sleep(0.8 * OPEN_TIMEOUT_S)
+            connections = [await self.acquire() for _ in range(3)]
+            # The endpoint accepts no more, so that others wait.
+            self.pool.cap.limit = self.pool.used
+            waiting = [asyncio.create_task(self.acquire()) for _ in range(3)]
+            await asyncio.gather(first, return_exceptions=True)
+            assert isinstance(first.exception(), EndpointError)
+            for connection in connections:
+                self.pool.release(connection)
+            return await asyncio.gather(*waiting)
+
+        assert len(set(self.play(acquire_all()))) == 3
+
+    def test_all_statements_fail_at_once_if_the_process_has_ended(self):
+        self.endpoint.failures = [EndpointGoneError] * LIMIT
+
+        async def fail_all() -> float:
+            started_at_s = self.run.clock.now_s()
+            tasks = [self.acquire() for _ in range(LIMIT)]
+            errors = await asyncio.gather(*tasks, return_exceptions=True)
+            assert all(isinstance(error, EndpointError) for error in errors)
+            return self.run.clock.now_s() - started_at_s
+
+        assert self.play(fail_all()) <= 2 * HANDSHAKE_S
+
     def test_cancelled_wait_gives_its_turn_to_the_next_statement(self):
         async def cancel_during_the_wait() -> int:
             tasks = [asyncio.create_task(self.acquire()) for _ in range(8)]
