Share the turns to open connections among all VMs

Where each VM holds connections of its own, callers of an endpoint were refused for as long as load lasted once a short burst had filled its slots, although the load was half of what it could serve.

The number of connections that open at a time was limited for each VM alone, to 2 or more. With 7 VMs before 5 slots, or 8 before 3, up to 14 and 16 of them took all slots, the endpoint refused nearly all statements, each refusal ended a connection, and its statement opened another one, as with one VM before.

OpeningBudget now gives each VM its share of the turns that half of the slots allow, at 12 ms each. Turns that weren't used, up to the connections that the VM may hold, can be taken at once, so a fresh pool fills as fast as before. An owner has all turns: half of the slots at a time, as before. Statements that wait for a turn are woken by the pool's timer, which is also moved forward when the interval of the cap becomes shorter.

Evidence, a model in virtual time (tests/test_opening_budget.py): 7 VMs, 5 slots, load 0.5, a burst of three times as much for 2 s. Two of the new tests fail on the former pool.

--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -1,6 +1,7 @@
 """Connection pools, one for each endpoint, shared by organisations."""
 
 import asyncio
+import math
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
@@ -18,18 +19,18 @@
     PooledConnection,
 )
 from ebonyladder.sessions.connection_cap import ConnectionCap
-from ebonyladder.sessions.connection_limit import MIN_CONNECTIONS, connection_limit
+from ebonyladder.sessions.connection_limit import (
+    MIN_CONNECTIONS,
+    POOLED_FRACTION,
+    connection_limit,
+)
 from ebonyladder.sessions.health import EndpointHealth
+from ebonyladder.sessions.opening_budget import OpeningBudget
 from ebonyladder.types import EndpointId, OrganisationId
 
 # A released connection goes to the first waiter of its organisation among this many at
 # the head of the queue, which saves opening a connection.
 AFFINITY_WINDOW = 4
-# Fraction of an endpoint's slots that connections of this VM may take while they open,
-# and the least number of them. Each takes a slot for 12 ms, and an endpoint without a
-# free one refuses statements.
-OPENING_FRACTION = 0.5
-MIN_OPENING = 2
 # Time to open a connection before the endpoint counts as unreachable: two
 # round trips between regions, the 12 ms of a new connection, and a queue.
 OPEN_TIMEOUT_S = 0.5
@@ -119,6 +120,8 @@
     ----------
     cap : ConnectionCap
         Connections that the endpoint accepts at present, up to the limit.
+    opening_budget : OpeningBudget
+        Turns to open connections.
     used : int
         Connections that are open or being opened.
     opening : int
@@ -137,6 +140,7 @@
         self.connector = connector
         self.clock = clock
         self.cap = ConnectionCap(clock=clock, limit=limit)
+        self.opening_budget = OpeningBudget(clock=clock, slots=entry.slots, limit=limit)
         self.health = EndpointHealth(clock=clock)
         self.idle: deque[tuple[PooledConnection, float]] = deque()
         self.waiting: deque[ConnectionWaiter] = deque()
@@ -154,9 +158,8 @@
 
     @property
     def may_open(self) -> bool:
-        """Whether the endpoint has slots to open another connection."""
-        limit = max(MIN_OPENING, int(self.entry.slots * OPENING_FRACTION))
-        return self.opening < limit
+        """Whether this VM has a turn to open another connection."""
+        return self.opening_budget.may_open(self.opening)
 
     async def acquire(
         self, organisation: OrganisationId, values: dict[str, str], deadline_s: float
@@ -278,6 +281,7 @@
             return False
         self.used += 1
         self.opening += 1
+        self.opening_budget.take()
         return True
 
     def _close_oldest(self) -> None:
@@ -296,6 +300,7 @@
             if not waiter.ready.done():
                 connection = self._acquire_idle(waiter.organisation, {})
                 if connection is None and not self._reserve():
+                    self._ensure_growth()
                     return
                 waiter.ready.set_result(connection)
             self.waiting.popleft()
@@ -312,17 +317,22 @@
                 waiter.ready.set_exception(error)
 
     def _grow(self) -> None:
-        """Try more connections at an interval while the endpoint refuses them."""
+        """Try more connections once time has allowed them."""
         self.growth = None
         self._serve_waiting()
-        self._ensure_growth()
 
     def _ensure_growth(self) -> None:
-        """Have the cap checked again while it keeps statements waiting."""
-        is_needed = self.waiting and self.cap.is_reduced and not self.is_closed
-        if is_needed and self.growth is None:
-            loop = asyncio.get_running_loop()
-            self.growth = loop.call_later(self.cap.growth_interval_s, self._grow)
+        """Have the turns checked again while statements wait for time to pass."""
+        interval_s = self.cap.growth_interval_s if self.cap.is_reduced else math.inf
+        delay_s = min(interval_s, self.opening_budget.wait_s or math.inf)
+        if not self.waiting or self.is_closed or math.isinf(delay_s):
+            return
+        loop = asyncio.get_running_loop()
+        if self.growth is not None:
+            if self.growth.when() <= loop.time() + delay_s:
+                return
+            self.growth.cancel()
+        self.growth = loop.call_later(delay_s, self._grow)
 
     def _cancel_wait(self, waiter: ConnectionWaiter) -> None:
         if waiter in self.waiting:
@@ -453,7 +463,11 @@
         catalog = self.cluster.catalog
         service = catalog.services.get(entry.service) if catalog else None
         if service is not None and isinstance(pool, DirectPool):
-            pool.cap.limit = connection_limit(self.cluster, service, entry)
+            limit = connection_limit(self.cluster, service, entry)
+            pool.cap.limit = limit
+            usable = max(service.max_connections * POOLED_FRACTION, 1)
+            share = min(limit / usable, 1.0)
+            pool.opening_budget.resize(slots=entry.slots, limit=limit, share=share)
 
     def _open(
         self, entry: EndpointEntry, owner: Owner | None
