Give the first waiting statement a connection after some passes

Statements of an organisation waited until their deadlines while another organisation kept all connections of a pool busy, although that one's statements waited a tenth of the time.

A released connection goes to a statement of its own organisation among the first four that wait, without a bound: a busy organisation always has one there. Now the first statement is passed over at most 16 times; then a connection is closed in its favour. Each such exchange costs one new connection.

The new test fails without it.

--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -31,6 +31,9 @@
 # A released connection goes to the first waiter of its organisation among this many at
 # the head of the queue, which saves opening a connection.
 AFFINITY_WINDOW = 4
+# The first statement of the queue is passed over at most this often. Each connection
+# that is closed for another organisation costs a new one.
+MAX_PASSES = 16
 # Time to open a connection before the endpoint counts as unreachable: two
 # round trips between regions, the 12 ms of a new connection, and a queue.
 OPEN_TIMEOUT_S = 0.5
@@ -96,6 +99,8 @@
 
     def __init__(self, *, organisation: OrganisationId) -> None:
         self.organisation = organisation
+        # How often a connection went to a later statement while this one was the first.
+        self.passes = 0
         # A connection of the organisation, or None for a reservation to open one.
         self.ready: asyncio.Future[PooledConnection | None] = (
             asyncio.get_running_loop().create_future()
@@ -217,11 +222,14 @@
             return
         # Those at the head can't open a connection in its place at present.
         window = AFFINITY_WINDOW if self.may_open else len(self.waiting)
+        if self.may_open and self.waiting and self.waiting[0].passes >= MAX_PASSES:
+            window = 1
         for waiter in list(self.waiting)[:window]:
             if (
                 waiter.organisation == connection.organisation
                 and not waiter.ready.done()
             ):
+                self.waiting[0].passes += 1
                 self.waiting.remove(waiter)
                 waiter.ready.set_result(connection)
                 return
--- a/tests/test_connection_cap.py
+++ b/tests/test_connection_cap.py
@@ -18,7 +18,7 @@
     MAX_GROWTH_INTERVAL_S,
     ConnectionCap,
 )
-from ebonyladder.sessions.pool import OPEN_TIMEOUT_S, DirectPool
+from ebonyladder.sessions.pool import MAX_PASSES, OPEN_TIMEOUT_S, DirectPool
 from ebonyladder.types import OrganisationId
 from tests.fleet import run_virtual
 from tests.session_fakes import entry
@@ -346,6 +346,40 @@
         assert (self.pool.used, self.pool.opening) == (5, 0)
 
 
+class TestFairness:
+    """Guards against an organisation that keeps all connections of a pool."""
+
+    def test_quiet_organisation_is_served_beside_a_busy_one(self):
+        # Each released connection once went to another statement of the busy one, and
+        # the others waited for their deadlines.
+        run = Run(0.0, stale=0)
+        run.pool.cap.limit = 3
+
+        async def run_statement(organisation: str) -> float:
+            sent_at_s = run.clock.now_s()
+            connection = await run.pool.acquire(
+                OrganisationId(organisation), {}, sent_at_s + DEADLINE_S
+            )
+            wait_s = run.clock.now_s() - sent_at_s
+            await asyncio.sleep(WORK_S)
+            run.pool.release(connection)
+            return wait_s
+
+        async def run_both() -> float:
+            busy = [asyncio.create_task(run_statement("busy")) for _ in range(30)]
+            await asyncio.sleep(0)
+            quiet = asyncio.create_task(run_statement("quiet"))
+            for _ in range(150):
+                await asyncio.sleep(WORK_S / 3)
+                busy.append(asyncio.create_task(run_statement("busy")))
+            await asyncio.gather(*busy)
+            return await quiet
+
+        # The 27 before it, and those that pass it, three in each time of work.
+        expected_s = (27 + MAX_PASSES + 3) / 3 * WORK_S
+        assert run_virtual(run_both(), run.clock) <= expected_s + 2 * HANDSHAKE_S
+
+
 class TestCap:
     @pytest.fixture(autouse=True)
     def cap(self):
