Give idle connections to statements behind one that waits for a turn

A statement could wait although a connection of its organisation was idle, until the next connection was released or opened. This happened if the head of the queue took a turn that time had given and the next statements had none: only the first four that wait were compared with a released connection, and the queue ended at the first statement that couldn't be served.

Now the statements behind that one get idle connections of their organisations.

--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -24,16 +24,11 @@
     POOLED_FRACTION,
     connection_limit,
 )
+from ebonyladder.sessions.connection_queue import ConnectionWaiter, take_waiter
 from ebonyladder.sessions.health import EndpointHealth
 from ebonyladder.sessions.opening_budget import OpeningBudget
 from ebonyladder.types import EndpointId, OrganisationId
 
-# A released connection goes to the first waiter of its organisation among this many at
-# the head of the queue, which saves opening a connection.
-AFFINITY_WINDOW = 4
-# The first statement of the queue is passed over at most this often. Each connection
-# that is closed for another organisation costs a new one.
-MAX_PASSES = 16
 # Time to open a connection before the endpoint counts as unreachable: two
 # round trips between regions, the 12 ms of a new connection, and a queue.
 OPEN_TIMEOUT_S = 0.5
@@ -94,19 +89,6 @@
         """Close idle connections now and the others when they are released."""
 
 
-class ConnectionWaiter:
-    """Statement that waits for a connection, or for capacity to open one."""
-
-    def __init__(self, *, organisation: OrganisationId) -> None:
-        self.organisation = organisation
-        # How often a connection went to a later statement while this one was the first.
-        self.passes = 0
-        # A connection of the organisation, or None for a reservation to open one.
-        self.ready: asyncio.Future[PooledConnection | None] = (
-            asyncio.get_running_loop().create_future()
-        )
-
-
 class DirectPool(EndpointConnectionPool):
     """Connections of this VM to one endpoint.
 
@@ -220,19 +202,10 @@
             connection.close()
             self._release_reservation()
             return
-        # Those at the head can't open a connection in its place at present.
-        window = AFFINITY_WINDOW if self.may_open else len(self.waiting)
-        if self.may_open and self.waiting and self.waiting[0].passes >= MAX_PASSES:
-            window = 1
-        for waiter in list(self.waiting)[:window]:
-            if (
-                waiter.organisation == connection.organisation
-                and not waiter.ready.done()
-            ):
-                self.waiting[0].passes += 1
-                self.waiting.remove(waiter)
-                waiter.ready.set_result(connection)
-                return
+        waiter = take_waiter(self.waiting, connection.organisation)
+        if waiter is not None:
+            waiter.ready.set_result(connection)
+            return
         self.idle.append((connection, self.clock.now_s()))
         self._serve_waiting()
 
@@ -308,11 +281,22 @@
             if not waiter.ready.done():
                 connection = self._acquire_idle(waiter.organisation, {})
                 if connection is None and not self._reserve():
+                    self._serve_from_idle()
                     self._ensure_growth()
                     return
                 waiter.ready.set_result(connection)
             self.waiting.popleft()
 
+    def _serve_from_idle(self) -> None:
+        """Give idle connections to statements behind one that has to wait."""
+        organisations = {connection.organisation for connection, _ in self.idle}
+        for waiter in list(self.waiting) if organisations else ():
+            if waiter.organisation in organisations and not waiter.ready.done():
+                connection = self._acquire_idle(waiter.organisation, {})
+                if connection is not None:
+                    self.waiting.remove(waiter)
+                    waiter.ready.set_result(connection)
+
     def _fail_waiting(self) -> None:
         """Fail the statements that wait for a connection to an unreachable endpoint.
 
--- a/tests/test_connection_cap.py
+++ b/tests/test_connection_cap.py
@@ -18,7 +18,8 @@
     MAX_GROWTH_INTERVAL_S,
     ConnectionCap,
 )
-from ebonyladder.sessions.pool import MAX_PASSES, OPEN_TIMEOUT_S, DirectPool
+from ebonyladder.sessions.connection_queue import MAX_PASSES
+from ebonyladder.sessions.pool import OPEN_TIMEOUT_S, DirectPool
 from ebonyladder.types import OrganisationId
 from tests.fleet import run_virtual
 from tests.session_fakes import entry
