Let statements share a failed attempt to connect to an owner

Statements for an endpoint whose owner is dark were refused one after the other, 0.6 s each, although the first attempt had shown that the owner can't be reached. BEGINs, whose wait for a connection has no timeout of its own, outlived their deadlines.

A lock keeps the attempts apart, and each statement that waited for it began an attempt of its own. Now those that waited for an attempt fail with it; a later one tries again.

20 statements before a silent owner ended after 12.0 s in virtual time, with deadlines of 1.2 s; now after 0.6 s, with one attempt. The new test fails without the change.

--- a/src/ebonyladder/sessions/forwarding_pool.py
+++ b/src/ebonyladder/sessions/forwarding_pool.py
@@ -54,6 +54,9 @@
         self.owner = owner
         self.connection: ClientConnection | None = None
         self.open_lock = asyncio.Lock()
+        # Number of attempts to connect that have failed, and the cause of the last one.
+        self.failure_count = 0
+        self.failure_cause: Exception | None = None
         self.receiver: asyncio.Task[None] | None = None
         # Requests that wait for a reply, by their ids.
         self.pending: dict[int, asyncio.Future[ForwardReply]] = {}
@@ -61,16 +64,19 @@
         self.ids = itertools.count(1)
 
     async def open(self) -> None:
-        """Connect, unless the channel is open.
+        """Connect, unless the channel is open; those that wait share an attempt.
 
         Raises
         ------
         EndpointError
             CONNECT_FAILED, not run.
         """
+        failure_count = self.failure_count
         async with self.open_lock:
             if self.connection is not None:
                 return
+            if self.failure_cause is not None and self.failure_count > failure_count:
+                raise self._error(self.failure_cause, Outcome.NOT_RUN)
             try:
                 self.connection = await connect(
                     f"ws://{self.owner.address}{FORWARD_PATH}",
@@ -83,6 +89,8 @@
                     proxy=None,
                 )
             except (WebSocketException, OSError, TimeoutError) as error:
+                self.failure_count += 1
+                self.failure_cause = error
                 raise self._error(error, Outcome.NOT_RUN) from error
             self.receiver = asyncio.create_task(self._receive(self.connection))
 
