Tell waiting statements that their pool is closed or may hold more connections

Statements that waited for a connection to an endpoint which had left, had started again or had got another owner waited for their deadlines, although the pool was closed. After VMs had left, statements waited for a released connection although their VM might hold more.

A closed pool has no timer, and closing it told nobody; a new limit was only read with the next event of the pool. Now those that wait fail at once, as not run, so that each chooses again, and a raised limit gives turns at once.

--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -181,6 +181,8 @@
         self, organisation: OrganisationId, deadline_s: float, *, is_first: bool
     ) -> PooledConnection | None:
         """Return a released connection, or None with a reservation to open one."""
+        if self.is_closed:
+            raise self._failed("the pool is closed")
         waiter = ConnectionWaiter(organisation=organisation)
         if is_first:
             self.waiting.appendleft(waiter)
@@ -222,6 +224,12 @@
             return False
         return True
 
+    def set_limit(self, limit: int, *, share: float) -> None:
+        """Set how many connections, and which share of all, this VM may hold."""
+        self.cap.limit = limit
+        self.opening_budget.resize(slots=self.entry.slots, limit=limit, share=share)
+        self._serve_waiting()
+
     def trim(self) -> None:
         """Close connections that exceed the idle timeout or the limit."""
         idle_since_s = self.clock.now_s() - IDLE_TIMEOUT_S
@@ -235,6 +243,8 @@
         self.is_closed = True
         while self.idle:
             self._close_oldest()
+        # Each may choose another endpoint, or the pool that replaces this one.
+        self._fail_waiting("the pool was closed")
 
     def _acquire_idle(
         self, organisation: OrganisationId, values: dict[str, str]
@@ -297,16 +307,12 @@
                     self.waiting.remove(waiter)
                     waiter.ready.set_result(connection)
 
-    def _fail_waiting(self) -> None:
-        """Fail the statements that wait for a connection to an unreachable endpoint.
-
-        Otherwise each would wait for a timeout of its own, a few at a time.
-        """
+    def _fail_waiting(self, message: str) -> None:
+        """Fail the statements that wait for a connection, as not run."""
         while self.waiting:
             waiter = self.waiting.popleft()
             if not waiter.ready.done():
-                error = self._failed("the endpoint can't be reached")
-                waiter.ready.set_exception(error)
+                waiter.ready.set_exception(self._failed(message))
 
     def _grow(self) -> None:
         """Try more connections once time has allowed them."""
@@ -380,7 +386,8 @@
             if isinstance(error, EndpointGoneError) or (
                 isinstance(error, TimeoutError) and is_silent
             ):
-                self._fail_waiting()
+                # Otherwise each would wait for its own timeout, a few at a time.
+                self._fail_waiting("the endpoint can't be reached")
 
     def _failed(self, message: str) -> EndpointError:
         return EndpointError(
@@ -456,10 +463,8 @@
         service = catalog.services.get(entry.service) if catalog else None
         if service is not None and isinstance(pool, DirectPool):
             limit = connection_limit(self.cluster, service, entry)
-            pool.cap.limit = limit
             usable = max(service.max_connections * POOLED_FRACTION, 1)
-            share = min(limit / usable, 1.0)
-            pool.opening_budget.resize(slots=entry.slots, limit=limit, share=share)
+            pool.set_limit(limit, share=min(limit / usable, 1.0))
 
     def _open(
         self, entry: EndpointEntry, owner: Owner | None
