Read the store's era from each of its answers, and count its changes

The adapter decodes the header in one place, before it looks at the status, so refused calls, 410 and watches count too. The stand-in store sends the header in all answers if a test sets it.

The check of the adapter's boundary has the header's name as well.

--- a/src/ebonyladder/platform/_store_answers.py
+++ b/src/ebonyladder/platform/_store_answers.py
@@ -1,5 +1,6 @@
 """Decoding of the store's answers; an unreadable entry leaves the others readable."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -12,17 +13,24 @@
     Changes,
     ListResult,
     Revision,
+    StoreEra,
     StoreObject,
 )
 
 # Errors of a decoder at content that it can't represent.
 DECODE_ERRORS = (msgspec.DecodeError, RecursionError, UnicodeDecodeError)
+# Whole number of at most 18 digits, which fits into 64 bits.
+ERA_PATTERN = re.compile("[0-9]{1,18}")
 
 
 class StoreAnswerError(Exception):
     """Answer that doesn't have the form of the called operation."""
 
 
+class InvalidEraError(Exception):
+    """Era that is no whole number."""
+
+
 class Page(msgspec.Struct, frozen=True, kw_only=True):
     """Some of the objects of a kind.
 
@@ -62,6 +70,21 @@
     as_of: int
 
 
+def decode_era(text: str | None) -> StoreEra | None:
+    """Decode the header that names the store's era; None if it is missing.
+
+    Raises
+    ------
+    InvalidEraError
+        If the text isn't a whole number.
+    """
+    if text is None:
+        return None
+    if ERA_PATTERN.fullmatch(text) is None:
+        raise InvalidEraError(text)
+    return StoreEra(int(text))
+
+
 def decode_page(body: bytes) -> Page:
     """Decode one page of a list.
 
--- a/src/ebonyladder/platform/object_store.py
+++ b/src/ebonyladder/platform/object_store.py
@@ -12,8 +12,10 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.metrics import Metrics
 from ebonyladder.platform._store_answers import (
+    InvalidEraError,
     StoreAnswerError,
     decode_changes,
+    decode_era,
     decode_object,
     decode_page,
 )
@@ -24,13 +26,17 @@
     ListResult,
     ObjectStore,
     Revision,
+    StoreEra,
     StoreObject,
 )
 from ebonyladder.sessions.registry import register
+from ebonyladder.sessions.store_era import StoreEraTracker
 
 T = TypeVar("T")
 
 STORE_PEER = "store"
+# Rises by one when the store comes back from an older copy.
+ERA_HEADER = "Store-Era"
 # The store's slow answers take 0.25 s.
 CALL_TIMEOUT_S = 1.5
 
@@ -48,7 +54,7 @@
 
     name: ClassVar[str] = "object-store"
     provides: ClassVar[tuple[type, ...]] = (ObjectStore,)
-    requires: ClassVar[tuple[type, ...]] = (Metrics,)
+    requires: ClassVar[tuple[type, ...]] = (Metrics, StoreEraTracker)
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
@@ -62,6 +68,7 @@
     async def start(self) -> None:
         """Open the HTTP session; connections are opened on demand."""
         self.metrics = self.kernel.get(Metrics)
+        self.eras = self.kernel.get(StoreEraTracker)
         connector = TCPConnector(limit=0, socket_factory=_make_socket)
         self.session = ClientSession(connector=connector)
 
@@ -146,6 +153,7 @@
                 Outcome.NOT_RUN,
             )
         self.metrics.count("store_calls", step=step.value)
+        known_when_sent = self.eras.known
         try:
             async with self.session.request(
                 method,
@@ -153,6 +161,8 @@
                 timeout=ClientTimeout(total=timeout_s),
                 **options,
             ) as response:
+                # Before the body, which may be cut off, and whatever the status.
+                self._record_era(response.headers.get(ERA_HEADER), known_when_sent)
                 body = await response.read()
         except (ClientError, TimeoutError, OSError) as error:
             # A write without an answer may have taken effect, or may still do so.
@@ -178,6 +188,14 @@
             )
         return response.status, body
 
+    def _record_era(self, text: str | None, known_when_sent: StoreEra | None) -> None:
+        try:
+            era = decode_era(text)
+        except InvalidEraError:
+            self.eras.record_invalid(text)
+            return
+        self.eras.record(era, known_when_sent=known_when_sent)
+
     def _parse(self, step: Step, body: bytes, decode: Callable[[bytes], T]) -> T:
         try:
             return decode(body)
--- a/src/ebonyladder/sessions/objects.py
+++ b/src/ebonyladder/sessions/objects.py
@@ -8,6 +8,7 @@
 
 Kind = NewType("Kind", str)
 Revision = NewType("Revision", int)
+StoreEra = NewType("StoreEra", int)
 
 # Kinds of the daemon's own objects.
 GROUPS = Kind("ebonyladder-groups")
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -39,7 +39,12 @@
 class ObjectStoreServer:
     """Objects by kind and name, with revisions, conditional writes and watches.
 
-    A test sets ``outage`` and ``lost_answers`` while the store serves.
+    A test sets ``outage``, ``lost_answers`` and ``era`` while the store serves.
+
+    Attributes
+    ----------
+    era : str or None
+        Value of the header in all answers, refused ones too; None for no header.
     """
 
     def __init__(self) -> None:
@@ -51,12 +56,14 @@
         self.oldest_revision = 1
         self.outage = Outage.NONE
         self.lost_answers = 0
+        self.era: str | None = None
         self.calls: Counter[str] = Counter()
         self.changed = asyncio.Event()
 
     def application(self) -> web.Application:
         """Return the web application."""
         app = web.Application(middlewares=[self.apply_faults], client_max_size=2 << 20)
+        app.on_response_prepare.append(self.add_era)
         app.router.add_get("/objects/{kind}", self.list)
         app.router.add_post("/objects/{kind}", self.create)
         app.router.add_get("/objects/{kind}/{name}", self.get)
@@ -82,6 +89,11 @@
             request.transport.close()
         return response
 
+    async def add_era(self, _: web.Request, response: web.StreamResponse) -> None:
+        """Name the era in an answer."""
+        if self.era is not None:
+            response.headers["Store-Era"] = self.era
+
     def put(self, kind: str, name: str, spec: Any) -> int:
         """Write an object unconditionally, as an operator does."""
         current = self.objects.setdefault(kind, {}).get(name)
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -9,7 +9,7 @@
 SOURCE = Path(__file__).parent.parent / "src" / "ebonyladder"
 ADAPTER = SOURCE / "platform"
 PLATFORM_NAMES = re.compile(
-    r"STARTUP|STEPDOWN|X-Ebonyladder-|MISROUTED|TOOMANY|INDOUBT|LAGGING|NODB|UNAUTH"
+    r"STARTUP|STEPDOWN|X-Ebonyladder-|Store-Era|MISROUTED|TOOMANY|INDOUBT|LAGGING|NODB|UNAUTH"
     r"|NOSTMT|cold_remaining_ms|EBONYLADDER_SETTINGS|bounded_staleness"
     r"|read_your_writes|max_staleness_ms|tx_idle_ms|db_role|as_of=|has_more"
     r"|api_keys|node_name|bind_addresses|internal_ports|/readiness|/promote\b"
