Take a busy endpoint for a reachable one when it is probed

A VM used no primary that it suspected for as long as each probe met an endpoint without a free slot, though that endpoint served others. More than half of the VMs that report a primary as unresponsive have it replaced (FailureDetector), so a primary under load could be replaced for its load.

The probe took each refusal for a failure, also that of a STATUS for want of a slot and that of a connection too many.

Two of the four new tests, plain calls with a busy and with a full endpoint, fail without the change.

--- a/src/ebonyladder/sessions/pool.py
+++ b/src/ebonyladder/sessions/pool.py
@@ -212,7 +212,10 @@
         self._serve_waiting()
 
     async def probe(self) -> bool:
-        """Request the endpoint's status on a separate connection."""
+        """Request the endpoint's status on a separate connection.
+
+        An endpoint that refuses for want of a slot or of connections is reachable.
+        """
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_S):
                 connection = await self.connector.open(self.entry, OPEN_ORGANISATION)
@@ -220,8 +223,10 @@
                     await connection.status()
                 finally:
                     connection.close()
-        except (EndpointError, TimeoutError):
+        except TimeoutError:
             return False
+        except EndpointError as error:
+            return error.code is ErrorCode.OVERLOADED
         return True
 
     def set_limit(self, limit: int, *, share: float) -> None:
--- a/tests/test_pool_changes.py
+++ b/tests/test_pool_changes.py
@@ -1,4 +1,4 @@
-"""Pools whose endpoint changes while statements wait for a connection."""
+"""Pools whose endpoint changes, or is probed."""
 
 import asyncio
 
@@ -9,10 +9,10 @@
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.connection import EndpointConnector
 from ebonyladder.sessions.connection_limit import connection_limit
-from ebonyladder.sessions.pool import PoolSet
+from ebonyladder.sessions.pool import DirectPool, PoolSet
 from ebonyladder.types import EndpointId, OrganisationId, ZoneId
 from tests.fleet import run_virtual
-from tests.session_fakes import FakeConnection, FakeEndpoint, Role, cluster
+from tests.session_fakes import FakeConnection, FakeEndpoint, Role, cluster, entry
 
 ENDPOINT = EndpointId("primary")
 DEADLINE_S = 4.0
@@ -94,3 +94,39 @@
             return self.clock.now_s() - raised_at_s
 
         assert run_virtual(wait_and_raise(), self.clock) < 0.1
+
+
+class TestProbe:
+    """Guards against busy endpoints that count as unreachable.
+
+    A busy primary was used by no VM that had lost one connection to it, and replaced
+    if most VMs had.
+    """
+
+    @pytest.fixture(autouse=True)
+    def pool(self):
+        self.clock = ManualClock()
+        self.connector = Connector()
+        self.pool = DirectPool(
+            entry=entry("primary"),
+            connector=self.connector,
+            clock=self.clock,
+            limit=3,
+        )
+
+    def probe(self) -> bool:
+        """Return whether the endpoint seems to be reachable."""
+        return run_virtual(self.pool.probe(), self.clock)
+
+    def test_endpoint_without_a_free_slot_is_reachable(self):
+        self.connector.peer.busy_calls = 1
+        assert self.probe()
+
+    def test_endpoint_with_too_many_connections_is_reachable(self):
+        self.connector.is_full = True
+        assert self.probe()
+
+    @pytest.mark.parametrize("fault", ["drops_connections", "is_unresponsive"])
+    def test_endpoint_that_fails_is_not(self, fault):
+        setattr(self.connector.peer, fault, True)
+        assert not self.probe()
