--- a/tests/test_pool_states.py
+++ b/tests/test_pool_states.py
@@ -4,6 +4,7 @@
 import random
 import selectors
 from collections.abc import Callable
+from enum import Enum
 
 import msgspec
 import pytest
@@ -25,6 +26,14 @@
 ROUNDING_S = 0.001
 
 
+class Phase(Enum):
+    """How the endpoint answers attempts to connect."""
+
+    USUAL = "usual"
+    DARK = "dark"
+    FAILING = "failing"
+
+
 class QuiescentSelector(selectors.DefaultSelector):
     """Calls ``check`` whenever no task can run, then advances the clock."""
 
@@ -93,11 +102,11 @@
         world.opening += 1
         try:
             await asyncio.sleep(world.random.uniform(0.2, 1.8) * world.handshake_s)
-            if world.phase == "dark":
+            if world.phase is Phase.DARK:
                 await asyncio.sleep(3600)
         finally:
             world.opening -= 1
-        if world.phase == "failing" or world.random.random() < world.loss:
+        if world.phase is Phase.FAILING or world.random.random() < world.loss:
             raise EndpointError(
                 code=ErrorCode.CONNECT_FAILED, step=Step.CONNECT, peer=entry.id
             )
@@ -126,7 +135,7 @@
         self.limit = draw.choice((1, 2, 5, 20))
         self.accepts = self.usual = draw.choice((0, self.limit // 2, self.limit, 100))
         self.slots = draw.choice(SLOTS)
-        self.phase = "usual"
+        self.phase = Phase.USUAL
         self.accepted = 0
         self.opening = 0
         self.connections: list[RandomConnection] = []
@@ -187,7 +196,7 @@
         """Change how the endpoint answers, and end connections."""
         while True:
             await asyncio.sleep(self.random.uniform(0.01, 0.5))
-            self.phase = self.random.choice(("usual", "usual", "dark", "failing"))
+            self.phase = self.random.choice((Phase.USUAL, *Phase))
             self.accepts = self.random.choice((0, self.usual, self.usual))
             for connection in self.connections:
                 if self.random.random() < 0.1:
