--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Entries of other writers that no decoder accepts, in lists that daemons follow."""
 
 import asyncio
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -33,7 +34,7 @@
 from standins.platform import ZONES, configuration
 from tests.odd_contents import DEEP, ENDPOINT, ODD_CONTENTS
 from tests.platform_fleet import running_fleet, until
-from tests.session_fakes import SERVICE, cluster, entry
+from tests.session_fakes import SERVICE, CountingMetrics, cluster, entry
 
 settings.register_profile("repeatable", derandomize=True, deadline=None)
 settings.load_profile("repeatable")
@@ -190,7 +191,8 @@
         # ``OverflowError`` and ``ValueError`` once passed through the pool.
         async def open_connection():
             odd = msgspec.structs.replace(entry("odd"), address=Address(address))
-            connector = WireEndpointConnector(kernel=None)
+            kernel = SimpleNamespace(get=lambda _: CountingMetrics())
+            connector = WireEndpointConnector(kernel=kernel)
             await connector.open(odd, OrganisationId("council"))
 
         with pytest.raises(EndpointError) as raised:
