Bound the announcements of a drain, and survive a plug-in's failure

What callers saw: nothing was seen; read from the source. The drain of the front end began only after all announcements, and its schedule with it. The leader waits up to 1.2 s for a promotion call and then writes to the store, whose calls take up to 1.5 s, so the process could be killed before the drain was over. An exception of one plug-in ended the process at once.

Announcements now run beside each other, and the plug-ins drain after 1.5 s at the latest; a failure is logged and counted, and the stop goes on.

TestDrain of tests/test_kernel.py fails on: the first test waits for ever, the second ends with the exception of the first plug-in.

--- a/src/ebonyladder/kernel/kernel.py
+++ b/src/ebonyladder/kernel/kernel.py
@@ -19,6 +19,9 @@
 MIN_RESTART_BACKOFF_S = 0.1
 MAX_RESTART_BACKOFF_S = 5.0
 BACKOFF_RESET_S = 30.0
+# Time for announcements of a drain before the plug-ins drain, in seconds; a slow store
+# or peer must not use up the grace period.
+ANNOUNCE_TIMEOUT_S = 1.5
 
 
 class DaemonSettings(Protocol):
@@ -150,16 +153,28 @@
     async def drain(self) -> None:
         """Drain every plug-in, dependants first."""
         self.draining = True
+        announcements = [
+            self.spawn(plugin.announce_drain(), name=f"announce-{plugin.name}")
+            for plugin in reversed(self.plugins)
+        ]
+        if announcements:
+            # Those that take longer go on beside the drain.
+            await asyncio.wait(announcements, timeout=ANNOUNCE_TIMEOUT_S)
         for plugin in reversed(self.plugins):
-            await plugin.announce_drain()
-        for plugin in reversed(self.plugins):
-            await plugin.drain()
+            await self._run_step(plugin.drain(), f"drain-{plugin.name}")
         logging.info("[kernel] Drain finished. vm=%s", self.settings.vm)
 
+    async def _run_step(self, step: Coroutine[Any, Any, None], name: str) -> None:
+        """Run a step of the stop; its failure must not end the stop of the others."""
+        try:
+            await step
+        except Exception as error:
+            self._record_failure(name, error)
+
     async def stop(self) -> None:
         """Stop all plug-ins and cancel the remaining tasks."""
         for plugin in reversed(self.plugins):
-            await plugin.stop()
+            await self._run_step(plugin.stop(), f"stop-{plugin.name}")
         tasks = list(self.tasks)
         for task in tasks:
             task.cancel()
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ebonyladder.kernel import kernel as kernel_module
 from ebonyladder.kernel.error import ErrorCode, Outcome, error_code
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
@@ -122,6 +123,56 @@
         ]
 
 
+class TestDrain:
+    """Guards against a plug-in that keeps the others from draining in time."""
+
+    def test_slow_announcement_does_not_use_up_the_grace_period(self, monkeypatch):
+        monkeypatch.setattr(kernel_module, "ANNOUNCE_TIMEOUT_S", 0.01)
+        assert self.drain(announce=asyncio.Event().wait) == ["drain", "stop"]
+
+    def test_failure_of_one_plugin_does_not_skip_the_others(self):
+        async def fail() -> None:
+            raise RuntimeError("unexpected")
+
+        assert self.drain(announce=fail, drain=fail) == ["drain", "stop"]
+
+    @staticmethod
+    def drain(**steps) -> list[str]:
+        """Drain and stop two plug-ins, of which the first one's steps are given."""
+        calls: list[str] = []
+        registry = Registry()
+
+        @registry.register
+        class Broken(Plugin):
+            name = "b-broken"
+
+            async def announce_drain(self):
+                await steps["announce"]()
+
+            async def drain(self):
+                if "drain" in steps:
+                    await steps["drain"]()
+
+        @registry.register
+        class Other(Plugin):
+            name = "a-other"
+
+            async def drain(self):
+                calls.append("drain")
+
+            async def stop(self):
+                calls.append("stop")
+
+        async def main() -> None:
+            kernel = Kernel(settings=SETTINGS, registry=registry)
+            async with asyncio.timeout(10):
+                await kernel.drain()
+                await kernel.stop()
+
+        asyncio.run(main())
+        return calls
+
+
 class TestErrorCode:
     """Guards against two errors with the same code, and codes of newer versions."""
 
