Close a caller's connection only between two commands

What callers saw: sessions that a stopping VM had just greeted were closed within 50 ms, at times before their first request.

Cause: the drain, the isolation check and each new configuration closed connections from outside of the task that serves them, by two flags that tell whether it is idle.

Now the task that serves a connection is the only one that closes it, and it decides so with no byte of a command unread; everyone else only wakes it up. A session that a drain accepts is kept until its first operation, and one that was changed by SET or PREPARE until the command that follows. Transactions that are begun during a drain run until new work is refused; a rollback of one no longer holds up the drain of the others. A connection counts as open until its last byte is sent.

--- a/src/ebonyladder/platform/lines.py
+++ b/src/ebonyladder/platform/lines.py
@@ -25,11 +25,30 @@
         self.has_ended = False
         super().__init__(limit=MAX_LINE_BYTES, loop=asyncio.get_running_loop())
 
+    @property
+    def has_data(self) -> bool:
+        """Whether a byte was received that nobody has read yet."""
+        return bool(self._buffer)
+
     @property
     def has_line(self) -> bool:
         """Whether a whole line was received that nobody has read yet."""
         return LINE_END in self._buffer
 
+    @property
+    def may_read(self) -> bool:
+        """Whether ``read_line`` returns or fails without waiting."""
+        is_overlong = len(self._buffer) > MAX_LINE_BYTES + len(LINE_END)
+        return self.has_line or self.has_ended or is_overlong
+
+    async def wait(self) -> None:
+        """Wait for more bytes, for the end of the stream, or for ``interrupt``."""
+        await self._wait_for_data("wait")
+
+    def interrupt(self) -> None:
+        """End a wait that is in progress."""
+        self._wakeup_waiter()
+
     def feed_eof(self) -> None:
         """Record the end of the stream."""
         self.has_ended = True
--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import time
+from enum import Enum
 from typing import ClassVar
 
 import msgspec
 from absl import logging
 
+from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.metrics import Metrics
@@ -23,12 +25,14 @@
     encode_error,
     encode_name,
 )
+from ebonyladder.sessions.accepted_requests import AcceptedRequests
 from ebonyladder.sessions.catalog import CallerKey, DatabaseName
 from ebonyladder.sessions.cluster_view import ClusterView
 from ebonyladder.sessions.command import (
     Answer,
     AnswerCode,
     Command,
+    CommandKind,
     TransactionState,
     refusal,
 )
@@ -41,65 +45,86 @@
 
 # Timeout for a caller's first line; callers give up two seconds after it.
 STARTUP_TIMEOUT_S = 10.0
+# After a greeting or a change of its session, a caller is about to send a command;
+# in seconds.
+NEXT_COMMAND_TIMEOUT_S = 0.5
+SESSION_CHANGES = (CommandKind.SET, CommandKind.PREPARE, CommandKind.DEALLOCATE)
 # Interval between checks for isolation of this VM, in seconds.
 ISOLATION_CHECK_INTERVAL_S = 0.25
+# Interval at which the connections are checked during a drain, in seconds.
+DRAIN_CHECK_INTERVAL_S = 0.05
 # Maximum number of connections that wait to be accepted.
 LISTEN_BACKLOG = 512
 
 
+class IdleStep(Enum):
+    """What happens to a connection on which no byte of a command has arrived."""
+
+    WAIT = "wait"
+    ABORT_TRANSACTION = "abort-transaction"
+    CLOSE = "close"
+
+
 class SessionConnection:
     """Connection of one caller, served by one task.
 
+    Only this task closes the connection, and only between two commands: a command of
+    which a byte has been read is answered first.
+
     Parameters
     ----------
     session_factory : SessionFactory
         Opens the session.
+    accepted : AcceptedRequests
+        Holds the schedule of a drain.
     cluster : ClusterView
         Cluster view with the active configuration.
     metrics : Metrics
         Counters and histograms of this daemon.
+    clock : Clock
+        Clock of the drain.
     reader, writer : LineReader, asyncio.StreamWriter
         Streams of the connection.
+
+    Attributes
+    ----------
+    is_closing : bool
+        Whether the connection is closed after the present operation.
+    command_expected_until_s : float
+        Time until which a drain doesn't close the session, since the caller has opened
+        or changed it for a command that follows.
     """
 
     def __init__(
         self,
         *,
         session_factory: SessionFactory,
+        accepted: AcceptedRequests,
         cluster: ClusterView,
         metrics: Metrics,
+        clock: Clock,
         reader: LineReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         self.session_factory = session_factory
+        self.accepted = accepted
         self.cluster = cluster
         self.metrics = metrics
+        self.clock = clock
         self.reader = reader
         self.writer = writer
         self.session: Session | None = None
         self.is_busy = False
         self.is_closing = False
+        self.command_expected_until_s = float("-inf")
 
     async def serve(self) -> None:
         """Serve the caller until either side closes the connection."""
         try:
             async with asyncio.timeout(STARTUP_TIMEOUT_S):
-                line = await self.reader.read_line()
-            if line is None:
-                return
-            message = decode_message(line)
-            if not isinstance(message, Startup):
-                raise WireError("the first message isn't STARTUP")
-            opened = self.session_factory.open(
-                DatabaseName(message.database), CallerKey(message.caller)
-            )
-            if isinstance(opened, Answer):
-                self.metrics.count("refused_sessions", code=opened.code.value)
-                await self._send(encode_error(self._spell_names(opened)) + LINE_END)
-                return
-            self.session = opened
-            await self._send(b"READY I -" + LINE_END)
-            await self._serve_commands(opened)
+                line = await self._next_line()
+            if line is not None:
+                await self._serve_session(line)
         except (LineError, WireError, ValueError) as error:
             logging.info(
                 "[front] Invalid message, closing the connection. error=%s", error
@@ -110,42 +135,131 @@
             if self.session is not None:
                 await self.session.close()
             self.writer.close()
+            # The connection is open until the last byte is sent.
+            with contextlib.suppress(OSError):
+                await self.writer.wait_closed()
 
-    async def _serve_commands(self, session: Session) -> None:
-        while (
-            not self.is_closing
-            or self.reader.has_line
-            or session.state is not TransactionState.IDLE
-        ):
-            line = await self._next_line(session)
-            if line is None:
-                return
+    async def _serve_session(self, line: bytes) -> None:
+        message = decode_message(line)
+        if not isinstance(message, Startup):
+            raise WireError("the first message isn't STARTUP")
+        opened = self.session_factory.open(
+            DatabaseName(message.database), CallerKey(message.caller)
+        )
+        if isinstance(opened, Answer):
+            self.metrics.count("refused_sessions", code=opened.code.value)
+            await self._send(encode_error(self._spell_names(opened)) + LINE_END)
+            return
+        self.session = opened
+        await self._send(b"READY I -" + LINE_END)
+        self._expect_command()
+        while (line := await self._next_line()) is not None:
             self.is_busy = True
             try:
                 message = decode_message(line)
                 if isinstance(message, Terminate):
                     return
-                answer = await self._handle(session, message)
+                answer = await self._handle(opened, message)
                 await self._send(encode_answer(answer))
             finally:
                 self.is_busy = False
-            if session.must_close:
+            if opened.must_close:
                 return
+            if isinstance(message, Command) and message.kind in SESSION_CHANGES:
+                self._expect_command()
+            else:
+                self.command_expected_until_s = float("-inf")
 
-    async def _next_line(self, session: Session) -> bytes | None:
-        """Return the next line; abort a transaction that is idle for too long."""
-        if session.state is not TransactionState.OPEN:
-            return await self.reader.read_line()
+    async def _next_line(self) -> bytes | None:
+        """Return the next line, None once the connection ends between two commands."""
+        while not self.reader.may_read:
+            if self.reader.has_data:
+                if self._must_end:
+                    # A stop of the VM can't wait for the rest of the line.
+                    state = self.session.state if self.session else None
+                    await self._refuse_partial_line(state)
+                    return None
+            else:
+                step = self._idle_step()
+                if step is IdleStep.CLOSE:
+                    self._log_close()
+                    return None
+                if step is IdleStep.ABORT_TRANSACTION:
+                    await self.session.abort_transaction("the VM is stopping")
+                    continue
+            try:
+                async with asyncio.timeout(self._idle_timeout_s()):
+                    await self.reader.wait()
+            except TimeoutError:
+                await self.session.abort_transaction(
+                    "the transaction was idle too long"
+                )
+        return await self.reader.read_line()
+
+    def _log_close(self) -> None:
+        if not self._has_lost_access():
+            return
+        logging.info(
+            "[front] Closing a session that lost access. session=%s config=%d",
+            self.session.id,
+            self.cluster.version,
+        )
+
+    async def _refuse_partial_line(self, state: TransactionState | None) -> None:
+        answer = refusal(AnswerCode.OVERLOADED, "the VM is stopping")
+        if state is None:
+            await self._send(encode_error(answer) + LINE_END)
+        else:
+            await self._send(encode_answer(answer.with_state(state)))
+
+    def _idle_timeout_s(self) -> float | None:
+        """Return the time after which an idle transaction is aborted."""
+        if self.session is None or self.session.state is not TransactionState.OPEN:
+            return None
         catalog = self.cluster.catalog
-        idle_s = catalog.transaction_idle_s if catalog else STARTUP_TIMEOUT_S
-        read_task = asyncio.ensure_future(self.reader.read_line())
-        try:
-            done, _ = await asyncio.wait({read_task}, timeout=idle_s)
-            if not done:
-                await session.abort_transaction("the transaction was idle too long")
-            return await read_task
-        finally:
-            read_task.cancel()
+        return catalog.transaction_idle_s if catalog else STARTUP_TIMEOUT_S
+
+    def _idle_step(self) -> IdleStep:
+        """Return what happens now, as no byte of a command has arrived."""
+        drain, now_s = self.accepted.drain, self.clock.now_s()
+        if self._must_end or self._has_lost_access():
+            return IdleStep.CLOSE
+        transaction = self.session.transaction if self.session else None
+        if transaction is not None:
+            is_aborted = (
+                drain is not None
+                and transaction.failure is None
+                and drain.aborts_transaction(transaction.begun_at_s, now_s)
+            )
+            return IdleStep.ABORT_TRANSACTION if is_aborted else IdleStep.WAIT
+        is_closed_by_drain = (
+            drain is not None
+            and self.session is not None
+            and drain.closes_idle_sessions(now_s)
+            and now_s >= self.command_expected_until_s
+        )
+        must_close = self.is_closing or is_closed_by_drain
+        return IdleStep.CLOSE if must_close else IdleStep.WAIT
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that the caller hasn't taken yet."""
+        return self.writer.transport.get_write_buffer_size()
+
+    @property
+    def request_id(self) -> str:
+        """Id of the command that is running."""
+        request = self.session.request if self.session else None
+        return request.command.id if request else "-"
+
+    @property
+    def _must_end(self) -> bool:
+        """Whether the VM stops before another command could be answered."""
+        drain = self.accepted.drain
+        return drain is not None and drain.ends_requests(self.clock.now_s())
+
+    def _expect_command(self) -> None:
+        self.command_expected_until_s = self.clock.now_s() + NEXT_COMMAND_TIMEOUT_S
 
     async def _handle(
         self, session: Session, message: Startup | Command | Malformed
@@ -174,45 +288,28 @@
         self.writer.write(data)
         await self.writer.drain()
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no command is running or has arrived."""
-        return not (self.is_busy or self.reader.has_line)
-
-    @property
-    def is_between_commands(self) -> bool:
-        """Whether the session is open and no command is running on it."""
-        return self.session is not None and self.is_idle
+    def check(self) -> None:
+        """Let the connection's task look at what has changed, if it has to act."""
+        is_due = self._must_end or (
+            not self.reader.has_data and self._idle_step() is not IdleStep.WAIT
+        )
+        if is_due:
+            self.reader.interrupt()
 
     def close_when_idle(self) -> None:
-        """Close the connection once no command or transaction is in progress on it.
-
-        A command that has arrived is answered first.
-        """
+        """Close the connection once no command or transaction is in progress on it."""
         self.is_closing = True
-        if self.is_idle and (
-            self.session is None or self.session.state is TransactionState.IDLE
-        ):
-            self.writer.close()
+        self.reader.interrupt()
 
-    def check_access(self) -> None:
-        """Close the connection if its key was withdrawn or its route removed."""
-        if self.session is None or not self.is_idle:
-            # The next command is refused and closes the connection.
-            return
+    def _has_lost_access(self) -> bool:
+        """Tell whether the session's key was withdrawn or its route removed."""
+        if self.session is None:
+            return False
         access = authorize(self.cluster, self.session.database, self.session.key)
-        if isinstance(access, Answer) and access.code in (
+        return isinstance(access, Answer) and access.code in (
             AnswerCode.KEY_REFUSED,
             AnswerCode.NO_DATABASE,
-        ):
-            logging.info(
-                "[front] Closing a session that lost access. session=%s config=%d "
-                "code=%s",
-                self.session.id,
-                self.cluster.version,
-                access.code.value,
-            )
-            self.writer.close()
+        )
 
 
 @register
@@ -235,34 +332,52 @@
     async def start(self) -> None:
         """Start to listen."""
         self.session_factory = self.kernel.get(SessionFactory)
+        self.accepted = self.session_factory.executor.accepted
         self.cluster = self.kernel.get(ClusterView)
         self.metrics = self.kernel.get(Metrics)
-        self.cluster.listeners.append(self._check_access)
+        self.cluster.listeners.append(self._check_connections)
         host, port = split_address(self.kernel.settings.callers)
         self.server = await asyncio.get_running_loop().create_server(
             self._make_protocol, host, port, backlog=LISTEN_BACKLOG
         )
         self.kernel.supervise(self._close_idle_when_isolated, name="session-release")
 
-    async def drain(self) -> None:
-        """Let callers finish; near the end of the grace period, close what is open."""
-        plan = DrainPlan(
-            grace_s=self.kernel.settings.grace_s, started_at_s=self.kernel.clock.now_s()
+    def reload(self) -> None:
+        """Apply a changed grace period to a drain; a longer one isn't relied on."""
+        drain, grace_s = self.accepted.drain, self.kernel.settings.grace_s
+        if drain is not None and grace_s < drain.grace_s:
+            self.accepted.begin_drain(msgspec.structs.replace(drain, grace_s=grace_s))
+
+    async def announce_drain(self) -> None:
+        """Give all requests an end before that of the grace period."""
+        self.accepted.begin_drain(
+            DrainPlan(
+                grace_s=self.kernel.settings.grace_s,
+                started_at_s=self.kernel.clock.now_s(),
+            )
         )
+
+    async def drain(self) -> None:
+        """Accept new sessions for a while, and return once all callers are answered."""
         is_listening = True
         while True:
-            now_s = self.kernel.clock.now_s()
-            if is_listening and plan.refuses_sessions(now_s):
+            drain, now_s = self.accepted.drain, self.kernel.clock.now_s()
+            if is_listening and drain.refuses_work(now_s):
                 self.server.close()
                 is_listening = False
-            for connection in list(self.connections):
-                if plan.aborts_transactions(now_s) and connection.is_between_commands:
-                    await connection.session.abort_transaction("the VM is stopping")
-                if plan.closes_idle_sessions(now_s):
-                    connection.close_when_idle()
-            if plan.is_over(now_s) or (not is_listening and not self.connections):
-                return
-            await asyncio.sleep(0.05)
+            for connection in self.connections:
+                connection.check()
+            if drain.is_over(now_s) or (not is_listening and not self.connections):
+                break
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        if self.connections:
+            logging.warning(
+                "[front] Connections are left at the end of the grace period. "
+                "count=%d unsent_bytes=%d requests=%s",
+                len(self.connections),
+                sum(c.unsent_bytes for c in self.connections),
+                ",".join(c.request_id for c in self.connections if c.is_busy) or "-",
+            )
 
     async def stop(self) -> None:
         """Close the listener and what is still open after the drain."""
@@ -279,8 +394,10 @@
             enable_keep_alive(writer.get_extra_info("socket"))
         connection = SessionConnection(
             session_factory=self.session_factory,
+            accepted=self.accepted,
             cluster=self.cluster,
             metrics=self.metrics,
+            clock=self.kernel.clock,
             reader=reader,
             writer=writer,
         )
@@ -303,6 +420,6 @@
                 for connection in list(self.connections):
                     connection.close_when_idle()
 
-    def _check_access(self) -> None:
+    def _check_connections(self) -> None:
         for connection in self.connections:
-            connection.check_access()
+            connection.check()
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -10,6 +10,7 @@
 from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
 from ebonyladder.kernel.step import Step
 from ebonyladder.metrics import Metrics
+from ebonyladder.sessions.accepted_requests import AcceptedRequests
 from ebonyladder.sessions.catalog import Route
 from ebonyladder.sessions.cluster_view import ClusterView, EndpointEntry
 from ebonyladder.sessions.command import (
@@ -67,6 +68,11 @@
         Receives the number of commits by what confirmed them.
     clock : Clock
         Clock of the deadlines.
+
+    Attributes
+    ----------
+    accepted : AcceptedRequests
+        Requests that run on this VM.
     """
 
     def __init__(
@@ -89,13 +95,15 @@
         )
         self.commit_reporter = CommitReporter(metrics=metrics, clock=clock)
         self.target_wait = TargetWait(clock=clock)
+        self.accepted = AcceptedRequests(clock=clock)
         self.clock = clock
         self.cluster_changed = asyncio.Event()
         cluster.listeners.append(self.cluster_changed.set)
 
     def deadline_s(self, route: Route) -> float:
         """Return the deadline of a statement that starts now."""
-        return self.clock.now_s() + route.statement_timeout_s - ANSWER_MARGIN_S
+        timeout_s = route.statement_timeout_s - ANSWER_MARGIN_S
+        return self.accepted.limit_s(self.clock.now_s() + timeout_s)
 
     async def run_autocommit(self, request: StatementRequest) -> Answer:
         """Run a statement outside of a transaction."""
@@ -307,7 +315,10 @@
     ) -> Answer:
         """Return the answer to a commit once it is known to be durable."""
         position = answer.position
+        # Until then, a commit that is given up is in doubt.
+        request.unresolved_attempts += 1
         decision = await self.confirmation.wait(sent, position, request.deadline_s)
+        request.unresolved_attempts -= 1
         self.commit_reporter.report(request.command.id, sent, position, decision)
         if decision.is_durable:
             return answer
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -3,15 +3,19 @@
 import asyncio
 from types import SimpleNamespace
 
-import pytest
-
-from ebonyladder.kernel.clock import SystemClock
+from ebonyladder.kernel.clock import ManualClock, SystemClock
 from ebonyladder.platform.lines import LineReader
 from ebonyladder.platform.session_front_end import SessionConnection
+from ebonyladder.sessions.accepted_requests import AcceptedRequests
 from ebonyladder.sessions.command import Answer, TransactionState
+from ebonyladder.sessions.drain import DrainPlan
 from ebonyladder.sessions.session import authorize
 from tests.session_fakes import catalog, cluster
 
+GRACE_S = 6.0
+STARTUP = b"STARTUP primary key-1\r\n"
+QUERY = b"QUERY 1 READ a\r\n"
+
 
 class FakeWriter:
     """Records what is sent before the connection is closed."""
@@ -32,6 +36,9 @@
         """Record the close."""
         self.is_closed = True
 
+    async def wait_closed(self) -> None:
+        """Do nothing."""
+
 
 class FakeSession:
     """Session that answers every command, as far as the key is known."""
@@ -43,6 +50,7 @@
         self.key = "key-1"
         self.organisation_name = "council"
         self.state = TransactionState.IDLE
+        self.transaction = None
         self.must_close = False
         self.handled = 0
 
@@ -59,54 +67,195 @@
         """Do nothing."""
 
 
-class TestClose:
-    """Guards against a request that has arrived and is cut off without an answer."""
+class Harness:
+    """Connection that is served over a reader and a writer of the test.
+
+    Parameters
+    ----------
+    has_transaction : bool
+        Whether the session has an open transaction.
+    """
 
-    @pytest.fixture(autouse=True)
-    def view(self):
+    def __init__(self, *, has_transaction: bool = False) -> None:
+        self.clock = ManualClock()
         self.view = cluster(SystemClock())
         self.session = FakeSession(self.view)
+        if has_transaction:
+            self.session.state = TransactionState.OPEN
+            self.session.transaction = SimpleNamespace(
+                failure=None, begun_at_s=self.clock.now_s()
+            )
         self.writer = FakeWriter()
-
-    async def serve(self, close) -> None:
-        """Serve a session; close it right after the bytes of a command arrived."""
-        reader = LineReader()
-        connection = SessionConnection(
+        self.reader = LineReader()
+        self.accepted = AcceptedRequests(clock=self.clock)
+        self.connection = SessionConnection(
             session_factory=SimpleNamespace(open=lambda *_: self.session),
+            accepted=self.accepted,
             cluster=self.view,
             metrics=SimpleNamespace(observe_request=lambda **_: None),
-            reader=reader,
+            clock=self.clock,
+            reader=self.reader,
             writer=self.writer,
         )
-        serving = asyncio.create_task(connection.serve())
-        reader.feed_data(b"STARTUP primary key-1\r\n")
-        await asyncio.sleep(0.01)
-        reader.feed_data(b"QUERY 1 READ a\r\n")
-        close(connection)
+        self.serving = asyncio.create_task(self.connection.serve())
+
+    async def receive(self, data: bytes) -> None:
+        """Deliver bytes and let the connection's task run."""
+        self.reader.feed_data(data)
+        await self.run()
+
+    async def run(self) -> None:
+        """Let the connection's task run."""
         await asyncio.sleep(0.01)
-        reader.feed_eof()
-        await serving
 
-    def test_command_that_has_arrived_is_answered_before_a_drain_closes(self):
-        asyncio.run(self.serve(SessionConnection.close_when_idle))
-        assert self.session.handled == 1
-        assert b"COMPLETE s1" in self.writer.sent
-        assert self.writer.is_closed
+    def begin_drain(self) -> None:
+        """Begin a drain now."""
+        self.accepted.begin_drain(
+            DrainPlan(grace_s=GRACE_S, started_at_s=self.clock.now_s())
+        )
+
+    async def check(self, after_s: float = 0.0) -> None:
+        """Check the connection after a time, as a drain does."""
+        self.clock.advance(after_s)
+        self.connection.check()
+        await self.run()
+
+    def withdraw_key(self) -> None:
+        """Withdraw the session's key."""
+        self.view.catalog = catalog(2, keys=())
+        self.connection.check()
+
+    async def end(self) -> None:
+        """End the stream and wait for the connection's task."""
+        self.reader.feed_eof()
+        await self.serving
+
+
+def run(scenario) -> Harness:
+    """Run a scenario with a new connection; return the connection's harness."""
+
+    async def main() -> Harness:
+        harness = Harness()
+        await scenario(harness)
+        await harness.end()
+        return harness
+
+    return asyncio.run(main())
+
+
+class TestClose:
+    """Guards against a request that has arrived and is cut off without an answer."""
+
+    def test_command_that_has_arrived_is_answered_before_a_close(self):
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            harness.reader.feed_data(QUERY)
+            harness.connection.close_when_idle()
+            await harness.run()
+
+        harness = run(scenario)
+        assert harness.session.handled == 1
+        assert b"COMPLETE s1" in harness.writer.sent
+        assert harness.writer.is_closed
 
     def test_command_of_a_withdrawn_key_is_refused_before_the_close(self):
-        def withdraw(connection: SessionConnection) -> None:
-            self.view.catalog = catalog(2, keys=())
-            connection.check_access()
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            harness.reader.feed_data(QUERY)
+            harness.withdraw_key()
+            await harness.run()
 
-        asyncio.run(self.serve(withdraw))
-        assert b"ERROR UNAUTH" in self.writer.sent
-        assert self.writer.is_closed
+        harness = run(scenario)
+        assert b"ERROR UNAUTH" in harness.writer.sent
+        assert harness.writer.is_closed
+
+    def test_rest_of_a_line_is_waited_for_before_a_close(self):
+        # Guards against a part of a long statement that counts as an idle session.
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            await harness.receive(QUERY[:9])
+            harness.withdraw_key()
+            harness.connection.close_when_idle()
+            await harness.run()
+            assert not harness.writer.is_closed
+            await harness.receive(QUERY[9:])
+
+        harness = run(scenario)
+        assert b"ERROR UNAUTH" in harness.writer.sent
+
+    def test_command_of_a_transaction_is_answered_in_each_turn_of_the_loop(self):
+        # Guards against the turns between the read of a command and its run.
+        async def main(turns: int) -> bytes:
+            harness = Harness(has_transaction=True)
+            await harness.receive(STARTUP)
+            harness.reader.feed_data(QUERY)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            harness.withdraw_key()
+            await harness.run()
+            await harness.end()
+            return harness.writer.sent
+
+        for turns in range(6):
+            sent = asyncio.run(main(turns))
+            assert b"COMPLETE s1" in sent or b"ERROR UNAUTH" in sent
 
     def test_idle_session_is_closed_immediately(self):
-        def close(connection: SessionConnection) -> None:
-            connection.reader._buffer.clear()
-            connection.close_when_idle()
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            harness.connection.close_when_idle()
+            await harness.run()
+            assert harness.writer.is_closed
+
+        assert run(scenario).session.handled == 0
+
+
+class TestDrain:
+    """Guards against sessions that a stopping VM accepts and doesn't serve."""
+
+    def test_session_that_is_opened_during_a_drain_is_served(self):
+        async def scenario(harness):
+            harness.begin_drain()
+            await harness.check(GRACE_S / 2)
+            await harness.receive(STARTUP)
+            await harness.check()
+            await harness.receive(QUERY)
+            assert harness.writer.is_closed
+
+        harness = run(scenario)
+        assert harness.writer.sent.startswith(b"READY I -")
+        assert b"COMPLETE s1" in harness.writer.sent
+
+    def test_command_that_follows_a_change_of_the_session_is_served(self):
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            harness.begin_drain()
+            harness.clock.advance(GRACE_S / 2)
+            await harness.receive(b"QUERY 1 SET a b\r\n")
+            await harness.check()
+            await harness.receive(QUERY)
+
+        assert run(scenario).session.handled == 2
+
+    def test_idle_session_is_closed_once_the_load_balancer_knows(self):
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            harness.begin_drain()
+            await harness.check(1.0)
+            assert not harness.writer.is_closed
+            await harness.check(GRACE_S / 2)
+            assert harness.writer.is_closed
+
+        run(scenario)
+
+    def test_part_of_a_line_is_refused_at_the_end_of_the_drain(self):
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            await harness.receive(QUERY[:9])
+            harness.begin_drain()
+            await harness.check(GRACE_S / 2)
+            assert not harness.writer.is_closed
+            await harness.check(GRACE_S / 2)
+            assert harness.writer.is_closed
 
-        asyncio.run(self.serve(close))
-        assert self.session.handled == 0
-        assert self.writer.is_closed
+        assert b"ERROR BUSY" in run(scenario).writer.sent
