Give every request an end before that of the grace period

What callers saw: dispatch-board requests that a stopping VM had read, and passed on to a database, ended with a close of the connection 5.4 s after SIGTERM.

Cause: a drain ended by the clock. It took requests until 0.7 of the grace period and exited at 0.9, whatever their timeouts.

AcceptedRequests counts what runs, and from the signal on gives each request an end at which it is answered, also those that run already: a promise if no attempt is unresolved, otherwise an answer that promises nothing. A commit whose confirmation is waited for counts as unresolved. An unexpected error in a command is logged with the request's id and answered in the same way.

--- a/src/ebonyladder/sessions/refusals.py
+++ b/src/ebonyladder/sessions/refusals.py
@@ -27,3 +27,12 @@
     if request.unresolved_attempts == 0:
         return refuse(request, "no endpoint was free in time")
     return refusal(AnswerCode.TIMEOUT, "statement timeout")
+
+
+def give_up(request: StatementRequest | None, detail: str) -> Answer:
+    """Answer a statement that was ended early; None for a command that runs here."""
+    if request is None:
+        return refusal(AnswerCode.OVERLOADED, detail)
+    if request.unresolved_attempts == 0:
+        return refuse(request, detail)
+    return refusal(AnswerCode.TIMEOUT, detail)
--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -25,6 +25,7 @@
 )
 from ebonyladder.sessions.executor import Executor
 from ebonyladder.sessions.quota import Quota
+from ebonyladder.sessions.refusals import give_up
 from ebonyladder.sessions.statement_request import PinnedConnection, StatementRequest
 from ebonyladder.types import OrganisationId, Position, RequestKind, ServiceId
 
@@ -47,6 +48,7 @@
     """
 
     begin: Command
+    begun_at_s: float
     route: Route
     organisation: Organisation | None
     pinned: PinnedConnection | None = None
@@ -99,6 +101,11 @@
         Runs statements.
     quota : Quota
         Admits operations.
+
+    Attributes
+    ----------
+    request : StatementRequest or None
+        Request of the command that is running, None for one that needs no endpoint.
     """
 
     def __init__(
@@ -121,6 +128,7 @@
         self.prepared: dict[str, Prepared] = {}
         self.positions: dict[ServiceId, Position] = {}
         self.transaction: Transaction | None = None
+        self.request: StatementRequest | None = None
         self.must_close = False
 
     @property
@@ -140,13 +148,26 @@
         return TransactionState.OPEN
 
     async def handle(self, command: Command) -> Answer:
-        """Run one command and return its answer."""
+        """Run one command and return its answer, whatever happens to it."""
         authorized = authorize(self.cluster, self.database, self.key)
         if isinstance(authorized, Answer):
             await self.close()
             self.must_close = True
             return authorized
-        answer = await self._handle(command, authorized)
+        self.request = None
+        try:
+            async with self.executor.accepted.accept():
+                answer = await self._handle(command, authorized)
+        except TimeoutError:
+            answer = await self._give_up(command, "the VM is stopping")
+        except Exception as error:
+            logging.exception(
+                "[session] Command failed unexpectedly. request=%s session=%s kind=%s",
+                command.id,
+                self.id,
+                command.kind.value,
+            )
+            answer = await self._give_up(command, f"unexpected error: {error!r}")
         if answer.code is not None:
             logging.info(
                 "[session] Command failed. request=%s session=%s kind=%s database=%s "
@@ -177,6 +198,27 @@
         transaction.failure = refusal(AnswerCode.ABORTED, detail)
         await self._release_pinned(transaction)
 
+    async def _give_up(self, command: Command, detail: str) -> Answer:
+        """Answer a command that was ended early, by what is known of its run."""
+        is_end = command.kind in (CommandKind.COMMIT, CommandKind.ROLLBACK)
+        transaction = self.transaction
+        if transaction is not None and transaction.pinned is not None:
+            # The endpoint rolls back; waiting for that would delay the answer.
+            transaction.pinned.connection.close()
+        if transaction is None and not is_end:
+            return give_up(self.request, detail)
+        if not is_end:
+            await self.abort_transaction(detail)
+            return refusal(AnswerCode.ABORTED, detail, state=TransactionState.FAILED)
+        await self.close()
+        if command.kind is CommandKind.ROLLBACK:
+            return Answer()
+        is_resolved = self.request is None or self.request.unresolved_attempts == 0
+        has_written = transaction is None or transaction.has_written
+        is_kept_back = transaction is not None and is_resolved or not has_written
+        code = AnswerCode.ABORTED if is_kept_back else AnswerCode.IN_DOUBT
+        return refusal(code, detail)
+
     async def _handle(self, command: Command, authorized: AuthorizedRoute) -> Answer:
         if self.transaction is not None:
             return await self._handle_in_transaction(command, self.transaction)
@@ -190,13 +232,18 @@
         return await self._run_autocommit(command, authorized)
 
     async def _begin(self, command: Command, authorized: AuthorizedRoute) -> Answer:
+        if self.executor.accepted.refuses_work:
+            return refusal(AnswerCode.OVERLOADED, "the VM is stopping")
         refused = await self._admit(authorized)
         if refused is not None:
             return refused
         # The endpoint is chosen at the first statement, so that no connection is pinned
         # until then.
         self.transaction = Transaction(
-            begin=command, route=authorized.route, organisation=authorized.organisation
+            begin=command,
+            begun_at_s=self.executor.clock.now_s(),
+            route=authorized.route,
+            organisation=authorized.organisation,
         )
         return Answer(state=TransactionState.OPEN)
 
@@ -258,7 +305,7 @@
             access = prepared.access
         elif command.kind is CommandKind.WRITE:
             access = RequestKind.WRITE
-        return StatementRequest(
+        self.request = StatementRequest(
             command=command,
             route=route,
             organisation=organisation,
@@ -268,6 +315,7 @@
             deadline_s=self.executor.deadline_s(route),
             prepared=prepared,
         )
+        return self.request
 
     async def _handle_in_transaction(
         self, command: Command, transaction: Transaction
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,70 @@
+"""Requests of callers while their VM stops, on endpoints that are slow."""
+
+import asyncio
+
+import msgspec
+import pytest
+
+from standins.platform import configuration
+from standins.statement_client import StatementClient
+from tests.platform_fleet import Fleet, running_fleet
+
+pytestmark = pytest.mark.xdist_group("processes")
+
+GRACE_S = 3.0
+# Longer than what is left of the grace period when new sessions are refused.
+STATEMENT_S = 2.0
+CALLER_INTERVAL_S = 0.1
+
+
+class TestSlowRequests:
+    """Guards against requests that were taken and end by a close of the connection."""
+
+    @pytest.mark.parametrize("text", ["READ a", "WRITE a 1"])
+    def test_request_during_the_grace_period_is_answered(self, text):
+        async def scenario() -> list[list[str]]:
+            async with running_fleet() as fleet:
+                self.slow_down(fleet)
+                kernel = fleet.kernels[1]
+                kernel.reload(msgspec.structs.replace(kernel.settings, grace_s=GRACE_S))
+                loop = asyncio.get_running_loop()
+                started_at_s = loop.time()
+                stopping = asyncio.create_task(self.stop(kernel))
+                callers = []
+                while loop.time() < started_at_s + GRACE_S:
+                    call = self.call(fleet.address(1), text)
+                    callers.append(asyncio.create_task(call))
+                    await asyncio.sleep(CALLER_INTERVAL_S)
+                await stopping
+                return [a for a in await asyncio.gather(*callers) if a is not None]
+
+        answers = asyncio.run(scenario())
+        assert len(answers) >= GRACE_S / 3 / CALLER_INTERVAL_S
+        cut = [a for a in answers if not a or not a[-1].startswith("READY")]
+        assert cut == []
+
+    @staticmethod
+    def slow_down(fleet: Fleet) -> None:
+        """Let statements take long, and give them the time."""
+        content = configuration(2)
+        for route in content["routes"]:
+            route["timeout_ms"] = 10_000
+        fleet.platform.store.put("config", "main", content)
+        for database in fleet.platform.service.databases.values():
+            database.statement_s = STATEMENT_S
+
+    @staticmethod
+    async def stop(kernel) -> None:
+        await kernel.drain()
+        await kernel.stop()
+
+    @staticmethod
+    async def call(address: str, text: str) -> list[str] | None:
+        """Return the answer to one statement, None if no session was opened."""
+        try:
+            client = await StatementClient.connect(address, "book")
+        except OSError:
+            return None
+        if not client.greeting.startswith("READY"):
+            return None
+        return await client.query(text)
