Close sessions of a stopping VM right after an answer

What callers saw: attempts whose command met the close of an idle session, on its way to a VM that stops.

Cause: all idle sessions were closed at one moment, 2.3 s after SIGTERM, also those that were about to send a command. Such a command is never read, and a single write that ends so can't be repeated.

A session is now closed right after the first answer that it gets from then on, when no command is on its way; those that send none are closed when new work is refused. The drain takes as long as before, since the listener stays open until then.

tests/test_session_front_end.py: a session with a command after 2.3 s is answered and then closed; before, it was closed without one.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -90,6 +90,8 @@
     ----------
     is_closing : bool
         Whether the connection is closed after the present operation.
+    answered_at_s : float
+        Time of the last answer, but for changes of the session.
     command_expected_until_s : float
         Time until which a drain doesn't close the session, since the caller has opened
         or changed it for a command that follows.
@@ -116,6 +118,7 @@
         self.session: Session | None = None
         self.is_busy = False
         self.is_closing = False
+        self.answered_at_s = float("-inf")
         self.command_expected_until_s = float("-inf")
 
     async def serve(self) -> None:
@@ -168,6 +171,7 @@
             if isinstance(message, Command) and message.kind in SESSION_CHANGES:
                 self._expect_command()
             else:
+                self.answered_at_s = self.clock.now_s()
                 self.command_expected_until_s = float("-inf")
 
     async def _next_line(self) -> bytes | None:
@@ -235,7 +239,7 @@
         is_closed_by_drain = (
             drain is not None
             and self.session is not None
-            and drain.closes_idle_sessions(now_s)
+            and drain.closes_session(self.answered_at_s, now_s)
             and now_s >= self.command_expected_until_s
         )
         must_close = self.is_closing or is_closed_by_drain
--- a/src/ebonyladder/sessions/drain.py
+++ b/src/ebonyladder/sessions/drain.py
@@ -43,9 +43,16 @@
         end_s = self.started_at_s + self.grace_s
         return end_s - EXIT_FRACTION * self._answer_margin_s
 
-    def closes_idle_sessions(self, now_s: float) -> bool:
-        """Tell whether idle sessions are closed."""
-        return now_s - self.started_at_s >= min(BALANCER_DETECTION_S, self.grace_s / 2)
+    def closes_session(self, answered_at_s: float, now_s: float) -> bool:
+        """Tell whether an idle session is closed, by the time of its last answer.
+
+        Right after an answer no command is on its way, while a session that is idle for
+        longer may be closed as one arrives. So the others are closed at the end.
+        """
+        detected_s = min(BALANCER_DETECTION_S, self.grace_s / 2)
+        return answered_at_s - self.started_at_s >= detected_s or self.refuses_work(
+            now_s
+        )
 
     def aborts_transaction(self, begun_at_s: float, now_s: float) -> bool:
         """Tell whether a transaction that was begun at a given time is aborted.
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -230,20 +230,32 @@
         async def scenario(harness):
             await harness.receive(STARTUP)
             harness.begin_drain()
-            harness.clock.advance(GRACE_S / 2)
+            await harness.check(0.65 * GRACE_S)
             await harness.receive(b"QUERY 1 SET a b\r\n")
-            await harness.check()
+            await harness.check(0.06 * GRACE_S)
             await harness.receive(QUERY)
 
         assert run(scenario).session.handled == 2
 
-    def test_idle_session_is_closed_once_the_load_balancer_knows(self):
+    def test_session_is_closed_after_an_answer_once_the_load_balancer_knows(self):
         async def scenario(harness):
             await harness.receive(STARTUP)
             harness.begin_drain()
             await harness.check(1.0)
+            await harness.receive(QUERY)
             assert not harness.writer.is_closed
             await harness.check(GRACE_S / 2)
+            assert not harness.writer.is_closed
+            await harness.receive(QUERY)
+            assert harness.writer.is_closed
+
+        assert run(scenario).session.handled == 2
+
+    def test_session_without_a_command_is_closed_at_the_end(self):
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            harness.begin_drain()
+            await harness.check(0.8 * GRACE_S)
             assert harness.writer.is_closed
 
         run(scenario)
