Let transactions that begin during a stop run as long as other requests

What callers saw: nothing was seen; read from the source.

Only transactions that were open at the signal are aborted at half time. The others end with the requests of the stop: a statement that runs is answered, and an idle one's connection closes, which rolls it back.

--- a/src/ebonyladder/sessions/drain.py
+++ b/src/ebonyladder/sessions/drain.py
@@ -57,11 +57,11 @@
     def aborts_transaction(self, begun_at_s: float, now_s: float) -> bool:
         """Tell whether a transaction that was begun at a given time is aborted.
 
-        One that was begun during the drain is given until new work is refused.
+        One that was begun during the drain has as long as other requests.
         """
-        if begun_at_s > self.started_at_s:
-            return self.refuses_work(now_s)
-        return now_s - self.started_at_s >= self.grace_s * TRANSACTION_FRACTION
+        elapsed_s = now_s - self.started_at_s
+        was_open = begun_at_s <= self.started_at_s
+        return was_open and elapsed_s >= self.grace_s * TRANSACTION_FRACTION
 
     def refuses_work(self, now_s: float) -> bool:
         """Tell whether new sessions and transactions are refused."""
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -260,6 +260,12 @@
 
         run(scenario)
 
+    def test_only_transactions_that_were_open_are_aborted_at_half_time(self):
+        plan = DrainPlan(grace_s=GRACE_S, started_at_s=10.0)
+        assert not plan.aborts_transaction(9.0, 12.9)
+        assert plan.aborts_transaction(9.0, 13.0)
+        assert not plan.aborts_transaction(13.0, 15.0)
+
     def test_part_of_a_line_is_refused_at_the_end_of_the_drain(self):
         async def scenario(harness):
             await harness.receive(STARTUP)
