Move the choice of a statement's endpoint out of the executor

The executor had two jobs: to choose an endpoint, with the wait for one, and to run statements there. TargetChoice now has the first. Behaviour is unchanged.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -7,8 +7,7 @@
 from absl import logging
 
 from ebonyladder.kernel.clock import Clock
-from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
-from ebonyladder.kernel.step import Step
+from ebonyladder.kernel.error import EndpointError, Outcome
 from ebonyladder.metrics import Metrics
 from ebonyladder.sessions.accepted_requests import AcceptedRequests
 from ebonyladder.sessions.catalog import Route
@@ -31,7 +30,7 @@
 from ebonyladder.sessions.refusals import fail_read, refuse, time_out
 from ebonyladder.sessions.replica_check import ReplicaCheck
 from ebonyladder.sessions.statement_request import PinnedConnection, StatementRequest
-from ebonyladder.sessions.target_wait import TargetWait
+from ebonyladder.sessions.target_choice import TargetChoice
 from ebonyladder.types import EndpointId, RequestKind
 
 # Backoff before a statement that was not run is retried.
@@ -39,8 +38,6 @@
 # A read without an answer for this long is sent to another endpoint as well: several
 # times the duration of a usual statement, well below the routes' latency objectives.
 HEDGE_DELAY_S = 0.35
-# Without an eligible endpoint, the choice is repeated at least this often.
-PRIMARY_POLL_INTERVAL_S = 0.1
 # Transit time of the answer to the caller.
 ANSWER_MARGIN_S = 0.02
 # Timeout of a rollback; its connection is closed then.
@@ -94,11 +91,9 @@
             cluster=cluster, replica_check=replica_check, clock=clock
         )
         self.commit_reporter = CommitReporter(metrics=metrics, clock=clock)
-        self.target_wait = TargetWait(clock=clock)
+        self.targets = TargetChoice(cluster=cluster, selector=selector, clock=clock)
         self.accepted = AcceptedRequests(clock=clock)
         self.clock = clock
-        self.cluster_changed = asyncio.Event()
-        cluster.listeners.append(self.cluster_changed.set)
 
     def deadline_s(self, route: Route) -> float:
         """Return the deadline of a statement that starts now."""
@@ -121,7 +116,7 @@
         tried: set[EndpointId] = set()
         while True:
             try:
-                target = await self._choose_target(request, tried)
+                target = await self.targets.choose(request, tried)
                 if isinstance(target, NoTarget):
                     return refuse(request, target.value)
                 pool, connection = await self._acquire_connection(
@@ -273,7 +268,7 @@
     ) -> Answer:
         while True:
             try:
-                target = await self._choose_target(request, tried)
+                target = await self.targets.choose(request, tried)
                 if isinstance(target, NoTarget):
                     return fail_read(request, target.value)
                 answer = await self._send(request, target, tried)
@@ -291,7 +286,7 @@
         tried: set[EndpointId] = set()
         while True:
             try:
-                target = await self._choose_target(request, tried)
+                target = await self.targets.choose(request, tried)
                 if isinstance(target, NoTarget):
                     return refuse(request, target.value)
                 sent = self.confirmation.sent(target.entry)
@@ -366,23 +361,11 @@
         )
         connection.set_variables(request.values, request.deadline_s)
         # The primary may have changed while the statement waited for the connection.
-        current = self.selector.choose(
-            route=request.route,
-            organisation=request.organisation,
-            access=request.access,
-            last_commit=request.last_commit,
-            tried=frozenset(tried),
-            is_transaction=request.is_transaction,
-        )
-        if target.is_primary and target.min_position is None and current != target:
+        try:
+            self.targets.require(request, target, tried)
+        except EndpointError:
             pool.release(connection)
-            raise EndpointError(
-                code=ErrorCode.NO_PRIMARY,
-                step=Step.ROUTE,
-                peer=target.entry.id,
-                message="the primary changed during the wait",
-                outcome=Outcome.NOT_RUN,
-            )
+            raise
         return pool, connection
 
     @contextmanager
@@ -416,40 +399,6 @@
         async with asyncio.timeout(max(self._remaining_s(request), 0)):
             return await call
 
-    async def _choose_target(
-        self, request: StatementRequest, tried: set[EndpointId]
-    ) -> Target | NoTarget:
-        """Choose an endpoint, waiting until one is eligible or the wait times out."""
-        started_at_s = self.clock.now_s()
-        while True:
-            self.cluster_changed.clear()
-            target = self.selector.choose(
-                route=request.route,
-                organisation=request.organisation,
-                access=request.access,
-                last_commit=request.last_commit,
-                tried=frozenset(tried),
-                is_transaction=request.is_transaction,
-            )
-            service = request.route.service
-            if isinstance(target, Target):
-                if target.is_primary:
-                    self.target_wait.record_primary(service)
-                return target
-            wait_until_s = self.target_wait.end_s(
-                target,
-                service,
-                started_at_s=started_at_s,
-                deadline_s=request.deadline_s,
-            )
-            if wait_until_s - self.clock.now_s() <= PRIMARY_POLL_INTERVAL_S:
-                return target
-            try:
-                async with asyncio.timeout(PRIMARY_POLL_INTERVAL_S):
-                    await self.cluster_changed.wait()
-            except TimeoutError:
-                continue
-
     async def _backoff_after_refusal(
         self,
         request: StatementRequest,
