Release a connection if the check after the wait for it fails

What callers saw: nothing was seen; read from the source. Each unexpected error between the wait for a connection and its use would take one connection from the pool for good.

Cause: only an EndpointError of the check for a changed primary released it. Any exception does now.

TestEarlyEnd of tests/test_early_ends.py ends each kind of command by an exception and by a drain at each wait, and compares the answer with what the endpoint ran and the pool with its connections. The test of this fault failed before with used 1 and no connection in the pool; the others hold already.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -359,11 +359,11 @@
         connection = await pool.acquire(
             request.organisation_id, request.values, request.deadline_s
         )
-        connection.set_variables(request.values, request.deadline_s)
-        # The primary may have changed while the statement waited for the connection.
         try:
+            connection.set_variables(request.values, request.deadline_s)
+            # The primary may have changed while the statement waited.
             self.targets.require(request, target, tried)
-        except EndpointError:
+        except BaseException:
             pool.release(connection)
             raise
         return pool, connection
--- a/tests/session_fakes.py
+++ b/tests/session_fakes.py
@@ -345,6 +345,8 @@
     access = None
     if word == "BEGIN":
         access = RequestKind.READ if rest == "READ" else RequestKind.WRITE
+    if word == "PREPARE":
+        access = RequestKind(rest.split(" ")[1].lower())
     return Command(
         id=CommandId("c1"),
         kind=CommandKind(word.lower()),
--- /dev/null
+++ b/tests/test_early_ends.py
@@ -0,0 +1,252 @@
+"""Commands that fail unexpectedly, or are ended by a drain, wherever they are."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+import pytest
+
+from ebonyladder.sessions.catalog import Consistency
+from ebonyladder.sessions.command import (
+    Answer,
+    AnswerCode,
+    CommandKind,
+    TransactionState,
+)
+from ebonyladder.sessions.drain import DrainPlan
+from ebonyladder.sessions.endpoint_selector import NoTarget, Target
+from ebonyladder.sessions.session import Session
+from tests.session_fakes import FakeConnection, command
+from tests.test_session import World
+
+# The route's timeout is 1 s. A drain with this grace period ends requests at 0.18 s.
+GRACE_S = 0.2
+# Generous, since the machine that runs the tests may be busy.
+ANSWER_TIMEOUT_S = 0.9
+
+PREPARE = ("PREPARE r READ x", "PREPARE w WRITE x")
+BEGIN = ("BEGIN",)
+READ_TRANSACTION = ("BEGIN", "READ a")
+WRITE_TRANSACTION = ("BEGIN", "WRITE a b")
+LATE_BUSY, LATE_TIMEOUT, LATE_ABORTED, LATE_IN_DOUBT = (
+    AnswerCode.OVERLOADED,
+    AnswerCode.TIMEOUT,
+    AnswerCode.ABORTED,
+    AnswerCode.IN_DOUBT,
+)
+
+
+class Point(Enum):
+    """What a command waits for or does when it is ended."""
+
+    PERMIT = "permit"
+    ENDPOINT = "endpoint"
+    CONNECTION = "connection"
+    OPENING = "opening"
+    ANSWER = "answer"
+    CONFIRMATION = "confirmation"
+    RECHECK = "recheck"
+
+
+class Cause(Enum):
+    """What ends a command."""
+
+    ERROR = "error"
+    DRAIN = "drain"
+
+
+class EarlyEnd:
+    """Ends the command of a session at one point, once it is armed.
+
+    Parameters
+    ----------
+    world : World
+        Endpoints in memory, whose interfaces are replaced.
+    patch : pytest.MonkeyPatch
+        Takes the replacement back.
+    """
+
+    def __init__(self, *, world: World, patch: pytest.MonkeyPatch, cause: Cause):
+        self.world = world
+        self.patch = patch
+        self.cause = cause
+        self.unanswered: list[FakeConnection] = []
+
+    async def end(self, *_, **__) -> None:
+        """Fail, or wait for the end of the drain."""
+        if self.cause is Cause.ERROR:
+            raise RuntimeError("injected")
+        await asyncio.Event().wait()
+
+    def arm(self, point: Point) -> None:
+        """Let the next command end at a point."""
+        world = self.world
+        pool = world.pools.get(world.cluster.primary("ledger").id)
+        match point:
+            case Point.PERMIT:
+                self.patch.setattr(world.quota, "admit", self.end)
+            case Point.ENDPOINT:
+                world.begin_failover()
+                changed = world.executor.targets.cluster_changed
+                self.patch.setattr(changed, "wait", self.end)
+            case Point.CONNECTION:
+                pool.set_limit(0, share=1.0)
+                pool.trim()
+                if self.cause is Cause.ERROR:
+                    self.patch.setattr(pool, "acquire", self.end)
+            case Point.OPENING:
+                pool.set_limit(0, share=1.0)
+                pool.trim()
+                pool.set_limit(8, share=1.0)
+                self.patch.setattr(world.connector, "open", self.end)
+            case Point.ANSWER:
+                self.patch.setattr(FakeConnection, "run", self._lose_answer())
+            case Point.CONFIRMATION:
+                self.patch.setattr(world.executor.confirmation, "wait", self.end)
+            case Point.RECHECK:
+                self.patch.setattr(world.executor.selector, "choose", self._recheck())
+
+    @staticmethod
+    def fail(*_, **__) -> None:
+        """Fail where a command doesn't wait."""
+        raise RuntimeError("injected")
+
+    def _recheck(self) -> Callable[..., Target | NoTarget]:
+        choose = self.world.executor.selector.choose
+        results = iter((choose, self.fail))
+        return lambda **fields: next(results)(**fields)
+
+    def _lose_answer(self) -> Callable[..., Awaitable[Answer]]:
+        run = FakeConnection.run
+
+        async def run_without_answer(connection, command, **fields) -> Answer:
+            answer = await run(connection, command, **fields)
+            if command.kind is CommandKind.BEGIN:
+                return answer
+            self.unanswered.append(connection)
+            return await self.end()
+
+        return run_without_answer
+
+
+async def run_until_ended(
+    session: Session, early_end: EarlyEnd, before: tuple[str, ...], text: str, point
+) -> Answer:
+    """Run commands, and return the answer to the one that is ended early."""
+    for earlier in before:
+        assert (await session.handle(command(earlier))).code is None
+    early_end.arm(point)
+    accepted = session.executor.accepted
+    if early_end.cause is Cause.DRAIN:
+        started_at_s = accepted.clock.now_s()
+        plan = DrainPlan(grace_s=GRACE_S, started_at_s=started_at_s)
+        asyncio.get_running_loop().call_later(0.02, accepted.begin_drain, plan)
+    async with asyncio.timeout(ANSWER_TIMEOUT_S):
+        answer = await session.handle(command(text))
+    # Attempts that were cancelled end in the turns that follow.
+    await asyncio.sleep(0.01)
+    return answer
+
+
+def assert_nothing_leaks(world: World, early_end: EarlyEnd) -> None:
+    """Check that each connection is either idle in its pool or closed."""
+    for pool in world.pools.pools.values():
+        assert (pool.used, pool.opening, pool.running) == (len(pool.idle), 0, 0)
+        assert not pool.waiting
+    idle = [c for pool in world.pools.pools.values() for c, _ in pool.idle]
+    assert not [c for c in early_end.unanswered if c.is_open or c in idle]
+    assert world.executor.accepted.count == 0
+
+
+@pytest.fixture
+def world() -> World:
+    return World()
+
+
+class TestEarlyEnd:
+    """Guards against a request without an answer, and against a false promise."""
+
+    @pytest.mark.parametrize("cause", Cause)
+    @pytest.mark.parametrize(
+        ("before", "text", "point", "code"),
+        [
+            ((), "READ a", Point.PERMIT, LATE_BUSY),
+            ((), "READ a", Point.ENDPOINT, LATE_BUSY),
+            ((), "READ a", Point.CONNECTION, LATE_BUSY),
+            ((), "READ a", Point.OPENING, LATE_BUSY),
+            ((), "READ a", Point.ANSWER, LATE_TIMEOUT),
+            ((), "WRITE a b", Point.PERMIT, LATE_BUSY),
+            ((), "WRITE a b", Point.ENDPOINT, LATE_BUSY),
+            ((), "WRITE a b", Point.CONNECTION, LATE_BUSY),
+            ((), "WRITE a b", Point.OPENING, LATE_BUSY),
+            ((), "WRITE a b", Point.ANSWER, LATE_TIMEOUT),
+            ((), "WRITE a b", Point.CONFIRMATION, LATE_TIMEOUT),
+            (PREPARE, "EXECUTE r a", Point.ANSWER, LATE_TIMEOUT),
+            (PREPARE, "EXECUTE w a b", Point.CONNECTION, LATE_BUSY),
+            (PREPARE, "EXECUTE w a b", Point.ANSWER, LATE_TIMEOUT),
+            (PREPARE, "EXECUTE w a b", Point.CONFIRMATION, LATE_TIMEOUT),
+            ((), "BEGIN", Point.PERMIT, LATE_BUSY),
+            (BEGIN, "WRITE a b", Point.ENDPOINT, LATE_ABORTED),
+            (BEGIN, "WRITE a b", Point.CONNECTION, LATE_ABORTED),
+            (BEGIN, "READ a", Point.OPENING, LATE_ABORTED),
+            (BEGIN, "WRITE a b", Point.ANSWER, LATE_ABORTED),
+            (WRITE_TRANSACTION, "READ a", Point.ANSWER, LATE_ABORTED),
+            (BEGIN, "COMMIT", Point.CONNECTION, LATE_ABORTED),
+            (BEGIN, "COMMIT", Point.ANSWER, LATE_ABORTED),
+            (READ_TRANSACTION, "COMMIT", Point.ANSWER, LATE_ABORTED),
+            (WRITE_TRANSACTION, "COMMIT", Point.ANSWER, LATE_IN_DOUBT),
+            (WRITE_TRANSACTION, "COMMIT", Point.CONFIRMATION, LATE_IN_DOUBT),
+            # The endpoint rolls back once its connection is closed.
+            (WRITE_TRANSACTION, "ROLLBACK", Point.ANSWER, None),
+        ],
+    )
+    def test_command_is_answered_truly(
+        self, world, monkeypatch, cause, before, text, point, code
+    ):
+        early_end = EarlyEnd(world=world, patch=monkeypatch, cause=cause)
+        session = world.session()
+
+        async def scenario():
+            answer = await run_until_ended(session, early_end, before, text, point)
+            assert_nothing_leaks(world, early_end)
+            if answer.state is not TransactionState.IDLE:
+                return answer, await session.handle(command("ROLLBACK"))
+            return answer, None
+
+        answer, rollback = asyncio.run(scenario())
+        assert answer.code is code
+        # The endpoint has run the command exactly if nothing is promised.
+        has_run = text in world.primary.ran
+        assert has_run == (point in (Point.ANSWER, Point.CONFIRMATION))
+        is_failed = code is AnswerCode.ABORTED and text != "COMMIT"
+        expected = TransactionState.FAILED if is_failed else TransactionState.IDLE
+        assert (answer.state, session.state) == (expected, TransactionState.IDLE)
+        assert rollback is None or rollback.code is None
+
+    @pytest.mark.parametrize("text", ["READ a", "WRITE a b"])
+    def test_error_after_the_wait_for_a_connection_leaks_none(
+        self, world, monkeypatch, text
+    ):
+        # Guards against a pool that runs out of connections.
+        early_end = EarlyEnd(world=world, patch=monkeypatch, cause=Cause.ERROR)
+        answer = asyncio.run(
+            run_until_ended(world.session(), early_end, (), text, Point.RECHECK)
+        )
+        assert world.primary.ran == []
+        assert answer.code is LATE_BUSY
+        assert_nothing_leaks(world, early_end)
+
+    @pytest.mark.parametrize("cause", Cause)
+    def test_hedged_read_ends_both_of_its_attempts(self, world, monkeypatch, cause):
+        # Guards against attempts that outlive their request.
+        early_end = EarlyEnd(world=world, patch=monkeypatch, cause=cause)
+        monkeypatch.setattr("ebonyladder.sessions.executor.HEDGE_DELAY_S", 0.05)
+        world.record_sample()
+        session = world.session(Consistency.BOUNDED)
+
+        async def scenario():
+            return await run_until_ended(session, early_end, (), "READ a", Point.ANSWER)
+
+        answer = asyncio.run(scenario())
+        assert answer.code is LATE_TIMEOUT
+        assert_nothing_leaks(world, early_end)
