Promise nothing of a write that has run and whose answer then fails

What callers saw: nothing was seen; read from the source. An unexpected error after an endpoint's answer to a write or COMMIT, in the record of its position, in the report of the commit or in the permits, would be answered with the promise that nothing is kept, and the caller would write a second time.

Cause: an attempt counted as unresolved only until its answer, also if the answer was that it ran. A request now keeps that it has run, which covers the wait for the confirmation of a commit as well. A COMMIT that was refused and whose rollback is ended by a drain is a promise now, no longer in doubt.

Measured by TestEarlyEnd: five errors after the answer were answered with BUSY or ABORTED before, now with TIMEOUT or INDOUBT.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -174,6 +174,7 @@
                             request.command, prepared=request.prepared
                         ),
                     )
+                    request.record_answer(answer)
             except TimeoutError:
                 pinned.connection.close()
                 if is_commit:
@@ -310,10 +311,7 @@
     ) -> Answer:
         """Return the answer to a commit once it is known to be durable."""
         position = answer.position
-        # Until then, a commit that is given up is in doubt.
-        request.unresolved_attempts += 1
         decision = await self.confirmation.wait(sent, position, request.deadline_s)
-        request.unresolved_attempts -= 1
         self.commit_reporter.report(request.command.id, sent, position, decision)
         if decision.is_durable:
             return answer
@@ -339,6 +337,7 @@
                     min_position=target.min_position,
                     prepared=request.prepared,
                 )
+                request.record_answer(answer)
         except BaseException:
             connection.close()
             raise
--- a/src/ebonyladder/sessions/refusals.py
+++ b/src/ebonyladder/sessions/refusals.py
@@ -17,14 +17,14 @@
 
 def fail_read(request: StatementRequest, detail: str) -> Answer:
     """Refuse a read; one that may have run isn't reported as not run."""
-    if request.unresolved_attempts:
+    if request.may_have_run:
         return refusal(AnswerCode.FAILED, detail)
     return refuse(request, detail)
 
 
 def time_out(request: StatementRequest) -> Answer:
     """Answer a statement at its deadline; one that wasn't sent may be retried."""
-    if request.unresolved_attempts == 0:
+    if not request.may_have_run:
         return refuse(request, "no endpoint was free in time")
     return refusal(AnswerCode.TIMEOUT, "statement timeout")
 
@@ -33,6 +33,6 @@
     """Answer a statement that was ended early; None for a command that runs here."""
     if request is None:
         return refusal(AnswerCode.OVERLOADED, detail)
-    if request.unresolved_attempts == 0:
+    if not request.may_have_run:
         return refuse(request, detail)
     return refusal(AnswerCode.TIMEOUT, detail)
--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -213,10 +213,10 @@
         await self.close()
         if command.kind is CommandKind.ROLLBACK:
             return Answer()
-        is_resolved = self.request is None or self.request.unresolved_attempts == 0
+        may_have_run = self.request is not None and self.request.may_have_run
         has_written = transaction is None or transaction.has_written
-        is_kept_back = transaction is not None and is_resolved or not has_written
-        code = AnswerCode.ABORTED if is_kept_back else AnswerCode.IN_DOUBT
+        is_in_doubt = may_have_run and has_written
+        code = AnswerCode.IN_DOUBT if is_in_doubt else AnswerCode.ABORTED
         return refusal(code, detail)
 
     async def _handle(self, command: Command, authorized: AuthorizedRoute) -> Answer:
--- a/src/ebonyladder/sessions/statement_request.py
+++ b/src/ebonyladder/sessions/statement_request.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ebonyladder.sessions.catalog import OPEN_ORGANISATION, Organisation, Route
-from ebonyladder.sessions.command import Command, Prepared
+from ebonyladder.sessions.command import Answer, Command, Prepared
 from ebonyladder.sessions.connection import PooledConnection
 from ebonyladder.sessions.endpoint_selector import Target
 from ebonyladder.sessions.pool import EndpointConnectionPool
@@ -29,6 +29,8 @@
         Whether it was sent to an endpoint.
     unresolved_attempts : int
         Attempts whose outcome is unknown, so that they may have run.
+    has_run : bool
+        Whether an endpoint has answered that it ran.
     """
 
     command: Command
@@ -42,12 +44,22 @@
     is_transaction: bool = False
     was_sent: bool = False
     unresolved_attempts: int = 0
+    has_run: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether it can't be promised that nothing of it is kept."""
+        return self.has_run or self.unresolved_attempts > 0
 
     @property
     def organisation_id(self) -> OrganisationId:
         """Organisation on whose behalf the statement runs."""
         return self.organisation.name if self.organisation else OPEN_ORGANISATION
 
+    def record_answer(self, answer: Answer) -> None:
+        """Record an endpoint's answer."""
+        self.has_run |= answer.code is None or not answer.code.is_not_run
+
 
 class PinnedConnection(msgspec.Struct, kw_only=True):
     """Connection pinned by a transaction from its first statement to its end.
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -45,7 +45,10 @@
     OPENING = "opening"
     ANSWER = "answer"
     CONFIRMATION = "confirmation"
+    ROLLBACK = "rollback"
     RECHECK = "recheck"
+    RECORD = "record"
+    REPORT = "report"
 
 
 class Cause(Enum):
@@ -101,10 +104,18 @@
                 self.patch.setattr(world.connector, "open", self.end)
             case Point.ANSWER:
                 self.patch.setattr(FakeConnection, "run", self._lose_answer())
+            case Point.ROLLBACK:
+                world.primary.refusal = AnswerCode.OVERLOADED
+                run = self._lose_answer(CommandKind.ROLLBACK)
+                self.patch.setattr(FakeConnection, "run", run)
             case Point.CONFIRMATION:
                 self.patch.setattr(world.executor.confirmation, "wait", self.end)
             case Point.RECHECK:
                 self.patch.setattr(world.executor.selector, "choose", self._recheck())
+            case Point.RECORD:
+                self.patch.setattr(world.cluster, "record_seen", self.fail)
+            case Point.REPORT:
+                self.patch.setattr(world.executor.commit_reporter, "report", self.fail)
 
     @staticmethod
     def fail(*_, **__) -> None:
@@ -116,12 +127,15 @@
         results = iter((choose, self.fail))
         return lambda **fields: next(results)(**fields)
 
-    def _lose_answer(self) -> Callable[..., Awaitable[Answer]]:
+    def _lose_answer(
+        self, kind: CommandKind | None = None
+    ) -> Callable[..., Awaitable[Answer]]:
+        """Return a run whose answers are lost, but for BEGIN and other kinds."""
         run = FakeConnection.run
 
         async def run_without_answer(connection, command, **fields) -> Answer:
             answer = await run(connection, command, **fields)
-            if command.kind is CommandKind.BEGIN:
+            if command.kind is CommandKind.BEGIN or kind not in (None, command.kind):
                 return answer
             self.unanswered.append(connection)
             return await self.end()
@@ -196,6 +210,8 @@
             (READ_TRANSACTION, "COMMIT", Point.ANSWER, LATE_ABORTED),
             (WRITE_TRANSACTION, "COMMIT", Point.ANSWER, LATE_IN_DOUBT),
             (WRITE_TRANSACTION, "COMMIT", Point.CONFIRMATION, LATE_IN_DOUBT),
+            # It was refused, which is followed by a rollback.
+            (WRITE_TRANSACTION, "COMMIT", Point.ROLLBACK, LATE_ABORTED),
             # The endpoint rolls back once its connection is closed.
             (WRITE_TRANSACTION, "ROLLBACK", Point.ANSWER, None),
         ],
@@ -223,6 +239,28 @@
         assert (answer.state, session.state) == (expected, TransactionState.IDLE)
         assert rollback is None or rollback.code is None
 
+    @pytest.mark.parametrize(
+        ("before", "text", "point", "code"),
+        [
+            ((), "WRITE a b", Point.RECORD, LATE_TIMEOUT),
+            ((), "WRITE a b", Point.REPORT, LATE_TIMEOUT),
+            ((), "READ a", Point.RECORD, LATE_TIMEOUT),
+            (WRITE_TRANSACTION, "COMMIT", Point.RECORD, LATE_IN_DOUBT),
+            (WRITE_TRANSACTION, "COMMIT", Point.REPORT, LATE_IN_DOUBT),
+        ],
+    )
+    def test_error_after_the_endpoint_has_answered_promises_nothing(
+        self, world, monkeypatch, before, text, point, code
+    ):
+        # Guards against a promise that nothing is kept of a commit that was made.
+        early_end = EarlyEnd(world=world, patch=monkeypatch, cause=Cause.ERROR)
+        answer = asyncio.run(
+            run_until_ended(world.session(), early_end, before, text, point)
+        )
+        assert text in world.primary.ran
+        assert (answer.code, answer.state) == (code, TransactionState.IDLE)
+        assert_nothing_leaks(world, early_end)
+
     @pytest.mark.parametrize("text", ["READ a", "WRITE a b"])
     def test_error_after_the_wait_for_a_connection_leaks_none(
         self, world, monkeypatch, text
