Let a drain end the rollback of a session that lost access as well

What callers saw: nothing was seen; read from the source. The answer to a command of a withdrawn key or a removed route follows the rollback of its transaction, up to 0.5 s. That wait was neither counted as an accepted request nor ended by a drain, which sends its last answers 0.36 s before the process ends, and an error in it closed the connection without an answer.

Cause: the check of the key and the route came before the part that a drain ends. It is inside now.

--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -149,15 +149,10 @@
 
     async def handle(self, command: Command) -> Answer:
         """Run one command and return its answer, whatever happens to it."""
-        authorized = authorize(self.cluster, self.database, self.key)
-        if isinstance(authorized, Answer):
-            await self.close()
-            self.must_close = True
-            return authorized
         self.request = None
         try:
             async with self.executor.accepted.accept():
-                answer = await self._handle(command, authorized)
+                answer = await self._handle(command)
         except TimeoutError:
             answer = await self._give_up(command, "the VM is stopping")
         except Exception as error:
@@ -176,7 +171,7 @@
                 self.id,
                 command.kind.value,
                 self.database,
-                authorized.organisation.name if authorized.organisation else "-",
+                self.organisation_name,
                 self.cluster.version,
                 answer.code.value,
                 answer.detail,
@@ -219,7 +214,12 @@
         code = AnswerCode.IN_DOUBT if is_in_doubt else AnswerCode.ABORTED
         return refusal(code, detail)
 
-    async def _handle(self, command: Command, authorized: AuthorizedRoute) -> Answer:
+    async def _handle(self, command: Command) -> Answer:
+        authorized = authorize(self.cluster, self.database, self.key)
+        if isinstance(authorized, Answer):
+            self.must_close = True
+            await self.close()
+            return authorized
         if self.transaction is not None:
             return await self._handle_in_transaction(command, self.transaction)
         match command.kind:
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -16,7 +16,7 @@
 from ebonyladder.sessions.drain import DrainPlan
 from ebonyladder.sessions.endpoint_selector import NoTarget, Target
 from ebonyladder.sessions.session import Session
-from tests.session_fakes import FakeConnection, command
+from tests.session_fakes import FakeConnection, catalog, command
 from tests.test_session import World
 
 # The route's timeout is 1 s. A drain with this grace period ends requests at 0.18 s.
@@ -288,3 +288,23 @@
         answer = asyncio.run(scenario())
         assert answer.code is LATE_TIMEOUT
         assert_nothing_leaks(world, early_end)
+
+    def test_command_of_a_withdrawn_key_is_answered_before_the_end_of_a_drain(
+        self, world, monkeypatch
+    ):
+        # Guards against an answer that waits for a rollback beyond that end.
+        early_end = EarlyEnd(world=world, patch=monkeypatch, cause=Cause.DRAIN)
+        session = world.session()
+
+        async def scenario():
+            for text in WRITE_TRANSACTION:
+                await session.handle(command(text))
+            world.cluster.apply_catalog(catalog(version=2, keys=()))
+            return await run_until_ended(session, early_end, (), "COMMIT", Point.ANSWER)
+
+        answer = asyncio.run(scenario())
+        # The refusal of the key follows the rollback, which isn't answered.
+        assert answer.code is AnswerCode.ABORTED
+        assert "COMMIT" not in world.primary.ran
+        assert session.must_close
+        assert_nothing_leaks(world, early_end)
