Answer a command of a caller whose answer fails outside of the session

What callers saw: nothing was seen; read from the source. An unexpected error while an answer is encoded, counted or a session is opened would close the connection with no answer, and no log line named the request. One in the close of a session would leave the connection open, so that a stop waits for it until its end.

Cause: such an error ended the connection's task, past the close. The front end now logs it with the ids and answers what may have run with TIMEOUT, which promises nothing, and an opening with BUSY. An answer that can't be counted is sent as it is, and the connection closes whatever the session does.

The four tests of TestUnexpectedError failed before: nothing was sent, or the connection stayed open.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -125,17 +125,42 @@
                 line = await self._next_line()
             if line is not None:
                 await self._serve_session(line)
-        except (LineError, WireError, ValueError) as error:
-            logging.info(
-                "[front] Invalid message, closing the connection. error=%s", error
-            )
+        except (LineError, WireError) as error:
+            self._log_invalid(error)
         except (OSError, TimeoutError) as error:
             logging.info("[front] Connection ended. error=%r", error)
+        except Exception as error:
+            logging.exception(
+                "[front] Connection failed unexpectedly. session=%s", self.session_id
+            )
+            code = AnswerCode.TIMEOUT if self.session else AnswerCode.OVERLOADED
+            await self._refuse_message(code, f"unexpected error: {error!r}")
         finally:
+            await self._close()
+
+    def _log_invalid(self, error: Exception) -> None:
+        logging.info(
+            "[front] Invalid message, closing the connection. session=%s error=%s",
+            self.session_id,
+            error,
+        )
+
+    async def _refuse_message(self, code: AnswerCode, detail: str) -> None:
+        """Tell why the connection is closed; what was received isn't a command."""
+        with contextlib.suppress(OSError):
+            await self._send(encode_error(refusal(code, detail)) + LINE_END)
+
+    async def _close(self) -> None:
+        """Close the session, and the connection once its last byte is sent."""
+        try:
             if self.session is not None:
                 await self.session.close()
+        except Exception:
+            logging.exception(
+                "[front] Session could not be closed. session=%s", self.session_id
+            )
+        finally:
             self.writer.close()
-            # The connection is open until the last byte is sent.
             with contextlib.suppress(OSError):
                 await self.writer.wait_closed()
 
@@ -159,8 +184,7 @@
                 message = decode_message(line)
                 if isinstance(message, Terminate):
                     return
-                answer = await self._handle(opened, message)
-                await self._send(encode_answer(answer))
+                await self._send(await self._answer(opened, message))
             finally:
                 self.is_busy = False
             if opened.must_close:
@@ -246,6 +270,11 @@
         """Bytes of answers that the caller hasn't taken yet."""
         return self.writer.transport.get_write_buffer_size()
 
+    @property
+    def session_id(self) -> str:
+        """Id of the session in logs."""
+        return self.session.id if self.session else "-"
+
     @property
     def request_id(self) -> str:
         """Id of the command that is running."""
@@ -261,6 +290,44 @@
     def _expect_command(self) -> None:
         self.command_expected_until_s = self.clock.now_s() + NEXT_COMMAND_TIMEOUT_S
 
+    async def _answer(
+        self, session: Session, message: Startup | Command | Malformed
+    ) -> bytes:
+        """Return the encoded answer to a message, whatever happens to it."""
+        started_at_s = time.monotonic()
+        try:
+            answer = await self._handle(session, message)
+            data = encode_answer(answer)
+        except WireError:
+            raise
+        except Exception as error:
+            # The command may have run, so nothing is promised.
+            logging.exception(
+                "[front] Command has no answer. request=%s session=%s",
+                message.id,
+                session.id,
+            )
+            answer = refusal(
+                AnswerCode.TIMEOUT, f"unexpected error: {error!r}", state=session.state
+            )
+            data = encode_answer(answer)
+        if isinstance(message, Command):
+            self._observe(session, message, answer, time.monotonic() - started_at_s)
+        return data
+
+    def _observe(
+        self, session: Session, command: Command, answer: Answer, seconds: float
+    ) -> None:
+        try:
+            self.metrics.observe_request(
+                organisation=session.organisation_name,
+                request_class=command.kind.value,
+                outcome=answer.code.value if answer.code else "ok",
+                seconds=seconds,
+            )
+        except Exception:
+            logging.exception("[front] Request isn't counted. request=%s", command.id)
+
     async def _handle(
         self, session: Session, message: Startup | Command | Malformed
     ) -> Answer:
@@ -268,14 +335,7 @@
             return refusal(AnswerCode.MALFORMED, message.problem, state=session.state)
         if isinstance(message, Startup):
             raise WireError("STARTUP was already sent")
-        started_at_s = time.monotonic()
         answer = await session.handle(message)
-        self.metrics.observe_request(
-            organisation=session.organisation_name,
-            request_class=message.kind.value,
-            outcome=answer.code.value if answer.code else "ok",
-            seconds=time.monotonic() - started_at_s,
-        )
         # Only a session that lost access must close.
         return self._spell_names(answer) if session.must_close else answer
 
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -143,6 +143,16 @@
     return asyncio.run(main())
 
 
+async def fail(*_) -> Answer:
+    """Fail as a command or the close of a session."""
+    fail_now()
+
+
+def fail_now(*_, **__) -> None:
+    """Fail as a call."""
+    raise RuntimeError("injected")
+
+
 class TestClose:
     """Guards against a request that has arrived and is cut off without an answer."""
 
@@ -210,6 +220,44 @@
         assert run(scenario).session.handled == 0
 
 
+class TestUnexpectedError:
+    """Guards against a request without an answer, or one that nothing names."""
+
+    def test_command_that_fails_is_answered_and_logged_with_its_id(self, caplog):
+        async def scenario(harness):
+            harness.session.handle = fail
+            await harness.receive(STARTUP + QUERY)
+            assert not harness.writer.is_closed
+
+        sent = run(scenario).writer.sent
+        assert b"ERROR TIMEOUT unexpected error" in sent
+        assert sent.endswith(b"READY I -\r\n")
+        assert "request=1 session=s" in caplog.text
+
+    def test_answer_is_sent_although_it_is_not_counted(self):
+        async def scenario(harness):
+            harness.connection.metrics.observe_request = fail_now
+            await harness.receive(STARTUP + QUERY)
+
+        assert b"COMPLETE s1" in run(scenario).writer.sent
+
+    def test_session_that_cannot_be_opened_is_refused(self):
+        async def scenario(harness):
+            harness.connection.session_factory.open = fail_now
+            await harness.receive(STARTUP)
+            assert harness.writer.is_closed
+
+        assert run(scenario).writer.sent.startswith(b"ERROR BUSY unexpected error")
+
+    def test_connection_is_closed_although_its_session_cannot_be(self):
+        # Guards against a stop that waits for this connection.
+        async def scenario(harness):
+            harness.session.close = fail
+            await harness.receive(STARTUP)
+
+        assert run(scenario).writer.is_closed
+
+
 class TestDrain:
     """Guards against sessions that a stopping VM accepts and doesn't serve."""
 
