Answer a line that isn't a message before the connection closes

What callers saw: nothing was seen; read from the source. A QUERY without a text and a line with an unknown word closed the connection without an answer.

By the protocol each QUERY is answered up to READY, so one without a text is now MALFORMED like any other text that isn't a command, and the session goes on. A line of another kind has no id and no defined answer: an ERROR precedes the close, as after a refused STARTUP. A line that is truncated or too long isn't whole, and closes the connection as before.

The two tests of TestInvalidMessage and that of the empty text failed before.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -125,8 +125,11 @@
                 line = await self._next_line()
             if line is not None:
                 await self._serve_session(line)
-        except (LineError, WireError) as error:
+        except LineError as error:
             self._log_invalid(error)
+        except WireError as error:
+            self._log_invalid(error)
+            await self._refuse_message(AnswerCode.MALFORMED, str(error))
         except (OSError, TimeoutError) as error:
             logging.info("[front] Connection ended. error=%r", error)
         except Exception as error:
--- a/src/ebonyladder/platform/wire.py
+++ b/src/ebonyladder/platform/wire.py
@@ -117,8 +117,8 @@
     keyword, _, rest = decode_text(line).partition(" ")
     if keyword == "QUERY":
         id, _, text = rest.partition(" ")
-        if not id or not text:
-            raise WireError("QUERY has no command text")
+        if not id:
+            raise WireError("QUERY has no id")
         try:
             return decode_command(id, text)
         except WireError as error:
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -258,6 +258,27 @@
         assert run(scenario).writer.is_closed
 
 
+class TestInvalidMessage:
+    """Guards against a caller that isn't told why its connection is closed."""
+
+    def test_line_that_is_no_message_is_refused_before_the_close(self):
+        async def scenario(harness):
+            await harness.receive(STARTUP + b"SELECT 1\r\n")
+            assert harness.writer.is_closed
+
+        sent = run(scenario).writer.sent
+        assert sent == b"READY I -\r\nERROR MALFORMED unknown message 'SELECT'\r\n"
+
+    def test_query_without_a_text_does_not_end_the_session(self):
+        async def scenario(harness):
+            await harness.receive(STARTUP + b"QUERY 1\r\n" + QUERY)
+            assert not harness.writer.is_closed
+
+        sent = run(scenario).writer.sent
+        assert b"ERROR MALFORMED unknown command ''\r\nREADY I -\r\n" in sent
+        assert b"COMPLETE s1" in sent
+
+
 class TestDrain:
     """Guards against sessions that a stopping VM accepts and doesn't serve."""
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -53,7 +53,7 @@
         assert command.text == "WRITE a b  c "
 
     @pytest.mark.parametrize(
-        "text", ["DROP a", "BEGIN WRITE", "READ", "PREPARE s READ"]
+        "text", ["DROP a", "BEGIN WRITE", "READ", "PREPARE s READ", ""]
     )
     def test_invalid_command_keeps_its_id(self, text):
         # Guards against a session that ends because of one malformed query.
