Send no statement whose deadline has passed

What callers saw: nothing was seen; read from the source. A statement that got its permit or connection after its deadline, or arrived after the end of a drain, was sent to the endpoint and cut off at once: it ran, and its answer was TIMEOUT or INDOUBT, after which a write or COMMIT can't be repeated. A wait for a permit took up to half of the latency objective, also if the route's timeout is shorter.

Cause: the deadline was only enforced during a statement. It is now checked before one is sent, a command that comes after the end of a drain doesn't begin, and a permit is waited for until the deadline at most.

--- a/src/ebonyladder/sessions/accepted_requests.py
+++ b/src/ebonyladder/sessions/accepted_requests.py
@@ -69,8 +69,11 @@
         Raises
         ------
         TimeoutError
-            If the request was ended since the VM is stopping.
+            If the request was ended since the VM is stopping; before the body if it
+            comes after that end.
         """
+        if self.clock.now_s() >= self.answer_by_s:
+            raise TimeoutError("the VM is stopping")
         async with asyncio.timeout_at(self._end_on_loop_s()) as scope:
             self.scopes.add(scope)
             try:
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -7,7 +7,8 @@
 from absl import logging
 
 from ebonyladder.kernel.clock import Clock
-from ebonyladder.kernel.error import EndpointError, Outcome
+from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
+from ebonyladder.kernel.step import Step
 from ebonyladder.metrics import Metrics
 from ebonyladder.sessions.accepted_requests import AcceptedRequests
 from ebonyladder.sessions.catalog import Route
@@ -163,6 +164,13 @@
         if is_write_commit and not self._is_current_primary(entry):
             pinned.connection.close()
             return refusal(AnswerCode.ABORTED, "the primary changed")
+        if self._remaining_s(request) <= 0:
+            pinned.connection.close()
+            return refusal(
+                AnswerCode.ABORTED,
+                "the deadline passed before the statement was sent",
+                state=TransactionState.FAILED,
+            )
         while True:
             try:
                 with self._track(
@@ -362,11 +370,23 @@
             connection.set_variables(request.values, request.deadline_s)
             # The primary may have changed while the statement waited.
             self.targets.require(request, target, tried)
+            self._require_time(request, target)
         except BaseException:
             pool.release(connection)
             raise
         return pool, connection
 
+    def _require_time(self, request: StatementRequest, target: Target) -> None:
+        """Raise ``EndpointError``, not run, if an answer would come too late."""
+        if self._remaining_s(request) <= 0:
+            raise EndpointError(
+                code=ErrorCode.DEADLINE,
+                step=Step.EXECUTE,
+                peer=target.entry.id,
+                message="the deadline passed before the statement was sent",
+                outcome=Outcome.NOT_RUN,
+            )
+
     @contextmanager
     def _track(
         self,
--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -234,7 +234,8 @@
     async def _begin(self, command: Command, authorized: AuthorizedRoute) -> Answer:
         if self.executor.accepted.refuses_work:
             return refusal(AnswerCode.OVERLOADED, "the VM is stopping")
-        refused = await self._admit(authorized)
+        deadline_s = self.executor.deadline_s(authorized.route)
+        refused = await self._admit(authorized, deadline_s)
         if refused is not None:
             return refused
         # The endpoint is chosen at the first statement, so that no connection is pinned
@@ -268,7 +269,7 @@
         request = self._request(command, authorized.route, authorized.organisation)
         if request is None:
             return refusal(AnswerCode.NOT_PREPARED, command.name)
-        refused = await self._admit(authorized)
+        refused = await self._admit(authorized, request.deadline_s)
         if refused is not None:
             return refused
         answer = await self.executor.run_autocommit(request)
@@ -278,13 +279,17 @@
             self._record_commit(authorized.route.service, answer.position)
         return answer.with_state(TransactionState.IDLE)
 
-    async def _admit(self, authorized: AuthorizedRoute) -> Answer | None:
+    async def _admit(
+        self, authorized: AuthorizedRoute, deadline_s: float
+    ) -> Answer | None:
         if authorized.organisation is None:
             return None
+        objective_s = authorized.route.objective_s
+        remaining_s = deadline_s - self.executor.clock.now_s()
         try:
             await self.quota.admit(
                 authorized.organisation,
-                timeout_s=authorized.route.objective_s * ADMISSION_FRACTION,
+                timeout_s=min(objective_s * ADMISSION_FRACTION, max(remaining_s, 0)),
             )
         except RequestError as error:
             return refusal(
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
+import msgspec
 import pytest
 
 from ebonyladder.sessions.catalog import Consistency
@@ -16,8 +17,8 @@
 from ebonyladder.sessions.drain import DrainPlan
 from ebonyladder.sessions.endpoint_selector import NoTarget, Target
 from ebonyladder.sessions.session import Session
-from tests.session_fakes import FakeConnection, catalog, command
-from tests.test_session import World
+from tests.session_fakes import FakeConnection, catalog, command, route
+from tests.test_session import World, run_commands
 
 # The route's timeout is 1 s. A drain with this grace period ends requests at 0.18 s.
 GRACE_S = 0.2
@@ -308,3 +309,57 @@
         assert "COMMIT" not in world.primary.ran
         assert session.must_close
         assert_nothing_leaks(world, early_end)
+
+
+class TestPassedDeadline:
+    """Guards against statements that run although their answer comes too late."""
+
+    @pytest.mark.parametrize(
+        ("before", "text"),
+        [
+            ((), "READ a"),
+            ((), "WRITE a b"),
+            (BEGIN, "WRITE a b"),
+            (WRITE_TRANSACTION, "READ a"),
+            (WRITE_TRANSACTION, "COMMIT"),
+        ],
+    )
+    @pytest.mark.parametrize("is_drain", [True, False])
+    def test_command_is_not_sent(self, world, monkeypatch, before, text, is_drain):
+        early_end = EarlyEnd(world=world, patch=monkeypatch, cause=Cause.DRAIN)
+        session = world.session()
+
+        async def scenario():
+            for earlier in before:
+                await session.handle(command(earlier))
+            if is_drain:
+                started_at_s = world.clock.now_s() - GRACE_S
+                session.executor.accepted.begin_drain(
+                    DrainPlan(grace_s=GRACE_S, started_at_s=started_at_s)
+                )
+            else:
+                # As after a wait for a permit.
+                monkeypatch.setattr(session.executor, "deadline_s", lambda route: 0.0)
+            early_end.arm(Point.ANSWER)
+            return await session.handle(command(text))
+
+        answer = asyncio.run(scenario())
+        assert answer.code in (LATE_BUSY, LATE_ABORTED)
+        assert world.primary.ran == [t for t in before if before != BEGIN]
+        assert_nothing_leaks(world, early_end)
+
+    @pytest.mark.parametrize("text", ["READ a", "BEGIN"])
+    def test_permit_is_waited_for_until_the_deadline_at_most(self, world, text):
+        # Guards against routes whose latency objective exceeds their timeout.
+        short = route(Consistency.PRIMARY, statement_timeout_s=0.1, objective_s=5.0)
+        routes = {**world.cluster.catalog.routes, short.database: short}
+        changed = msgspec.structs.replace(world.cluster.catalog, routes=routes)
+        world.cluster.catalog = changed
+        timeouts = []
+
+        async def admit(organisation, *, timeout_s):
+            timeouts.append(timeout_s)
+
+        world.quota.admit = admit
+        run_commands(world.session(), text)
+        assert 0 < timeouts[0] <= short.statement_timeout_s
