--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -31,7 +31,7 @@
 from ebonyladder.sessions.refusals import fail_read, refuse, time_out
 from ebonyladder.sessions.replica_check import ReplicaCheck
 from ebonyladder.sessions.statement_request import PinnedConnection, StatementRequest
-from ebonyladder.sessions.target_wait import TargetWait
+from ebonyladder.sessions.target_choice import TargetChoice
 from ebonyladder.types import EndpointId, RequestKind
 
 # Backoff before a statement that was not run is retried.
@@ -39,8 +39,6 @@
 # A read without an answer for this long is sent to another endpoint as well: several
 # times the duration of a usual statement, well below the routes' latency objectives.
 HEDGE_DELAY_S = 0.35
-# Without an eligible endpoint, the choice is repeated at least this often.
-PRIMARY_POLL_INTERVAL_S = 0.1
 # Transit time of the answer to the caller.
 ANSWER_MARGIN_S = 0.02
 # Timeout of a rollback; its connection is closed then.
@@ -94,11 +92,9 @@
             cluster=cluster, replica_check=replica_check, clock=clock
         )
         self.commit_reporter = CommitReporter(metrics=metrics, clock=clock)
-        self.target_wait = TargetWait(clock=clock)
+        self.targets = TargetChoice(cluster=cluster, selector=selector, clock=clock)
         self.accepted = AcceptedRequests(clock=clock)
         self.clock = clock
-        self.cluster_changed = asyncio.Event()
-        cluster.listeners.append(self.cluster_changed.set)
 
     def deadline_s(self, route: Route) -> float:
         """Return the deadline of a statement that starts now."""
@@ -121,7 +117,7 @@
         tried: set[EndpointId] = set()
         while True:
             try:
-                target = await self._choose_target(request, tried)
+                target = await self.targets.choose(request, tried)
                 if isinstance(target, NoTarget):
                     return refuse(request, target.value)
                 pool, connection = await self._acquire_connection(
@@ -168,6 +164,13 @@
         if is_write_commit and not self._is_current_primary(entry):
             pinned.connection.close()
             return refusal(AnswerCode.ABORTED, "the primary changed")
+        if self._remaining_s(request) <= 0:
+            pinned.connection.close()
+            return refusal(
+                AnswerCode.ABORTED,
+                "the deadline passed before the statement was sent",
+                state=TransactionState.FAILED,
+            )
         while True:
             try:
                 with self._track(
@@ -179,6 +182,7 @@
                             request.command, prepared=request.prepared
                         ),
                     )
+                    request.record_answer(answer)
             except TimeoutError:
                 pinned.connection.close()
                 if is_commit:
@@ -273,7 +277,7 @@
     ) -> Answer:
         while True:
             try:
-                target = await self._choose_target(request, tried)
+                target = await self.targets.choose(request, tried)
                 if isinstance(target, NoTarget):
                     return fail_read(request, target.value)
                 answer = await self._send(request, target, tried)
@@ -291,7 +295,7 @@
         tried: set[EndpointId] = set()
         while True:
             try:
-                target = await self._choose_target(request, tried)
+                target = await self.targets.choose(request, tried)
                 if isinstance(target, NoTarget):
                     return refuse(request, target.value)
                 sent = self.confirmation.sent(target.entry)
@@ -315,10 +319,7 @@
     ) -> Answer:
         """Return the answer to a commit once it is known to be durable."""
         position = answer.position
-        # Until then, a commit that is given up is in doubt.
-        request.unresolved_attempts += 1
         decision = await self.confirmation.wait(sent, position, request.deadline_s)
-        request.unresolved_attempts -= 1
         self.commit_reporter.report(request.command.id, sent, position, decision)
         if decision.is_durable:
             return answer
@@ -344,6 +345,7 @@
                     min_position=target.min_position,
                     prepared=request.prepared,
                 )
+                request.record_answer(answer)
         except BaseException:
             connection.close()
             raise
@@ -364,26 +366,26 @@
         connection = await pool.acquire(
             request.organisation_id, request.values, request.deadline_s
         )
-        connection.set_variables(request.values, request.deadline_s)
-        # The primary may have changed while the statement waited for the connection.
-        current = self.selector.choose(
-            route=request.route,
-            organisation=request.organisation,
-            access=request.access,
-            last_commit=request.last_commit,
-            tried=frozenset(tried),
-            is_transaction=request.is_transaction,
-        )
-        if target.is_primary and target.min_position is None and current != target:
+        try:
+            connection.set_variables(request.values, request.deadline_s)
+            # The primary may have changed while the statement waited.
+            self.targets.require(request, target, tried)
+            self._require_time(request, target)
+        except BaseException:
             pool.release(connection)
+            raise
+        return pool, connection
+
+    def _require_time(self, request: StatementRequest, target: Target) -> None:
+        """Raise ``EndpointError``, not run, if an answer would come too late."""
+        if self._remaining_s(request) <= 0:
             raise EndpointError(
-                code=ErrorCode.NO_PRIMARY,
-                step=Step.ROUTE,
+                code=ErrorCode.DEADLINE,
+                step=Step.EXECUTE,
                 peer=target.entry.id,
-                message="the primary changed during the wait",
+                message="the deadline passed before the statement was sent",
                 outcome=Outcome.NOT_RUN,
             )
-        return pool, connection
 
     @contextmanager
     def _track(
@@ -416,40 +418,6 @@
         async with asyncio.timeout(max(self._remaining_s(request), 0)):
             return await call
 
-    async def _choose_target(
-        self, request: StatementRequest, tried: set[EndpointId]
-    ) -> Target | NoTarget:
-        """Choose an endpoint, waiting until one is eligible or the wait times out."""
-        started_at_s = self.clock.now_s()
-        while True:
-            self.cluster_changed.clear()
-            target = self.selector.choose(
-                route=request.route,
-                organisation=request.organisation,
-                access=request.access,
-                last_commit=request.last_commit,
-                tried=frozenset(tried),
-                is_transaction=request.is_transaction,
-            )
-            service = request.route.service
-            if isinstance(target, Target):
-                if target.is_primary:
-                    self.target_wait.record_primary(service)
-                return target
-            wait_until_s = self.target_wait.end_s(
-                target,
-                service,
-                started_at_s=started_at_s,
-                deadline_s=request.deadline_s,
-            )
-            if wait_until_s - self.clock.now_s() <= PRIMARY_POLL_INTERVAL_S:
-                return target
-            try:
-                async with asyncio.timeout(PRIMARY_POLL_INTERVAL_S):
-                    await self.cluster_changed.wait()
-            except TimeoutError:
-                continue
-
     async def _backoff_after_refusal(
         self,
         request: StatementRequest,
--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -149,15 +149,10 @@
 
     async def handle(self, command: Command) -> Answer:
         """Run one command and return its answer, whatever happens to it."""
-        authorized = authorize(self.cluster, self.database, self.key)
-        if isinstance(authorized, Answer):
-            await self.close()
-            self.must_close = True
-            return authorized
         self.request = None
         try:
             async with self.executor.accepted.accept():
-                answer = await self._handle(command, authorized)
+                answer = await self._handle(command)
         except TimeoutError:
             answer = await self._give_up(command, "the VM is stopping")
         except Exception as error:
@@ -176,7 +171,7 @@
                 self.id,
                 command.kind.value,
                 self.database,
-                authorized.organisation.name if authorized.organisation else "-",
+                self.organisation_name,
                 self.cluster.version,
                 answer.code.value,
                 answer.detail,
@@ -213,13 +208,18 @@
         await self.close()
         if command.kind is CommandKind.ROLLBACK:
             return Answer()
-        is_resolved = self.request is None or self.request.unresolved_attempts == 0
+        may_have_run = self.request is not None and self.request.may_have_run
         has_written = transaction is None or transaction.has_written
-        is_kept_back = transaction is not None and is_resolved or not has_written
-        code = AnswerCode.ABORTED if is_kept_back else AnswerCode.IN_DOUBT
+        is_in_doubt = may_have_run and has_written
+        code = AnswerCode.IN_DOUBT if is_in_doubt else AnswerCode.ABORTED
         return refusal(code, detail)
 
-    async def _handle(self, command: Command, authorized: AuthorizedRoute) -> Answer:
+    async def _handle(self, command: Command) -> Answer:
+        authorized = authorize(self.cluster, self.database, self.key)
+        if isinstance(authorized, Answer):
+            self.must_close = True
+            await self.close()
+            return authorized
         if self.transaction is not None:
             return await self._handle_in_transaction(command, self.transaction)
         match command.kind:
@@ -234,7 +234,8 @@
     async def _begin(self, command: Command, authorized: AuthorizedRoute) -> Answer:
         if self.executor.accepted.refuses_work:
             return refusal(AnswerCode.OVERLOADED, "the VM is stopping")
-        refused = await self._admit(authorized)
+        deadline_s = self.executor.deadline_s(authorized.route)
+        refused = await self._admit(authorized, deadline_s)
         if refused is not None:
             return refused
         # The endpoint is chosen at the first statement, so that no connection is pinned
@@ -268,7 +269,7 @@
         request = self._request(command, authorized.route, authorized.organisation)
         if request is None:
             return refusal(AnswerCode.NOT_PREPARED, command.name)
-        refused = await self._admit(authorized)
+        refused = await self._admit(authorized, request.deadline_s)
         if refused is not None:
             return refused
         answer = await self.executor.run_autocommit(request)
@@ -278,13 +279,17 @@
             self._record_commit(authorized.route.service, answer.position)
         return answer.with_state(TransactionState.IDLE)
 
-    async def _admit(self, authorized: AuthorizedRoute) -> Answer | None:
+    async def _admit(
+        self, authorized: AuthorizedRoute, deadline_s: float
+    ) -> Answer | None:
         if authorized.organisation is None:
             return None
+        objective_s = authorized.route.objective_s
+        remaining_s = deadline_s - self.executor.clock.now_s()
         try:
             await self.quota.admit(
                 authorized.organisation,
-                timeout_s=authorized.route.objective_s * ADMISSION_FRACTION,
+                timeout_s=min(objective_s * ADMISSION_FRACTION, max(remaining_s, 0)),
             )
         except RequestError as error:
             return refusal(
