Drain plug-ins beside each other unless one requires the other

What callers saw: nothing yet; read from the source. The service for other VMs and the front end both wait by the schedule of the drain, and neither requires the other.

Cause: the kernel drained one plug-in after the other, in the reverse order of the start. A service for other VMs that waits until the schedule refuses work would keep the front end from its own part of the schedule.

Now a plug-in drains as soon as those that require it have drained.

test_independent_plugins_drain_beside_each_other fails without the change with a TimeoutError after 10 s.

--- a/src/ebonyladder/kernel/kernel.py
+++ b/src/ebonyladder/kernel/kernel.py
@@ -151,7 +151,11 @@
             plugin.reload()
 
     async def drain(self) -> None:
-        """Drain every plug-in, dependants first."""
+        """Drain every plug-in, dependants first, the others beside each other.
+
+        Two plug-ins that serve callers and other VMs by the same schedule can't wait
+        for each other.
+        """
         self.draining = True
         announcements = [
             self.spawn(plugin.announce_drain(), name=f"announce-{plugin.name}")
@@ -160,10 +164,26 @@
         if announcements:
             # Those that take longer go on beside the drain.
             await asyncio.wait(announcements, timeout=ANNOUNCE_TIMEOUT_S)
+        drains: dict[Plugin, asyncio.Task[None]] = {}
         for plugin in reversed(self.plugins):
-            await self._run_step(plugin.drain(), f"drain-{plugin.name}")
+            dependants = [d for d in drains if plugin in self._providers_of(d)]
+            drains[plugin] = self.spawn(
+                self._drain_after([drains[d] for d in dependants], plugin),
+                name=f"drain-{plugin.name}",
+            )
+        await asyncio.gather(*drains.values())
         logging.info("[kernel] Drain finished. vm=%s", self.settings.vm)
 
+    def _providers_of(self, plugin: Plugin) -> list[Plugin]:
+        return [self.providers[interface] for interface in plugin.requires]
+
+    async def _drain_after(
+        self, dependants: list[asyncio.Task[None]], plugin: Plugin
+    ) -> None:
+        """Drain a plug-in once those that require it have drained."""
+        await asyncio.gather(*dependants)
+        await self._run_step(plugin.drain(), f"drain-{plugin.name}")
+
     async def _run_step(self, step: Coroutine[Any, Any, None], name: str) -> None:
         """Run a step of the stop; its failure must not end the stop of the others."""
         try:
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -136,6 +136,32 @@
 
         assert self.drain(announce=fail, drain=fail) == ["drain", "stop"]
 
+    def test_independent_plugins_drain_beside_each_other(self):
+        # Guards against a front end that takes part in a drain only once the service
+        # for other VMs, which goes by the same schedule, has finished.
+        registry = Registry()
+        others: dict[str, asyncio.Event] = {}
+
+        class Waiting(Plugin):
+            async def drain(self):
+                others[self.name].set()
+                await asyncio.gather(*(event.wait() for event in others.values()))
+
+        @registry.register
+        class First(Waiting):
+            name = "a-first"
+
+        @registry.register
+        class Second(Waiting):
+            name = "b-second"
+
+        async def main() -> None:
+            others.update({"a-first": asyncio.Event(), "b-second": asyncio.Event()})
+            async with asyncio.timeout(10):
+                await Kernel(settings=SETTINGS, registry=registry).drain()
+
+        asyncio.run(main())
+
     @staticmethod
     def drain(**steps) -> list[str]:
         """Drain and stop two plug-ins, of which the first one's steps are given."""
