Give forwarded statements the same end as those of the owner's callers

An owner that stops answered the requests of its own callers in time, but ended those of other VMs with their channel. These VMs got CONNECTION_LOST with an unknown outcome, also for statements that were still waiting for a connection.

Cause: forwarded statements weren't counted among the accepted requests, and a timeout at the owner always had an unknown outcome.

A forwarded statement now runs as an accepted request. ForwardedAttempt records whether it was sent: an attempt that is ended early wasn't run unless it was sent; a transaction is rolled back then, and only a COMMIT that was sent or a single statement is in doubt. Running a statement on a pool is a module of its own, apart from serving the channels.

Two fixtures of test_session_messages.py and test_texts.py that replace the executor hold accepted requests now, as the executor does.

--- a/src/ebonyladder/sessions/forwarding_service.py
+++ b/src/ebonyladder/sessions/forwarding_service.py
@@ -2,24 +2,19 @@
 
 import asyncio
 
-import msgspec
 from absl import logging
 from websockets.asyncio.server import ServerConnection
 from websockets.exceptions import WebSocketException
 
 from ebonyladder.kernel.clock import Clock
-from ebonyladder.kernel.error import EndpointError, ErrorCode, Outcome
-from ebonyladder.kernel.step import Step
-from ebonyladder.sessions.command import (
-    Answer,
-    AnswerCode,
-    CommandKind,
-    TransactionState,
-)
-from ebonyladder.sessions.commit_decision import SentCommit
-from ebonyladder.sessions.connection import PooledConnection, ReadBound
-from ebonyladder.sessions.endpoint_selector import Target
+from ebonyladder.kernel.error import EndpointError, Outcome
+from ebonyladder.sessions.command import Answer
 from ebonyladder.sessions.executor import Executor
+from ebonyladder.sessions.forwarded_attempt import (
+    ForwardedAttempt,
+    ForwardedTransaction,
+    Transactions,
+)
 from ebonyladder.sessions.messages import (
     Envelope,
     ForwardedStatement,
@@ -29,38 +24,13 @@
     decode,
     encode_bounded,
 )
-from ebonyladder.sessions.pool import DirectPool, EndpointConnectionPool
 from ebonyladder.sessions.primary_positions import PositionSample
-from ebonyladder.sessions.statement_request import PinnedConnection
-from ebonyladder.types import Position
 
-# Transit time of a reply, in seconds: one way between regions, to a busy VM. A
-# statement stops waiting for a connection this long before its deadline, so that the
-# reply "not run" arrives in time.
-REPLY_TRANSIT_S = 0.05
 # Minimum time that a forwarded statement gets, in seconds, so that one which arrives at
 # its deadline ends with an error of its own.
 MIN_REMAINING_S = 0.005
 
 
-class ForwardedTransaction(msgspec.Struct, kw_only=True):
-    """Transaction of another VM.
-
-    Attributes
-    ----------
-    pinned : PinnedConnection or None
-        Its connection, None until BEGIN is answered.
-    is_running : bool
-        Whether a statement is running on it.
-    is_released : bool
-        Whether the other VM has given it up.
-    """
-
-    pinned: PinnedConnection | None = None
-    is_running: bool = True
-    is_released: bool = False
-
-
 class ForwardingService:
     """Runs forwarded statements, with one task for each connection of a VM.
 
@@ -78,7 +48,7 @@
 
     async def serve(self, connection: ServerConnection) -> None:
         """Serve a VM until its connection ends, then roll back its transactions."""
-        transactions: dict[int, ForwardedTransaction] = {}
+        transactions: Transactions = {}
         tasks: set[asyncio.Task[None]] = set()
         try:
             async for data in connection:
@@ -100,7 +70,7 @@
         self,
         connection: ServerConnection,
         envelope: Envelope,
-        transactions: dict[int, ForwardedTransaction],
+        transactions: Transactions,
     ) -> None:
         if envelope.release is not None:
             transaction = transactions.pop(envelope.release.handle, None)
@@ -125,8 +95,7 @@
             logging.info("[owner] Reply can't be encoded. error=%s", error)
             if envelope.forward is None:
                 return encode_bounded(ForwardReply(id=reply.id))
-            failure = self._error(
-                envelope.forward,
+            failure = self._attempt(envelope.forward, {}).error(
                 f"the answer can't be sent: {error}",
                 Outcome.UNKNOWN if reply.failure is None else reply.failure.outcome,
             )
@@ -149,23 +118,33 @@
             age_s=self.clock.now_s() - latest.sent_at_s,
         )
 
+    def _attempt(
+        self, forward: ForwardedStatement, transactions: Transactions
+    ) -> ForwardedAttempt:
+        return ForwardedAttempt(
+            executor=self.executor,
+            clock=self.clock,
+            forward=forward,
+            transactions=transactions,
+        )
+
     async def _run(
-        self, forward: ForwardedStatement, transactions: dict[int, ForwardedTransaction]
+        self, forward: ForwardedStatement, transactions: Transactions
     ) -> ForwardReply:
-        pool = self.executor.pools.pools.get(forward.endpoint)
-        load = pool.load if pool is not None else 0.0
+        """Run a statement and return its reply, whatever happens to it."""
+        attempt = self._attempt(forward, transactions)
+        remaining_s = attempt.deadline_s - self.clock.now_s()
+        load = attempt.load
         try:
-            async with asyncio.timeout(max(forward.remaining_s, MIN_REMAINING_S)):
-                answer = await self._execute(forward, pool, transactions)
+            async with (
+                self.executor.accepted.accept(),
+                asyncio.timeout(max(remaining_s, MIN_REMAINING_S)),
+            ):
+                answer = await self._execute(attempt)
         except EndpointError as error:
-            return ForwardReply(
-                id=forward.id, failure=StatementFailure.from_error(error), load=load
-            )
+            failure = error
         except TimeoutError:
-            error = self._error(forward, "no answer in time", Outcome.UNKNOWN)
-            return ForwardReply(
-                id=forward.id, failure=StatementFailure.from_error(error), load=load
-            )
+            failure = attempt.interruption("no answer in time")
         except Exception as error:
             # Without a reply the caller would wait until its deadline.
             logging.exception(
@@ -173,115 +152,15 @@
                 forward.command.id,
                 forward.endpoint,
             )
-            failure = self._error(
-                forward, f"unexpected error: {error!r}", Outcome.UNKNOWN
-            )
-            return ForwardReply(
-                id=forward.id, failure=StatementFailure.from_error(failure), load=load
-            )
-        return ForwardReply(id=forward.id, answer=answer, load=load)
-
-    async def _execute(
-        self,
-        forward: ForwardedStatement,
-        pool: EndpointConnectionPool | None,
-        transactions: dict[int, ForwardedTransaction],
-    ) -> Answer:
-        if forward.is_begin:
-            return await self._begin(forward, pool, transactions)
-        if forward.handle:
-            return await self._run_pinned(forward, transactions)
-        answer, pinned = await self._run_on_new(forward, pool)
-        if pinned is not None:
-            pinned.pool.release(pinned.connection)
-        return answer
-
-    async def _begin(
-        self,
-        forward: ForwardedStatement,
-        pool: EndpointConnectionPool | None,
-        transactions: dict[int, ForwardedTransaction],
-    ) -> Answer:
-        transaction = ForwardedTransaction()
-        transactions[forward.handle] = transaction
-        try:
-            answer, pinned = await self._run_on_new(forward, pool)
-        except BaseException:
-            transactions.pop(forward.handle, None)
-            raise
-        if pinned is None:
-            transactions.pop(forward.handle, None)
-        elif transaction.is_released:
-            await self.executor.release_pinned(pinned)
-        elif answer.state is TransactionState.OPEN:
-            transaction.pinned = pinned
+            failure = attempt.error(f"unexpected error: {error!r}", Outcome.UNKNOWN)
         else:
-            transactions.pop(forward.handle, None)
-            pinned.pool.release(pinned.connection)
-        transaction.is_running = False
-        return answer
-
-    async def _run_on_new(
-        self, forward: ForwardedStatement, pool: EndpointConnectionPool | None
-    ) -> tuple[Answer, PinnedConnection | None]:
-        """Run a statement on a connection of the pool; return both.
-
-        There is no connection if the statement wasn't sent.
-        """
-        if not isinstance(pool, DirectPool):
-            raise self._error(forward, "this VM doesn't own the endpoint")
-        min_position = self._min_position(forward, pool)
-        if isinstance(min_position, Answer):
-            return min_position, None
-        deadline_s = self.clock.now_s() + forward.remaining_s
-        connection = await pool.acquire(
-            forward.organisation, forward.values, deadline_s - REPLY_TRANSIT_S
+            return ForwardReply(id=forward.id, answer=answer, load=load)
+        return ForwardReply(
+            id=forward.id, failure=StatementFailure.from_error(failure), load=load
         )
-        target = Target(entry=pool.entry, is_primary=forward.needs_primary)
-        try:
-            # The primary may have changed during the wait for the connection.
-            self._require_primary(forward, pool)
-            connection.set_variables(forward.values, deadline_s)
-            sent = self.executor.confirmation.sent(pool.entry)
-            answer = await self._send(forward, pool, connection, min_position)
-            self.executor.record_position(target, answer, sent.sent_at_s)
-            if forward.is_write and not forward.is_begin:
-                await self._prove(forward, sent, answer)
-        except BaseException:
-            connection.close()
-            pool.release(connection)
-            raise
-        pinned = PinnedConnection(pool=pool, connection=connection, target=target)
-        return answer, pinned
 
-    async def _run_pinned(
-        self,
-        forward: ForwardedStatement,
-        transactions: dict[int, ForwardedTransaction],
-    ) -> Answer:
-        transaction = transactions.get(forward.handle)
-        if transaction is None or transaction.is_running:
-            raise self._error(forward, "the transaction has ended")
-        pinned = transaction.pinned
-        deadline_s = self.clock.now_s() + forward.remaining_s
-        pinned.connection.set_variables(forward.values, deadline_s)
-        sent = self.executor.confirmation.sent(pinned.pool.entry)
-        pinned.has_written |= forward.is_write
-        transaction.is_running = True
-        try:
-            answer = await self._send(forward, pinned.pool, pinned.connection, None)
-            if forward.command.kind is CommandKind.COMMIT and pinned.has_written:
-                await self._prove(forward, sent, answer)
-        except BaseException:
-            transactions.pop(forward.handle, None)
-            pinned.connection.close()
-            pinned.pool.release(pinned.connection)
-            raise
-        transaction.is_running = False
-        if answer.state is TransactionState.IDLE or transaction.is_released:
-            transactions.pop(forward.handle, None)
-            pinned.pool.release(pinned.connection)
-        return answer
+    async def _execute(self, attempt: ForwardedAttempt) -> Answer:
+        return await attempt.run()
 
     async def _release(
         self, transaction: ForwardedTransaction, *, may_roll_back: bool = True
@@ -299,90 +178,6 @@
         if not transaction.is_running:
             await self.executor.release_pinned(pinned)
 
-    async def _prove(
-        self, forward: ForwardedStatement, sent: SentCommit, answer: Answer
-    ) -> None:
-        """Raise ``EndpointError``, unknown, unless a replica holds a commit."""
-        if answer.code is not None:
-            return
-        deadline_s = sent.sent_at_s + forward.remaining_s - REPLY_TRANSIT_S
-        confirmation = self.executor.confirmation
-        if not await confirmation.prove(sent, answer.position, deadline_s):
-            raise self._error(
-                forward, "no replica is known to hold the commit", Outcome.UNKNOWN
-            )
-
-    async def _send(
-        self,
-        forward: ForwardedStatement,
-        pool: DirectPool,
-        connection: PooledConnection,
-        min_position: Position | None,
-    ) -> Answer:
-        pool.running += 1
-        command_number = pool.health.record_sent(is_commit=False)
-        try:
-            if forward.is_begin:
-                answer = await connection.begin(
-                    forward.command, min_position=min_position
-                )
-            else:
-                answer = await connection.run(
-                    forward.command,
-                    min_position=min_position,
-                    prepared=forward.prepared,
-                )
-        except BaseException:
-            pool.health.record_lost(command_number)
-            raise
-        finally:
-            pool.running -= 1
-        pool.health.record_answer(command_number)
-        return answer
-
-    def _min_position(
-        self, forward: ForwardedStatement, pool: DirectPool
-    ) -> Position | Answer:
-        """Return the position that a read needs, or a refusal if none is recent."""
-        self._require_primary(forward, pool)
-        if not isinstance(forward.read_bound, ReadBound):
-            return None
-        required = self.executor.positions.required_position(
-            pool.entry.service,
-            max_age_s=forward.read_bound.max_age_s,
-            last_commit=forward.read_bound.last_commit,
-        )
-        if required is None:
-            return Answer(
-                code=AnswerCode.BEHIND,
-                detail="no recent position",
-            )
-        return required
-
-    def _require_primary(self, forward: ForwardedStatement, pool: DirectPool) -> None:
-        if not forward.needs_primary:
-            return
-        primary = self.executor.cluster.primary(pool.entry.service)
-        if primary is None or primary.id != forward.endpoint:
-            raise self._error(forward, "the endpoint isn't the primary now")
-        if not self.executor.selector.has_current_groups():
-            raise self._error(forward, "the owner can't confirm the primary")
-
-    def _error(
-        self,
-        forward: ForwardedStatement,
-        message: str,
-        outcome: Outcome = Outcome.NOT_RUN,
-    ) -> EndpointError:
-        is_not_run = outcome is Outcome.NOT_RUN
-        return EndpointError(
-            code=ErrorCode.NOT_OWNER if is_not_run else ErrorCode.CONNECTION_LOST,
-            step=Step.FORWARD,
-            peer=forward.endpoint,
-            message=message,
-            outcome=outcome,
-        )
-
     async def sample_primaries(self, interval_s: float) -> None:
         """Fetch positions of the primaries whose replicas this VM owns."""
         while True:
--- a/tests/test_forwarded_transactions.py
+++ b/tests/test_forwarded_transactions.py
@@ -1,9 +1,11 @@
-"""Transactions of other VMs at the owner of an endpoint."""
+"""Statements and transactions of other VMs at the owner of an endpoint."""
 
 import asyncio
 
 import pytest
 
+from ebonyladder.kernel.error import Outcome
+from ebonyladder.sessions.drain import DrainPlan
 from ebonyladder.sessions.forwarding_service import ForwardingService
 from ebonyladder.sessions.messages import (
     Envelope,
@@ -16,10 +18,11 @@
 from tests.test_session import World
 
 HANDLE = 7
+GRACE_S = 0.6
 
 
-class TestRelease:
-    """Guards against a connection that two callers get, or that nobody gets again."""
+class OwnerTests:
+    """Tests of the owner of the primary, with one open transaction at most."""
 
     @pytest.fixture(autouse=True)
     def owner(self):
@@ -42,8 +45,7 @@
             organisation=OrganisationId("council"),
             command=command(text),
             remaining_s=5.0,
-            handle=HANDLE,
-            **fields,
+            **{"handle": HANDLE, **fields},
         )
         return await self.service._run(forward, self.transactions)
 
@@ -62,6 +64,10 @@
         deadline_s = self.world.clock.now_s() + 1
         return await self.pool.acquire(OrganisationId("council"), {}, deadline_s)
 
+
+class TestRelease(OwnerTests):
+    """Guards against a connection that two callers get, or that nobody gets again."""
+
     def test_release_during_a_statement_ends_one_reservation(self):
         async def scenario():
             await self.begin()
@@ -119,3 +125,71 @@
             assert self.pool.used == 2
 
         asyncio.run(scenario())
+
+
+class TestStop(OwnerTests):
+    """Guards against statements of other VMs that an owner cuts off when it stops."""
+
+    def stop(self, grace_s: float = GRACE_S) -> None:
+        """Begin to stop the owner."""
+        plan = DrainPlan(grace_s=grace_s, started_at_s=self.world.clock.now_s())
+        self.world.executor.accepted.begin_drain(plan)
+
+    async def run_at_stop(self, text: str, **fields) -> ForwardReply:
+        """Return the reply to a statement that is running when the owner stops."""
+        statement = asyncio.create_task(self.run(3, text, **fields))
+        await asyncio.sleep(0.05)
+        self.stop()
+        async with asyncio.timeout(4 * GRACE_S):
+            return await statement
+
+    def test_statement_that_was_sent_has_an_unknown_outcome(self):
+        async def scenario():
+            self.world.primary.lost_answers = 1
+            return await self.run_at_stop("WRITE a 1", handle=0, needs_primary=True)
+
+        reply = asyncio.run(scenario())
+        assert reply.failure.outcome is Outcome.UNKNOWN
+
+    def test_statement_that_waits_for_a_connection_was_not_run(self):
+        async def scenario():
+            self.pool.set_limit(1, share=1.0)
+            await self.acquire()
+            return await self.run_at_stop("WRITE a 1", handle=0, needs_primary=True)
+
+        reply = asyncio.run(scenario())
+        assert reply.failure.outcome is Outcome.NOT_RUN
+        assert self.world.primary.ran == []
+
+    def test_statement_of_a_transaction_is_rolled_back(self):
+        async def scenario():
+            await self.begin()
+            self.world.primary.lost_answers = 1
+            return await self.run_at_stop("WRITE a 1")
+
+        reply = asyncio.run(scenario())
+        assert reply.failure.outcome is Outcome.NOT_RUN
+        assert "rolled back" in reply.failure.message
+        assert not self.transactions
+        assert self.pool.used == 0
+
+    def test_commit_that_was_sent_has_an_unknown_outcome(self):
+        async def scenario():
+            await self.begin()
+            await self.run(2, "WRITE a 1")
+            self.world.primary.lost_answers = 1
+            return await self.run_at_stop("COMMIT")
+
+        reply = asyncio.run(scenario())
+        assert reply.failure.outcome is Outcome.UNKNOWN
+
+    def test_statement_that_begins_during_the_stop_ends_with_it(self):
+        # Guards against a statement whose sender waits beyond the end of the owner.
+        async def scenario():
+            self.stop()
+            self.world.primary.lost_answers = 1
+            async with asyncio.timeout(4 * GRACE_S):
+                return await self.run(3, "READ a", handle=0, needs_primary=True)
+
+        reply = asyncio.run(scenario())
+        assert reply.failure.outcome is Outcome.UNKNOWN
--- a/tests/test_session_messages.py
+++ b/tests/test_session_messages.py
@@ -11,6 +11,7 @@
 
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.kernel.error import Outcome
+from ebonyladder.sessions.accepted_requests import AcceptedRequests
 from ebonyladder.sessions.command import Command, CommandId, CommandKind
 from ebonyladder.sessions.forwarding_service import ForwardingService
 from ebonyladder.sessions.messages import (
@@ -83,11 +84,14 @@
         # Guards against a caller that waits for its deadline after an internal error,
         # and against a promise that the statement has not run.
         class BrokenService(ForwardingService):
-            async def _execute(self, forward, pool, transactions):
+            async def _execute(self, attempt):
                 raise KeyError("unexpected")
 
-        executor = SimpleNamespace(pools=SimpleNamespace(pools={}))
-        service = BrokenService(executor=executor, clock=ManualClock())
+        clock = ManualClock()
+        executor = SimpleNamespace(
+            pools=SimpleNamespace(pools={}), accepted=AcceptedRequests(clock=clock)
+        )
+        service = BrokenService(executor=executor, clock=clock)
         forward = ForwardedStatement(
             id=7,
             endpoint=EndpointId("i-1"),
--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -32,6 +32,7 @@
     encode_query,
     encode_text,
 )
+from ebonyladder.sessions.accepted_requests import AcceptedRequests
 from ebonyladder.sessions.cluster_view import ClusterView, Owner
 from ebonyladder.sessions.command import (
     Answer,
@@ -279,9 +280,9 @@
 class EchoingService(ForwardingService):
     """Service that answers with rows whose total size the statement's name gives."""
 
-    async def _execute(self, forward, pool, transactions) -> Answer:
-        self.received.append(forward)
-        count = int(forward.command.name)
+    async def _execute(self, attempt) -> Answer:
+        self.received.append(attempt.forward)
+        count = int(attempt.forward.command.name)
         rows = ("\xff" * MAX_LINE_BYTES,) * count
         return Answer(rows=rows, signature="s", state=TransactionState.OPEN)
 
@@ -292,8 +293,11 @@
     @asynccontextmanager
     async def channel(self):
         """Open a channel to a service on a socket."""
-        executor = SimpleNamespace(pools=SimpleNamespace(pools={}))
-        self.service = EchoingService(executor=executor, clock=SystemClock())
+        clock = SystemClock()
+        executor = SimpleNamespace(
+            pools=SimpleNamespace(pools={}), accepted=AcceptedRequests(clock=clock)
+        )
+        self.service = EchoingService(executor=executor, clock=clock)
         self.service.received = []
         async with serve(
             self.service.serve,
