Wait for the work of other VMs when an owner stops

What callers saw: a COMMIT that ran at a stopping owner on behalf of another VM got INDOUBT, "connection to the endpoint's owner failed", and open transactions were aborted; seen in a fleet of stand-ins.

Cause: the plug-in that serves other VMs had no drain, so their channels ended once the front end had no callers of its own.

ForwardingService counts the requests whose reply isn't sent and the open transactions, and its drain lasts until the schedule refuses new work and none of these is left. Idle transactions are rolled back when the schedule says so; a later statement of one is refused as not run, so its caller gets ABORTED. New statements and transactions are refused as not run once the schedule refuses new work; the VM that forwarded tries again until its deadline.

--- a/src/ebonyladder/sessions/forwarded_attempt.py
+++ b/src/ebonyladder/sessions/forwarded_attempt.py
@@ -104,6 +104,9 @@
         EndpointError
             If there is no answer.
         """
+        is_new = self.forward.is_begin or not self.forward.handle
+        if is_new and self.executor.accepted.refuses_work:
+            raise self.error("the owner is stopping")
         if self.forward.is_begin:
             return await self._begin()
         if self.forward.handle:
--- a/src/ebonyladder/sessions/forwarding_service.py
+++ b/src/ebonyladder/sessions/forwarding_service.py
@@ -1,6 +1,8 @@
 """Service for other VMs: runs their statements on endpoints that this VM owns."""
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 from absl import logging
 from websockets.asyncio.server import ServerConnection
@@ -9,6 +11,7 @@
 from ebonyladder.kernel.clock import Clock
 from ebonyladder.kernel.error import EndpointError, Outcome
 from ebonyladder.sessions.command import Answer
+from ebonyladder.sessions.drain import DrainPlan
 from ebonyladder.sessions.executor import Executor
 from ebonyladder.sessions.forwarded_attempt import (
     ForwardedAttempt,
@@ -29,6 +32,9 @@
 # Minimum time that a forwarded statement gets, in seconds, so that one which arrives at
 # its deadline ends with an error of its own.
 MIN_REMAINING_S = 0.005
+# Interval at which the transactions of other VMs are checked during a drain, in
+# seconds.
+DRAIN_CHECK_INTERVAL_S = 0.05
 
 
 class ForwardingService:
@@ -40,22 +46,29 @@
         Pools, positions and endpoint selector of this VM.
     clock : Clock
         Clock of deadlines.
+
+    Attributes
+    ----------
+    tasks : set of asyncio.Task
+        Requests of other VMs that run or whose reply isn't sent yet.
+    transactions : dict of ServerConnection to dict
+        Open transactions of each VM.
     """
 
     def __init__(self, *, executor: Executor, clock: Clock) -> None:
         self.executor = executor
         self.clock = clock
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.transactions: dict[ServerConnection, Transactions] = {}
 
     async def serve(self, connection: ServerConnection) -> None:
         """Serve a VM until its connection ends, then roll back its transactions."""
-        transactions: Transactions = {}
+        transactions = self.transactions.setdefault(connection, {})
         tasks: set[asyncio.Task[None]] = set()
         try:
             async for data in connection:
                 envelope = decode(data, Envelope)
-                task = asyncio.create_task(
-                    self._serve(connection, envelope, transactions)
-                )
+                task = self._spawn(self._serve(connection, envelope, transactions))
                 tasks.add(task)
                 task.add_done_callback(tasks.discard)
         except (WebSocketException, OSError, ValueError) as error:
@@ -63,9 +76,46 @@
         finally:
             for task in tasks:
                 task.cancel()
+            del self.transactions[connection]
             for transaction in list(transactions.values()):
                 await self._release(transaction, may_roll_back=False)
 
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request or a transaction of another VM isn't finished."""
+        return bool(self.tasks) or any(self.transactions.values())
+
+    async def drain(self) -> None:
+        """Return once no work of other VMs is open and the VM takes no more of it.
+
+        Answers the load of a planned stop: other VMs forward statements until they
+        know the endpoints' next owner, and end their open transactions at this one.
+        """
+        while (drain := self.executor.accepted.drain) is not None:
+            now_s = self.clock.now_s()
+            if drain.is_over(now_s) or (drain.refuses_work(now_s) and not self.is_busy):
+                break
+            self._abort_transactions(drain, now_s)
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+
+    def _abort_transactions(self, drain: DrainPlan, now_s: float) -> None:
+        """Roll back the idle transactions for which the schedule gives no more time.
+
+        A later statement of such a transaction is refused, as not run.
+        """
+        for transactions in self.transactions.values():
+            for handle, transaction in list(transactions.items()):
+                is_due = drain.aborts_transaction(transaction.begun_at_s, now_s)
+                if is_due and not transaction.is_running:
+                    del transactions[handle]
+                    self._spawn(self._release(transaction))
+
     async def _serve(
         self,
         connection: ServerConnection,
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -232,6 +232,10 @@
             return
         await self.leader_record.release()
 
+    async def drain(self) -> None:
+        """Finish what other VMs have forwarded to this one."""
+        await self.forwarding_service.drain()
+
     async def stop(self) -> None:
         """Close the connections to other VMs."""
         if self.server is not None:
--- a/tests/test_connection_ownership.py
+++ b/tests/test_connection_ownership.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.sessions.catalog import Service
 from ebonyladder.sessions.cluster_view import VmEntry
 from ebonyladder.sessions.ownership import assign_owners, needs_owners
@@ -122,9 +124,11 @@
     """
 
     @staticmethod
-    async def require_owners(fleet) -> None:
+    async def require_owners(fleet, timeout_ms: int = 1000) -> None:
         """Reduce the connections that endpoints accept, and wait for the owners."""
         found = configuration(2)
+        for route in found["routes"]:
+            route["timeout_ms"] = timeout_ms
         found["services"][0]["max_connections"] = 6
         fleet.platform.store.put("config", "main", found)
         for index in range(3):
@@ -209,3 +213,43 @@
                 raise AssertionError("no write after the owner has stopped")
 
         asyncio.run(scenario())
+
+
+@pytest.mark.xdist_group("processes")
+class TestStop:
+    """Guards against failures of statements whose endpoint's owner stops."""
+
+    @staticmethod
+    async def stop(kernel: Kernel, grace_s: float) -> None:
+        """Drain and stop a VM, as SIGTERM does."""
+        kernel.reload(msgspec.structs.replace(kernel.settings, grace_s=grace_s))
+        await kernel.drain()
+        await kernel.stop()
+
+    @staticmethod
+    def find_owner(fleet) -> tuple[Kernel, str]:
+        """Return the owner of the primary, and the address of another VM."""
+        owner = fleet.cluster(0).owners["i-0"].vm
+        kernel = next(k for k in fleet.kernels if k.settings.vm == owner)
+        other = next(k for k in fleet.kernels if k.settings.vm != owner)
+        return kernel, other.settings.callers
+
+    def test_commit_that_runs_at_the_owner_is_answered(self):
+        async def scenario():
+            async with running_fleet() as fleet:
+                await TestForwarding.require_owners(fleet, timeout_ms=10_000)
+                owner, address = self.find_owner(fleet)
+                client = await StatementClient.connect(address, "pay")
+                await client.query("BEGIN")
+                await client.query("WRITE a 1")
+                for database in fleet.platform.service.databases.values():
+                    database.statement_s = 1.0
+                stopping = asyncio.create_task(self.stop(owner, grace_s=3.0))
+                # The owner accepts no more work before the commit is answered.
+                await asyncio.sleep(1.0)
+                answer = await client.query("COMMIT")
+                await stopping
+                return answer
+
+        answer = asyncio.run(scenario())
+        assert answer[0].startswith("COMPLETE"), answer
--- a/tests/test_forwarded_transactions.py
+++ b/tests/test_forwarded_transactions.py
@@ -1,11 +1,17 @@
 """Statements and transactions of other VMs at the owner of an endpoint."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
+import msgspec
 import pytest
+from websockets.asyncio.server import serve
 
-from ebonyladder.kernel.error import Outcome
+from ebonyladder.kernel.error import EndpointError, Outcome
+from ebonyladder.sessions.cluster_view import Owner
+from ebonyladder.sessions.connection import PooledConnection
 from ebonyladder.sessions.drain import DrainPlan
+from ebonyladder.sessions.forwarding_pool import ForwardingPool, OwnerChannel
 from ebonyladder.sessions.forwarding_service import ForwardingService
 from ebonyladder.sessions.messages import (
     Envelope,
@@ -13,7 +19,8 @@
     ForwardReply,
     ReleaseTransaction,
 )
-from ebonyladder.types import EndpointId, OrganisationId
+from ebonyladder.types import Address, EndpointId, OrganisationId, VmId
+from tests.platform_fleet import until
 from tests.session_fakes import command
 from tests.test_session import World
 
@@ -193,3 +200,104 @@
 
         reply = asyncio.run(scenario())
         assert reply.failure.outcome is Outcome.UNKNOWN
+
+    def test_new_work_is_refused_once_too_little_time_is_left(self):
+        # Guards against a statement that is taken and can't be finished.
+        async def scenario():
+            await self.begin()
+            self.stop(10.0)
+            plan = self.world.executor.accepted.drain
+            self.world.executor.accepted.begin_drain(
+                msgspec.structs.replace(plan, started_at_s=plan.started_at_s - 9.0)
+            )
+            for fields in ({"handle": 0}, {"handle": HANDLE + 1, "is_begin": True}):
+                reply = await self.run(2, "READ a", needs_primary=True, **fields)
+                assert reply.failure.outcome is Outcome.NOT_RUN
+            assert (await self.run(3, "READ a")).answer is not None
+
+        asyncio.run(scenario())
+
+
+class TestDrain(OwnerTests):
+    """Guards against an owner that ends while work of other VMs is open."""
+
+    @asynccontextmanager
+    async def channel(self):
+        """Open a channel to the owner on a socket."""
+        async with serve(self.service.serve, "127.0.0.1", 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            owner = Owner(vm=VmId("vm-1"), address=Address(f"127.0.0.1:{port}"))
+            channel = OwnerChannel(owner=owner)
+            self.forwarding = ForwardingPool(
+                entry=self.pool.entry,
+                owner=owner,
+                channel=channel,
+                clock=self.world.clock,
+            )
+            try:
+                yield
+            finally:
+                channel.close()
+
+    async def connect(self) -> PooledConnection:
+        """Return a connection of another VM."""
+        deadline_s = self.world.clock.now_s() + 5.0
+        return await self.forwarding.acquire(OrganisationId("council"), {}, deadline_s)
+
+    def begin_drain(self, *, elapsed_s: float = 0.0) -> asyncio.Task[None]:
+        """Begin to drain the owner, some seconds after the signal of its schedule."""
+        started_at_s = self.world.clock.now_s() - elapsed_s
+        plan = DrainPlan(grace_s=10.0, started_at_s=started_at_s)
+        self.world.executor.accepted.begin_drain(plan)
+        return asyncio.create_task(self.service.drain())
+
+    def test_running_statement_is_waited_for(self):
+        async def scenario():
+            self.world.primary.lost_answers = 1
+            async with self.channel():
+                connection = await self.connect()
+                statement = asyncio.create_task(connection.run(command("READ a")))
+                await until(lambda: self.world.primary.ran, "the statement")
+                draining = self.begin_drain(elapsed_s=8.5)
+                await asyncio.sleep(0.1)
+                assert not draining.done()
+                with pytest.raises(EndpointError) as error:
+                    await statement
+                await draining
+                return error.value.outcome
+
+        assert asyncio.run(scenario()) is Outcome.UNKNOWN
+
+    def test_open_transaction_is_waited_for(self):
+        async def scenario():
+            async with self.channel():
+                connection = await self.connect()
+                await connection.begin(command("BEGIN"))
+                draining = self.begin_drain()
+                await asyncio.sleep(0.1)
+                assert (await connection.run(command("WRITE a 1"))).code is None
+                assert (await connection.run(command("COMMIT"))).code is None
+                assert not draining.done()
+                draining.cancel()
+
+        asyncio.run(scenario())
+        assert self.world.primary.ran[-1] == "COMMIT"
+
+    def test_transaction_is_rolled_back_after_half_the_grace_period(self):
+        # Guards against a drain that waits for a caller of another VM that pauses.
+        async def scenario():
+            async with self.channel():
+                connection = await self.connect()
+                await connection.begin(command("BEGIN"))
+                draining = self.begin_drain(elapsed_s=5.5)
+                await until(
+                    lambda: self.world.primary.ran[-1] == "ROLLBACK", "the rollback"
+                )
+                with pytest.raises(EndpointError) as error:
+                    await connection.run(command("COMMIT"))
+                assert not draining.done()
+                draining.cancel()
+                return error.value.outcome
+
+        assert asyncio.run(scenario()) is Outcome.NOT_RUN
+        assert "COMMIT" not in self.world.primary.ran
