Give the endpoints of a VM that stops to another owner at once

What callers saw: writes through another VM got INDOUBT, "connection to the endpoint's owner failed", while the primary's owner stopped; seen in a fleet of stand-ins.

Cause: nothing told the leader or the other VMs that an owner drains, so it was chosen until it no longer reported.

A VM that stops says so in its report, which it sends at once. A draining VM, also the leader or a former leader, owns an endpoint only if no other VM can. An older leader ignores the field; an older VM counts as not draining.

--- a/src/ebonyladder/sessions/fleet/follower.py
+++ b/src/ebonyladder/sessions/fleet/follower.py
@@ -93,6 +93,8 @@
         Whether the leader had a valid leader lease at its last answer.
     last_update_at_s : float
         Time at which the last update arrived on the current connection.
+    is_draining : bool
+        Whether this VM is stopping.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self.on_unregistered = on_unregistered
         self.started_at_s = clock.now_s()
         self.group_changed = asyncio.Event()
+        self.is_draining = False
         cluster.listeners.append(self._report_listing)
         self._reset()
 
@@ -130,6 +133,11 @@
         self.is_catalog_wanted = False
         self.catalog_sent_at_s = self.clock.now_s()
 
+    def begin_drain(self) -> None:
+        """Report at once that this VM is stopping."""
+        self.is_draining = True
+        self.group_changed.set()
+
     @property
     def is_connected(self) -> bool:
         """Whether the leader or a standby has recently sent an update."""
@@ -326,6 +334,7 @@
                 for service, group in self.cluster.groups.items()
                 if group.phase is GroupPhase.MOVING
             },
+            is_draining=self.is_draining,
         )
 
     def _catalog_of(self, update: LeaderUpdate) -> Catalog | None:
--- a/src/ebonyladder/sessions/fleet/leader.py
+++ b/src/ebonyladder/sessions/fleet/leader.py
@@ -71,6 +71,8 @@
     ----------
     is_active_standby : bool
         Whether this VM is a standby that has lost the leader.
+    is_draining : bool
+        Whether this VM is stopping.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self.encoded_fields: dict[ConfigurationVersion | None, dict[str, bytes]] = {}
         self.connections: dict[VmId, ServerConnection] = {}
         self.is_active_standby = False
+        self.is_draining = False
         self.barrier = GroupBarrier(
             cluster=cluster, failure_detector=failure_detector, vms=vms, clock=clock
         )
@@ -322,6 +325,7 @@
             vms=reporting_vms,
             leader=self.cluster.vm,
             reachable_from_leader=frozenset(self.reachable_here),
+            draining=self._draining_vms(),
         )
         self.reachable_here.clear()
         self.cluster.apply_fleet(zone_sizes(vms.values()), owners)
@@ -343,6 +347,12 @@
         if self.snapshot != ClusterSnapshot(version=version, **content):
             self.snapshot = ClusterSnapshot(version=version + 1, **content)
 
+    def _draining_vms(self) -> frozenset[VmId]:
+        """Return the VMs that are stopping."""
+        reports = self.failure_detector.recent_reports().items()
+        own = {self.cluster.vm} if self.is_draining else set()
+        return frozenset(own | {vm for vm, report in reports if report.is_draining})
+
     def _relay_candidates(self, vms: dict[VmId, VmEntry]) -> list[VmId]:
         """Return the standbys, then the other VMs, those with most cores first."""
         others = sorted(vms.values(), key=lambda entry: (-entry.cores, entry.vm))
@@ -352,14 +362,19 @@
         ]
         return [*standbys, *rest]
 
-    async def push(self) -> None:
-        """Push the groups and the version of the configuration to all VMs."""
+    async def push(self, *, has_new_owners: bool = False) -> None:
+        """Push the groups and the version of the configuration to all VMs.
+
+        With new owners also the snapshot, so that no VM forwards to a former owner
+        until its next report.
+        """
         update = LeaderUpdate(
             is_leader=self.fencing_token is not None,
             has_working_watches=self.has_store,
             made_at_s=self.clock.now_s(),
             version=self.cluster.version,
             groups=tuple(self.cluster.groups.values()),
+            snapshot=self.snapshot if has_new_owners else None,
         )
         data = encode(update)
         await asyncio.gather(
--- a/src/ebonyladder/sessions/messages.py
+++ b/src/ebonyladder/sessions/messages.py
@@ -94,6 +94,8 @@
     acknowledged : dict of ServiceId to AcknowledgedRange or None
         Last commit that was acknowledged to the sender's callers, None for no commit,
         for each service that is changing its primary.
+    is_draining : bool
+        Whether the sender is stopping, so that it should own no endpoint.
     """
 
     vm: VmId
@@ -112,6 +114,7 @@
     has_working_watches: bool = False
     listing: StoreListing | None = None
     acknowledged: dict[ServiceId, AcknowledgedRange | None] = {}
+    is_draining: bool = False
 
 
 class ClusterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/ebonyladder/sessions/ownership.py
+++ b/src/ebonyladder/sessions/ownership.py
@@ -33,6 +33,7 @@
     vms: Mapping[VmId, VmEntry],
     leader: VmId,
     reachable_from_leader: frozenset[EndpointId] = frozenset(),
+    draining: frozenset[VmId] = frozenset(),
 ) -> dict[EndpointId, Owner]:
     """Return the owner of each endpoint whose service needs one.
 
@@ -47,10 +48,14 @@
         ``reachable_from_leader``.
     reachable_from_leader : frozenset of EndpointId
         Endpoints that answer the leader but not their current owners.
+    draining : frozenset of VmId
+        VMs that are stopping. They own an endpoint only if no other VM can, so that
+        no new statement is forwarded to them.
     """
     catalog = cluster.catalog
     if catalog is None or not vms:
         return {}
+    vms = {vm: entry for vm, entry in vms.items() if vm not in draining} or vms
     owners: dict[EndpointId, Owner] = {}
     owned_counts: Counter[VmId] = Counter()
     for entry in sorted(cluster.endpoints.values(), key=lambda e: e.id):
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -204,13 +204,15 @@
         self.leader.allocator.tolerance = self.kernel.settings.tolerance
 
     async def announce_drain(self) -> None:
-        """Release the leadership, so that another VM takes over immediately.
+        """Report the drain, and release the leadership for another VM at once.
 
         A call that promotes an endpoint ends before that: it could reach the platform
         after the first call of the next leader. After a call without an answer the
         leader lease expires by itself, since a slow platform may still read the call.
         """
         self.is_releasing = True
+        self.leader.is_draining = True
+        self.follower.begin_drain()
         if not self.leadership.is_holder:
             return
         try:
@@ -326,10 +328,12 @@
             if not has_valid_lease:
                 continue
             self.cluster.record_groups_confirmed(now_s)
+            owners = self.cluster.owners
             self.leader.refresh()
-            if self.cluster.version != version:
+            has_new_owners = self.cluster.owners != owners
+            if self.cluster.version != version or has_new_owners:
                 version = self.cluster.version
-                await self.leader.push()
+                await self.leader.push(has_new_owners=has_new_owners)
             self._start_failovers()
             self._start_log_holder_updates()
             await self._evict_vms()
--- a/tests/test_connection_ownership.py
+++ b/tests/test_connection_ownership.py
@@ -1,6 +1,7 @@
 """Ownership of connections to endpoints in large fleets."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
 import msgspec
 import pytest
@@ -8,7 +9,8 @@
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.sessions.catalog import Service
-from ebonyladder.sessions.cluster_view import VmEntry
+from ebonyladder.sessions.cluster_view import ClusterView, VmEntry
+from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.ownership import assign_owners, needs_owners
 from ebonyladder.types import (
     Address,
@@ -18,7 +20,7 @@
     VmId,
     ZoneId,
 )
-from standins.platform import configuration
+from standins.platform import ZONES, configuration
 from standins.statement_client import StatementClient
 from tests.platform_fleet import running_fleet, until
 from tests.session_fakes import SERVICE, cluster
@@ -104,6 +106,33 @@
         assert found[EndpointId("primary")].vm == "a-1"
         assert found[EndpointId("far")].vm == "b-9"
 
+    @pytest.mark.parametrize("is_leader", [False, True])
+    def test_draining_vm_owns_nothing_while_another_vm_can(self, is_leader):
+        # Guards against statements that are forwarded to a VM until it is gone.
+        first = vm("b-9", "b")
+        self.cluster.owners = assign_owners(
+            cluster=self.cluster, vms={first.vm: first}, leader=VmId("nobody")
+        )
+        found = assign_owners(
+            cluster=self.cluster,
+            vms={first.vm: first, VmId("a-1"): vm("a-1", "a")},
+            leader=first.vm if is_leader else VmId("a-1"),
+            reachable_from_leader=frozenset({EndpointId("primary")}),
+            draining=frozenset({first.vm}),
+        )
+        assert {owner.vm for owner in found.values()} == {"a-1"}
+
+    def test_draining_vms_own_endpoints_if_no_other_vm_can(self):
+        # Guards against an endpoint without an owner while all VMs stop.
+        only = vm("b-9", "b")
+        found = assign_owners(
+            cluster=self.cluster,
+            vms={only.vm: only},
+            leader=VmId("nobody"),
+            draining=frozenset({only.vm}),
+        )
+        assert {owner.vm for owner in found.values()} == {"b-9"}
+
     def test_reporting_owner_stays(self):
         # Guards against connections that are opened again whenever a VM joins.
         first = assign_owners(
@@ -227,18 +256,37 @@
         await kernel.stop()
 
     @staticmethod
-    def find_owner(fleet) -> tuple[Kernel, str]:
-        """Return the owner of the primary, and the address of another VM."""
-        owner = fleet.cluster(0).owners["i-0"].vm
-        kernel = next(k for k in fleet.kernels if k.settings.vm == owner)
-        other = next(k for k in fleet.kernels if k.settings.vm != owner)
-        return kernel, other.settings.callers
+    @asynccontextmanager
+    async def running_owners():
+        """Run a fleet in which the leader isn't the primary's owner.
+
+        The first daemon leads, and shares the primary's zone with another one.
+        """
+        async with running_fleet() as fleet:
+            await fleet.add(next(iter(ZONES)))
+            await until(fleet.has_leader, "contact of all VMs with the leader")
+            await TestForwarding.require_owners(fleet, timeout_ms=10_000)
+            yield fleet
+
+    @staticmethod
+    def find_vms(fleet) -> tuple[Kernel, Kernel, Kernel]:
+        """Return the leader, the primary's owner and another VM."""
+        leader = next(
+            kernel
+            for kernel in fleet.kernels
+            if kernel.get(FailoverCoordination).fencing_token() is not None
+        )
+        name = fleet.cluster(0).owners["i-0"].vm
+        owner = next(k for k in fleet.kernels if k.settings.vm == name)
+        others = [k for k in fleet.kernels if k not in (leader, owner)]
+        assert len(others) == len(fleet.kernels) - 2
+        return leader, owner, others[0]
 
     def test_commit_that_runs_at_the_owner_is_answered(self):
         async def scenario():
-            async with running_fleet() as fleet:
-                await TestForwarding.require_owners(fleet, timeout_ms=10_000)
-                owner, address = self.find_owner(fleet)
+            async with self.running_owners() as fleet:
+                _, owner, other = self.find_vms(fleet)
+                address = other.settings.callers
                 client = await StatementClient.connect(address, "pay")
                 await client.query("BEGIN")
                 await client.query("WRITE a 1")
@@ -253,3 +301,50 @@
 
         answer = asyncio.run(scenario())
         assert answer[0].startswith("COMPLETE"), answer
+
+    @pytest.mark.parametrize("stops_leader", [False, True])
+    def test_statements_succeed_while_a_vm_stops(self, stops_leader):
+        # Guards against statements in doubt, and against an owner that is used until
+        # it is gone.
+        async def scenario():
+            async with self.running_owners() as fleet:
+                for database in fleet.platform.service.databases.values():
+                    database.statement_s = 0.3
+                leader, owner, other = self.find_vms(fleet)
+                stopped = leader if stops_leader else owner
+                address = other.settings.callers
+                stopping = asyncio.create_task(self.stop(stopped, grace_s=4.0))
+                calls = []
+                while not stopping.done():
+                    calls.append(asyncio.create_task(self.write(address)))
+                    await asyncio.sleep(0.1)
+                return await asyncio.gather(*calls)
+
+        answers = asyncio.run(scenario())
+        assert len(answers) >= 10
+        assert [a for a in answers if not a[0].startswith("COMPLETE")] == []
+
+    def test_owner_changes_as_soon_as_it_drains(self):
+        async def scenario():
+            async with self.running_owners() as fleet:
+                _, owner, _ = self.find_vms(fleet)
+                stopping = asyncio.create_task(self.stop(owner, grace_s=20.0))
+                name = owner.settings.vm
+                for kernel in fleet.kernels:
+                    view = kernel.get(ClusterView)
+                    await until(
+                        lambda view=view: all(
+                            o.vm != name for o in view.owners.values()
+                        ),
+                        "another owner",
+                    )
+                assert not stopping.done()
+                stopping.cancel()
+
+        asyncio.run(scenario())
+
+    @staticmethod
+    async def write(address: str) -> list[str]:
+        """Return the answer to a write of a new session."""
+        client = await StatementClient.connect(address, "pay")
+        return await client.query("WRITE a 1")
--- a/tests/test_session_messages.py
+++ b/tests/test_session_messages.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import cbor2
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -27,7 +28,14 @@
     decode,
     encode,
 )
-from ebonyladder.types import EndpointId, OrganisationId, ServiceId
+from ebonyladder.types import (
+    ConfigurationVersion,
+    EndpointId,
+    Incarnation,
+    OrganisationId,
+    ServiceId,
+    VmId,
+)
 
 KINDS = (Envelope, ForwardReply, LeaderUpdate, Report)
 REQUEST = Envelope(sample=PositionRequest(id=1, service=ServiceId("ledger")))
@@ -103,3 +111,31 @@
         reply = asyncio.run(service._run(forward, {}))
         assert reply.id == 7
         assert reply.failure.outcome is Outcome.UNKNOWN
+
+
+class OlderReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Report as VMs know it that can't tell that they stop."""
+
+    vm: VmId
+    incarnation: Incarnation
+    sent_s: float
+    version: ConfigurationVersion
+
+
+class TestOlderVersions:
+    """Guards against VMs that can't read each other's reports during an update."""
+
+    report = OlderReport(
+        vm=VmId("vm-2"),
+        incarnation=Incarnation(1),
+        sent_s=1.0,
+        version=ConfigurationVersion(1),
+    )
+
+    def test_older_vm_counts_as_not_draining(self):
+        assert not decode(encode(self.report), Report).is_draining
+
+    def test_older_leader_reads_the_report_of_a_draining_vm(self):
+        report = decode(encode(self.report), Report)
+        report = msgspec.structs.replace(report, is_draining=True)
+        assert decode(encode(report), OlderReport) == self.report
