Ask replicas for a commit that was sent before its endpoint changed its owner

What callers saw: nothing; read from the source. The proof that protects a commit was skipped if the endpoint got another owner while the commit ran, so a success could be reported that no listed replica holds. Owners that stop make such changes usual.

Cause: whether this VM asks the replicas was decided by the owner at the time of the answer, when neither the former owner nor the next one felt responsible.

SentCommit records whether this VM sends the commit to the endpoint itself. ReplicaCheck no longer looks at the owners.

test_commit_needs_a_replica_after_the_endpoint_got_another_owner fails for a single write and for a transaction on, with the owner rule of the plug-in there: both get a success, now INDOUBT.

--- a/src/ebonyladder/sessions/commit_confirmation.py
+++ b/src/ebonyladder/sessions/commit_confirmation.py
@@ -20,6 +20,7 @@
     CommitDecision,
     CommitReason,
     CommitStatus,
+    ReplicaProof,
     SentCommit,
 )
 from ebonyladder.sessions.replica_check import ReplicaCheck
@@ -85,8 +86,14 @@
         self.cluster_changed = asyncio.Event()
         cluster.listeners.append(self.cluster_changed.set)
 
-    def sent(self, entry: EndpointEntry) -> SentCommit:
-        """Return the present group state for a commit that is sent now."""
+    def sent(self, entry: EndpointEntry, *, is_direct: bool = True) -> SentCommit:
+        """Return the present group state for a commit that is sent now.
+
+        Parameters
+        ----------
+        is_direct : bool
+            Whether this VM itself sends it to the endpoint.
+        """
         group = self.cluster.groups.get(entry.service)
         return SentCommit(
             service=entry.service,
@@ -95,6 +102,7 @@
             term=group.term if group else Term(0),
             sent_at_s=self.clock.now_s(),
             seen=self.cluster.seen.get(entry.process),
+            is_direct=is_direct,
         )
 
     async def wait(
@@ -119,9 +127,7 @@
             remaining_s = deadline_s - self.clock.now_s()
             if decision.status is CommitStatus.UNCONFIRMED and remaining_s > 0:
                 wait_s = min(remaining_s, PROOF_WAIT_S)
-                proof = await self.replica_check.find_proof(
-                    sent.endpoint, position, wait_s
-                )
+                proof = await self._find_proof(sent, position, wait_s)
                 if proof is not None:
                     flow.needs_proof = False
                     decision = msgspec.structs.replace(
@@ -162,18 +168,24 @@
         """
         flow = self._record_answer(sent, self.clock.now_s())
         while flow.needs_proof and self.clock.now_s() < deadline_s:
-            proof = await self.replica_check.find_proof(
-                sent.endpoint, position, PROOF_WAIT_S
-            )
+            proof = await self._find_proof(sent, position, PROOF_WAIT_S)
             if proof is not None:
                 flow.needs_proof = False
             else:
                 await asyncio.sleep(POLL_INTERVAL_S)
         return not flow.needs_proof
 
+    async def _find_proof(
+        self, sent: SentCommit, position: Position | None, timeout_s: float
+    ) -> ReplicaProof | None:
+        """Ask replicas for a commit, unless the endpoint's owner does."""
+        if not sent.is_direct:
+            return None
+        return await self.replica_check.find_proof(sent.endpoint, position, timeout_s)
+
     def _record_answer(self, sent: SentCommit, answered_at_s: float) -> CommitFlow:
         """Return the flow of a commit; it needs proof after a stall or a pause."""
-        if not self.replica_check.can_ask(sent.endpoint):
+        if not sent.is_direct or not self.replica_check.can_ask(sent.endpoint):
             return CommitFlow(needs_proof=False)
         process = self.cluster.endpoints_when_confirmed[sent.endpoint].process
         flow = self.flows.setdefault(process, CommitFlow())
--- a/src/ebonyladder/sessions/commit_decision.py
+++ b/src/ebonyladder/sessions/commit_decision.py
@@ -59,6 +59,9 @@
         Time at which it was sent, in seconds.
     seen : Position or None
         Last position of the endpoint's log that was seen before.
+    is_direct : bool
+        Whether this VM itself sent it to the endpoint, and so asks replicas for it. The
+        endpoint may get another owner before the answer.
     """
 
     service: ServiceId
@@ -67,6 +70,7 @@
     term: Term
     sent_at_s: float
     seen: Position | None = None
+    is_direct: bool = True
 
 
 class ReplicaProof(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 
 from absl import logging
 
@@ -164,7 +164,7 @@
         is_commit = request.command.kind is CommandKind.COMMIT
         is_write_commit = is_commit and request.access is RequestKind.WRITE
         entry = pinned.target.entry
-        sent = self.confirmation.sent(entry)
+        sent = self.confirmation.sent(entry, is_direct=pinned.pool.is_local)
         if is_write_commit and not self._is_current_primary(entry):
             pinned.connection.close()
             return refusal(AnswerCode.ABORTED, "the primary changed")
@@ -294,7 +294,8 @@
                 target = await self._choose_target(request, tried)
                 if isinstance(target, NoTarget):
                     return refuse(request, target.value)
-                sent = self.confirmation.sent(target.entry)
+                is_direct = self.pools.get(target.entry.id).is_local
+                sent = self.confirmation.sent(target.entry, is_direct=is_direct)
                 async with asyncio.timeout(max(self._remaining_s(request), 0)):
                     answer = await self._send(request, target, tried)
             except TimeoutError:
@@ -444,11 +445,9 @@
             )
             if wait_until_s - self.clock.now_s() <= PRIMARY_POLL_INTERVAL_S:
                 return target
-            try:
+            with suppress(TimeoutError):
                 async with asyncio.timeout(PRIMARY_POLL_INTERVAL_S):
                     await self.cluster_changed.wait()
-            except TimeoutError:
-                continue
 
     async def _backoff_after_refusal(
         self,
--- a/src/ebonyladder/sessions/plugins/sessions.py
+++ b/src/ebonyladder/sessions/plugins/sessions.py
@@ -77,11 +77,7 @@
             make_forwarding_pool=self._make_forwarding_pool,
         )
         self.replica_check = ReplicaCheck(
-            cluster=self.cluster,
-            connector=self.connector,
-            is_local=lambda endpoint: (
-                endpoint in self.pools.pools and self.pools.get(endpoint).is_local
-            ),
+            cluster=self.cluster, connector=self.connector
         )
         self.selector = EndpointSelector(
             cluster=self.cluster,
--- a/src/ebonyladder/sessions/replica_check.py
+++ b/src/ebonyladder/sessions/replica_check.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from asyncio import FIRST_COMPLETED
-from collections.abc import Callable
 
 import msgspec
 
@@ -42,9 +41,6 @@
         Endpoints that were listed at that time.
     connector : EndpointConnector
         Opens connections to replicas.
-    is_local : callable
-        Tells whether this VM itself connects to an endpoint. Endpoints that other VMs
-        own have no connections to spare for every VM.
     """
 
     def __init__(
@@ -52,10 +48,8 @@
         *,
         cluster: ClusterView,
         connector: EndpointConnector,
-        is_local: Callable[[EndpointId], bool],
     ) -> None:
         self.cluster = cluster
-        self.is_local = is_local
         self.control = EndpointControl(connector=connector)
         self.questions: dict[EndpointProcess, Question] = {}
         # Last answers, since one may arrive after the wait for it has ended.
@@ -63,10 +57,10 @@
         self.closing: asyncio.TimerHandle | None = None
 
     def can_ask(self, primary: EndpointId) -> bool:
-        """Tell whether replicas acknowledge a primary's commits and can be asked."""
+        """Tell whether replicas acknowledge a primary's commits."""
         entry = self.cluster.endpoints_when_confirmed.get(primary)
         catalog = self.cluster.catalog
-        if entry is None or catalog is None or not self.is_local(primary):
+        if entry is None or catalog is None:
             return False
         service = catalog.services.get(entry.service)
         return service is not None and service.sync_replicas > 0
--- a/tests/test_commit_confirmation.py
+++ b/tests/test_commit_confirmation.py
@@ -1,12 +1,13 @@
 """Acknowledged commits: when this VM may report a success to the caller."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from msgspec import structs
 
 from ebonyladder.kernel.clock import ManualClock
-from ebonyladder.sessions.cluster_view import GroupPhase, GroupState
+from ebonyladder.sessions.cluster_view import GroupPhase, GroupState, Owner
 from ebonyladder.sessions.command import AnswerCode, CommandId
 from ebonyladder.sessions.commit_confirmation import (
     ANSWER_GRACE_S,
@@ -23,7 +24,7 @@
     CommitStatus,
 )
 from ebonyladder.sessions.replica_check import ReplicaCheck
-from ebonyladder.types import EndpointId, Role, Term
+from ebonyladder.types import Address, EndpointId, Role, Term, VmId
 from tests.session_fakes import (
     SERVICE,
     CountingMetrics,
@@ -59,7 +60,6 @@
             replica_check=ReplicaCheck(
                 cluster=self.cluster,
                 connector=FakeConnector(),
-                is_local=lambda endpoint: True,
             ),
             clock=self.clock,
         )
@@ -379,6 +379,44 @@
         assert asyncio.run(scenario(position(1, 10)))
         assert not asyncio.run(scenario(position(1, 11)))
 
+    @pytest.mark.parametrize("is_transaction", [False, True])
+    def test_commit_needs_a_replica_after_the_endpoint_got_another_owner(
+        self, is_transaction
+    ):
+        # Guards against a stopping owner that takes its commits for another VM's, so
+        # that nobody asks the replicas for them.
+        async def scenario():
+            world = SessionWorld()
+            world.pools.make_forwarding_pool = lambda entry, owner: SimpleNamespace(
+                is_local=False, close=lambda: None
+            )
+            open_connection = world.connector.open
+
+            async def open_slow(entry, organisation):
+                connection = await open_connection(entry, organisation)
+                run = connection.run
+
+                async def run_and_move(*args, **fields):
+                    answer = await run(*args, **fields)
+                    owner = Owner(vm=VmId("vm-2"), address=Address("127.0.0.1:1"))
+                    world.cluster.apply_fleet(world.cluster.fleet, {PRIMARY: owner})
+                    return answer
+
+                connection.run = run_and_move
+                return connection
+
+            world.connector.open = open_slow
+            world.primary.set_received(COMMIT)
+            session = world.session()
+            texts = (
+                ("BEGIN", "WRITE a 1", "COMMIT") if is_transaction else ("WRITE a 1",)
+            )
+            answers = [await session.handle(command(text)) for text in texts]
+            world.executor.confirmation.replica_check.close()
+            return answers[-1].code
+
+        assert asyncio.run(scenario()) is AnswerCode.IN_DOUBT
+
 
 class TestAcknowledgedRange:
     """Guards against a failover that doesn't know what callers were told."""
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -71,7 +71,6 @@
             replica_check=ReplicaCheck(
                 cluster=self.cluster,
                 connector=self.connector,
-                is_local=lambda endpoint: True,
             ),
             metrics=self.metrics,
             clock=self.clock,
--- a/tests/test_texts.py
+++ b/tests/test_texts.py
@@ -486,9 +486,7 @@
             ),
             pools=self.pools,
             positions=positions,
-            replica_check=ReplicaCheck(
-                cluster=self.cluster, connector=connector, is_local=lambda _: True
-            ),
+            replica_check=ReplicaCheck(cluster=self.cluster, connector=connector),
             metrics=CountingMetrics(),
             clock=self.clock,
         )
