--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -160,7 +160,7 @@
         is_commit = request.command.kind is CommandKind.COMMIT
         is_write_commit = is_commit and request.access is RequestKind.WRITE
         entry = pinned.target.entry
-        sent = self.confirmation.sent(entry)
+        sent = self.confirmation.sent(entry, is_direct=pinned.pool.is_local)
         if is_write_commit and not self._is_current_primary(entry):
             pinned.connection.close()
             return refusal(AnswerCode.ABORTED, "the primary changed")
@@ -298,7 +298,8 @@
                 target = await self.targets.choose(request, tried)
                 if isinstance(target, NoTarget):
                     return refuse(request, target.value)
-                sent = self.confirmation.sent(target.entry)
+                is_direct = self.pools.get(target.entry.id).is_local
+                sent = self.confirmation.sent(target.entry, is_direct=is_direct)
                 async with asyncio.timeout(max(self._remaining_s(request), 0)):
                     answer = await self._send(request, target, tried)
             except TimeoutError:
