Find requests that end without an answer at a planned stop

Cause: the soak compared answers with what databases ran, but counted a connection that ended without one as a broken session only, whatever ended it.

Each request now records the process that had greeted its session, when its line was sent and when its connection ended without a complete answer; each process records its signals. The check LOST finds requests of a process that was sent SIGTERM and neither killed nor paused. One that was sent in the last 0.25 s before the end may be unread, and counts only if the process logged it or a database ran it.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from soak.fleet import SoakFleet
+from soak.fleet import SoakFleet, SoakVm
 from soak.history import History
 from soak.statements import PROMISES, RecordedClient
 from standins.platform import route_suffix
@@ -49,20 +49,23 @@
     async def run(self) -> None:
         """Run sessions one after the other until ``is_stopping`` is set."""
         while not self.is_stopping:
-            address = self.random.choice(self.fleet.vms).address
-            client = None
-            try:
-                client = await RecordedClient.open(
-                    address, timeout_s=ANSWER_TIMEOUT_S, sent=self.history.sent
-                )
-                await self._run_session(client)
-            except (OSError, TimeoutError):
-                self.history.counts["broken sessions"] += 1
-            finally:
-                if client is not None:
-                    client.close()
+            await self.connect(self.random.choice(self.fleet.vms))
             await asyncio.sleep(THINK_TIME_S)
 
+    async def connect(self, vm: SoakVm) -> None:
+        """Run one session on a VM."""
+        client = None
+        try:
+            client = await RecordedClient.open(
+                vm.address, timeout_s=ANSWER_TIMEOUT_S, sent=self.history.sent, vm=vm
+            )
+            await self._run_session(client)
+        except (OSError, TimeoutError):
+            self.history.counts["broken sessions"] += 1
+        finally:
+            if client is not None:
+                client.close()
+
     async def _run_session(self, client: RecordedClient) -> None:
         route = self.random.choice(["pay", "book"])
         greeting = await client.start(route + route_suffix(self.service))
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from ebonyladder.sessions.objects import GROUPS
+from soak.process_record import ProcessRecord
 from soak.proxy import FaultProxy, VmProxy
 from soak.vm_process import PROXY_VARIABLE
 from standins.platform import ZONES, Platform
@@ -85,6 +86,11 @@
         Folder for settings and logs.
     platform : Platform
         Stand-in platform that the daemon uses.
+
+    Attributes
+    ----------
+    record : ProcessRecord or None
+        Signals and log of the present process, or of the last one.
     """
 
     def __init__(
@@ -101,6 +107,7 @@
         # Proxy to the databases and the other VMs.
         self.proxy = VmProxy()
         self.process: asyncio.subprocess.Process | None = None
+        self.record: ProcessRecord | None = None
         self.starts = 0
 
     @property
@@ -142,6 +149,9 @@
     async def start(self) -> None:
         """Start the process; its output goes to a log file."""
         self.starts += 1
+        self.record = ProcessRecord(
+            name=f"vm-{self.index}.{self.starts}", log_path=self.log_path
+        )
         with self.log_path.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -161,6 +171,7 @@
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self.is_running:
+            self.record.record(number)
             self.process.send_signal(number)
 
     async def kill_and_restart(self) -> None:
@@ -183,9 +194,8 @@
 
     async def stop(self) -> None:
         """Kill the process and stop the proxies to the platform."""
-        if self.is_running:
-            self.process.send_signal(signal.SIGCONT)
-            self.process.kill()
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
         if self.process is not None:
             await self.process.wait()
         self.store_proxy.stop()
--- a/soak/statements.py
+++ b/soak/statements.py
@@ -4,17 +4,25 @@
 begins with the name of the users' rule that is broken.
 """
 
+import asyncio
 import itertools
+import time
 from collections import Counter
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
+from soak.fleet import GRACE_S, SoakVm
+from soak.process_record import ProcessRecord
 from standins.statement_client import StatementClient
 from standins.statement_database import DatabaseService, ExecutedStatement
 
 # Error codes that promise that nothing of the operation is kept.
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY"}
 FORWARDED_WORDS = {"READ", "WRITE", "EXECUTE", "COMMIT"}
+# A running process has read a request that was sent this long ago, in seconds.
+MAX_UNREAD_S = 0.25
+# Longest part of a text that a finding shows.
+MAX_SHOWN_CHARACTERS = 60
 
 
 @dataclass(kw_only=True)
@@ -31,6 +39,12 @@
         Number of the caller's transaction, unique in the run; None outside of one.
     answer : sequence of str
         Lines of the complete answer, empty if there was none.
+    process : ProcessRecord or None
+        Process of the VM that had greeted the session.
+    sent_at_s : float or None
+        Time at which the whole line had been sent, None if it never was.
+    cut_at_s : float or None
+        Time at which the connection ended without a complete answer, None if it didn't.
     """
 
     text: str
@@ -38,6 +52,22 @@
     prepared: tuple[str, str] | None = None
     transaction: int | None = None
     answer: Sequence[str] = ()
+    process: ProcessRecord | None = None
+    sent_at_s: float | None = None
+    cut_at_s: float | None = None
+
+    @property
+    def is_cut_by_planned_stop(self) -> bool:
+        """Whether it ended without an answer, and its VM was terminated only."""
+        if self.process is None or self.sent_at_s is None or self.cut_at_s is None:
+            return False
+        terminated_at_s = self.process.terminated_at_s
+        start_s = min(self.sent_at_s, terminated_at_s)
+        return (
+            self.sent_at_s <= terminated_at_s + GRACE_S
+            and self.cut_at_s >= terminated_at_s
+            and not self.process.is_disturbed(start_s, self.cut_at_s)
+        )
 
     @property
     def word(self) -> str:
@@ -80,19 +110,33 @@
     ----------
     sent : dict of str to SentStatement
         Receives each statement by its id.
+    vm : SoakVm
+        VM that the connection was opened to.
     options : dict
         Passed to `StatementClient`.
     """
 
     transaction_numbers = itertools.count(1)
 
-    def __init__(self, *, sent: dict[str, SentStatement], **options) -> None:
+    def __init__(
+        self, *, sent: dict[str, SentStatement], vm: SoakVm, **options
+    ) -> None:
         super().__init__(**options)
+        self.vm = vm
         self.sent = sent
+        self.process: ProcessRecord | None = None
+        self.sent_at_s: float | None = None
         self.values: dict[str, str] = {}
         self.prepared: dict[str, tuple[str, str]] = {}
         self.transaction: int | None = None
 
+    async def start(self, *args: str) -> str:
+        """Start a session and return the greeting."""
+        greeting = await super().start(*args)
+        if greeting.startswith("READY"):
+            self.process = self.vm.record
+        return greeting
+
     async def query(self, text: str, *, id: str = "") -> list[str]:
         """Send one query, record it and return the lines of its answer."""
         id = id or self.next_id()
@@ -103,9 +147,16 @@
             values=dict(self.values),
             prepared=self.prepared.get(name) if word == "EXECUTE" else None,
             transaction=self.transaction,
+            process=self.process,
         )
-        lines = await super().query(text, id=id)
+        self.sent_at_s = None
+        try:
+            lines = await super().query(text, id=id)
+        except ConnectionError:
+            lines = []
+        statement.sent_at_s = self.sent_at_s
         if not lines or not lines[-1].startswith("READY "):
+            statement.cut_at_s = time.monotonic()
             return lines
         statement.answer = lines
         if not statement.error:
@@ -114,6 +165,15 @@
             self.transaction = None
         return lines
 
+    async def send(self, data: bytes) -> None:
+        """Send the line of a query and record when."""
+        await super().send(data)
+        # The end of a connection that had ended before is seen in these two turns of
+        # the loop, so that a late loop doesn't look like a request that waits.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.sent_at_s = time.monotonic()
+
     def _apply(self, word: str, name: str, argument: str) -> None:
         """Apply an acknowledged change of the session."""
         if word == "SET":
@@ -149,6 +209,7 @@
             "UNASKED": self.unasked,
             "TWICE": self.twice,
             "REFUSED": self.refused,
+            "LOST": self.lost,
         }
 
     def findings(self) -> dict[str, list[str]]:
@@ -217,6 +278,27 @@
             if key in refusals:
                 yield f"{id} {statement} took effect although {refusals[key]} was told"
 
+    def lost(self) -> Iterator[str]:
+        """Find requests that ended without an answer since their VM stopped.
+
+        Whether a process has read a request can't be seen from outside. One that was
+        sent a moment before the end counts only if it has left a trace.
+        """
+        ran_ids = {ran.id for _, ran in self._executed()}
+        for id, statement in self.sent.items():
+            if not statement.is_cut_by_planned_stop:
+                continue
+            process = statement.process
+            is_old = statement.cut_at_s - statement.sent_at_s > MAX_UNREAD_S
+            if is_old or id in ran_ids or process.has_logged(id):
+                sent_s = statement.sent_at_s - process.terminated_at_s
+                cut_s = statement.cut_at_s - process.terminated_at_s
+                yield (
+                    f"{id} {statement.text[:MAX_SHOWN_CHARACTERS]!r} was sent to "
+                    f"{process.name} {sent_s:.3f} s after SIGTERM and ended without an "
+                    f"answer at {cut_s:.3f} s, ran: {id in ran_ids}"
+                )
+
     def _executed(self) -> Iterator[tuple[DatabaseService, ExecutedStatement]]:
         for service in self.services:
             for ran in service.executed:
--- a/standins/statement_client.py
+++ b/standins/statement_client.py
@@ -96,7 +96,7 @@
         if isinstance(text, bytes):
             text = to_text(text)
         id = id or self.next_id()
-        self.writer.write(encode_lines(f"QUERY {id} {text}"))
+        await self.send(encode_lines(f"QUERY {id} {text}"))
         lines = []
         while line := await self.read_line():
             lines.append(line)
@@ -104,6 +104,10 @@
                 break
         return lines
 
+    async def send(self, data: bytes) -> None:
+        """Send the line of a query."""
+        self.writer.write(data)
+
     @classmethod
     def next_id(cls) -> str:
         """Return an id that no other query of this process has."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 import random
 import signal
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import aiohttp
 import pytest
@@ -11,14 +12,17 @@
 from soak.__main__ import run_seed
 from soak.failover_faults import FailoverFaults
 from soak.fault_group import silenced
-from soak.fleet import SoakFleet, SoakVm
+from soak.fleet import GRACE_S, SoakFleet, SoakVm
 from soak.history import History
+from soak.process_record import ProcessRecord
 from soak.proxy import CONNECTED, Mode, VmProxy
+from soak.statements import RecordedClient, SentStatement
 from standins.platform import ZONES, Platform
 from standins.statement_database import (
     Acknowledgement,
     DatabaseService,
     Entry,
+    ExecutedStatement,
     Promotion,
 )
 
@@ -236,6 +240,130 @@
         self.promote(1)
         assert self.findings() == ""
 
+    def cut(
+        self,
+        folder: Path,
+        *,
+        sent_s: float | None = 1.0,
+        cut_s: float | None = 2.0,
+        signals: dict[float, signal.Signals] | None = None,
+        logged: str = "",
+    ) -> None:
+        """Record a request that was cut; times are in seconds after SIGTERM."""
+        self.commit(1, 2)
+        process = ProcessRecord(name="vm-0.1", log_path=folder / "vm.log")
+        process.log_path.write_text(logged)
+        given = {0.0: signal.SIGTERM} if signals is None else signals
+        process.signals = [(100.0 + at_s, number) for at_s, number in given.items()]
+        self.history.sent["q1"] = SentStatement(
+            text="READ k",
+            process=process,
+            sent_at_s=None if sent_s is None else 100.0 + sent_s,
+            cut_at_s=None if cut_s is None else 100.0 + cut_s,
+        )
+
+    def run_cut_request(self) -> None:
+        """Record that a database ran the request that was cut."""
+        ran = ExecutedStatement("i-0", "council", "q1", "READ k", {})
+        self.service.executed.append(ran)
+
+    @pytest.mark.parametrize("sent_s", [-1.0, 1.0, GRACE_S - 0.1])
+    def test_request_that_a_planned_stop_cut_is_found(self, sent_s, tmp_path):
+        self.cut(tmp_path, sent_s=sent_s, cut_s=GRACE_S + 0.5)
+        assert "LOST, 1 times: q1 'READ k' was sent to vm-0.1" in self.findings()
+
+    @pytest.mark.parametrize(
+        "signals",
+        [
+            {0.0: signal.SIGTERM, 0.5: signal.SIGTERM, 0.6: signal.SIGHUP},
+            {0.0: signal.SIGTERM, 2.5: signal.SIGKILL},
+            {-3.0: signal.SIGSTOP, -2.0: signal.SIGCONT, 0.0: signal.SIGTERM},
+        ],
+        ids=["second signal", "killed later", "paused before"],
+    )
+    def test_request_beside_harmless_signals_is_found(self, signals, tmp_path):
+        self.cut(tmp_path, signals=signals)
+        assert "LOST" in self.findings()
+
+    def test_request_at_the_end_that_a_database_ran_is_found(self, tmp_path):
+        self.cut(tmp_path, sent_s=1.9)
+        self.run_cut_request()
+        assert "LOST" in self.findings()
+
+    def test_request_at_the_end_that_the_vm_logged_is_found(self, tmp_path):
+        self.cut(tmp_path, sent_s=1.9, logged="failed. request=q1 session=2")
+        assert "LOST" in self.findings()
+
+    def test_request_at_the_end_without_a_trace_may_be_unread(self, tmp_path):
+        self.cut(tmp_path, sent_s=1.9, logged="failed. request=q11 session=2")
+        assert self.findings() == ""
+
+    @pytest.mark.parametrize(
+        "signals",
+        [
+            {0.0: signal.SIGTERM, 1.5: signal.SIGKILL},
+            {0.0: signal.SIGTERM, 1.5: signal.SIGSTOP},
+            {0.0: signal.SIGTERM, 0.5: signal.SIGSTOP, 1.5: signal.SIGCONT},
+            {-1.0: signal.SIGSTOP, 0.0: signal.SIGTERM, 0.1: signal.SIGCONT},
+            {2.5: signal.SIGTERM},
+            {},
+        ],
+        ids=["killed", "paused", "continued", "paused before", "later", "none"],
+    )
+    def test_cut_that_is_no_planned_stop_has_no_finding(self, signals, tmp_path):
+        self.cut(tmp_path, signals=signals)
+        self.run_cut_request()
+        assert self.findings() == ""
+
+    @pytest.mark.parametrize(
+        ("sent_s", "cut_s"),
+        [(GRACE_S + 0.1, GRACE_S + 1.0), (None, 2.0), (1.0, None)],
+        ids=["after the grace period", "line incomplete", "answered"],
+    )
+    def test_request_that_is_not_cut_has_no_finding(self, sent_s, cut_s, tmp_path):
+        self.cut(tmp_path, sent_s=sent_s, cut_s=cut_s)
+        self.run_cut_request()
+        assert self.findings() == ""
+
+
+class TestRecordedClient:
+    """Guards against requests that are cut and aren't recorded as such."""
+
+    @pytest.mark.parametrize(
+        ("answer", "is_cut"),
+        [
+            (b"", True),
+            (b"ROW 1\r\nCOMPLETE s1\r\n", True),
+            (b"ROW 1\r\nCOMPLETE s1\r\nREADY I 1.1", True),
+            (b"ROW 1\r\nCOMPLETE s1\r\nREADY I 1.1\r\n", False),
+        ],
+    )
+    def test_answer_that_is_incomplete_is_recorded(self, answer, is_cut, tmp_path):
+        async def serve(reader, writer) -> None:
+            await reader.readline()
+            writer.write(b"READY I -\r\n")
+            await reader.readline()
+            writer.write(answer)
+            writer.close()
+
+        async def run() -> SentStatement:
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            vm = SoakVm(index=0, zone="a", folder=tmp_path, platform=Platform())
+            vm.record = ProcessRecord(name="vm-0.1", log_path=vm.log_path)
+            sent: dict[str, SentStatement] = {}
+            client = await RecordedClient.open(f"{host}:{port}", sent=sent, vm=vm)
+            await client.start("pay")
+            await client.query("READ k", id="q1")
+            client.close()
+            server.close()
+            assert sent["q1"].process is vm.record
+            return sent["q1"]
+
+        statement = asyncio.run(run())
+        assert statement.sent_at_s is not None
+        assert (statement.cut_at_s is not None) == is_cut
+
 
 class TestStandInDatabase:
     """Guards against findings that are faults of the stand-in."""
