Soak planned stops beside slow databases and late callers

Cause: the databases of the soak answer within milliseconds, so no request was running for longer than a moment when a VM stopped, and nothing arrived all through its grace period.

New kinds: slow_stop and slow_stops send SIGTERM to one VM or to several in series, at times with a second SIGTERM or a SIGHUP, while databases take up to the routes' timeouts; these are drawn, shorter and longer than the grace period. Callers open sessions on the stopping VM until it has ended: single operations, connections that are used until they end, one that reads large answers slowly and one that sends long statements in pieces. crowded_stop limits the statements that a stand-in database runs at once, after which it waits or answers BUSY.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import ClassVar
 
 from soak.fleet import SoakFleet, SoakVm
 from soak.history import History
@@ -29,6 +30,8 @@
         Index of the service that it uses.
     """
 
+    client_type: ClassVar[type[RecordedClient]] = RecordedClient
+
     def __init__(
         self,
         *,
@@ -56,7 +59,7 @@
         """Run one session on a VM."""
         client = None
         try:
-            client = await RecordedClient.open(
+            client = await self.client_type.open(
                 vm.address, timeout_s=ANSWER_TIMEOUT_S, sent=self.history.sent, vm=vm
             )
             await self._run_session(client)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,6 +11,7 @@
 from soak.history import History
 from soak.proxy import Mode
 from soak.statement_faults import StatementFaults
+from soak.stop_faults import StopFaults
 from standins.object_store import Outage
 
 MAX_FAULT_DURATION_S = 3.0
@@ -63,6 +64,7 @@
             *DatabaseFaults(fleet=fleet, random=self.random).kinds,
             *FailoverFaults(fleet=fleet, random=self.random).kinds,
             *StatementFaults(fleet=fleet, random=self.random, history=history).kinds,
+            *StopFaults(fleet=fleet, random=self.random, history=history).kinds,
         ]
         if kinds:
             self.kinds = [kind for kind in self.kinds if kind.__name__ in kinds]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -17,6 +17,8 @@
 DATABASES = {f"i-{i}": zone for i, zone in enumerate(ZONES)}
 KEY = "council-key"
 HEARTBEAT_INTERVAL_S = 0.1
+# Timeout of the routes in milliseconds.
+TIMEOUT_MS = 1_000
 
 
 def service_name(index: int) -> str:
@@ -42,7 +44,7 @@
             "name": f"r-{type}{route_suffix(index)}",
             "database": database + route_suffix(index),
             "type": type,
-            "timeout_ms": 1_000,
+            "timeout_ms": TIMEOUT_MS,
             "target_latency_ms": 1_000,
             "service": service_name(index),
             "max_staleness_ms": 2_000,
--- a/standins/statement_database.py
+++ b/standins/statement_database.py
@@ -1,6 +1,7 @@
 """Stand-in for the users' databases: statements, replicated log and promotion."""
 
 import asyncio
+import contextlib
 import itertools
 from collections import deque
 from collections.abc import Callable
@@ -227,6 +228,10 @@
         self.started_at_ms = 1
         self.lost_answers = 0
         self.statement_s = 0.0
+        # Limits the reads, writes and commits that run at once; others wait, or are
+        # answered with BUSY.
+        self.slots: asyncio.Semaphore | None = None
+        self.is_busy_when_full = False
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.connections: dict[int, Connection] = {}
@@ -297,6 +302,9 @@
             await self._serve_connection(reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
+        except asyncio.CancelledError:
+            # The event loop ends while a statement runs.
+            pass
         finally:
             self.writers.discard(writer)
             writer.close()
@@ -407,9 +415,14 @@
     async def _run_statement(
         self, connection: Connection, id: str, word: str, rest: str, text: str
     ) -> list[str]:
-        await asyncio.sleep(self.statement_s)
         if word in ("BEGIN", "ROLLBACK"):
+            await asyncio.sleep(self.statement_s)
             return self._run_boundary(connection, text)
+        slots = self.slots
+        if slots is not None and self.is_busy_when_full and slots.locked():
+            return ["ERROR BUSY -"]
+        async with slots or contextlib.nullcontext():
+            await asyncio.sleep(self.statement_s)
         if word not in ("READ", "WRITE", "EXECUTE") and text != "COMMIT":
             return ["ERROR MALFORMED -"]
         mode, prepared = word, None
