Answer a command that arrives while a drain rolls back its transaction

Cause: a transaction whose statement ends after new work is refused is aborted at once. The task of the connection waits up to 0.5 s for the endpoint's rollback and reads nothing meanwhile. The connection doesn't count as busy, so the process ended with the COMMIT unread.

The wait counts as a request now: a stop of the VM ends it when every request has its answer, and the endpoint's connection is closed.

--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -1,5 +1,6 @@
 """Session of one caller: variables, prepared statements and one transaction."""
 
+import contextlib
 from typing import NewType
 
 import msgspec
@@ -196,7 +197,11 @@
         if transaction is None or transaction.failure is not None:
             return
         transaction.failure = refusal(AnswerCode.ABORTED, detail)
-        await self._release_pinned(transaction)
+        # The caller's next command isn't read meanwhile, so a stop of the VM ends this
+        # wait like a request; the endpoint's connection is closed then.
+        with contextlib.suppress(TimeoutError):
+            async with self.executor.accepted.accept():
+                await self._release_pinned(transaction)
 
     async def _give_up(self, command: Command, detail: str) -> Answer:
         """Answer a command that was ended early, by what is known of its run."""
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -15,6 +15,8 @@
 # Longer than what is left of the grace period when new sessions are refused.
 STATEMENT_S = 2.0
 CALLER_INTERVAL_S = 0.1
+# A BEGIN and a read end 2.5 s after the signal, and a rollback after it is given up.
+ROLLBACK_S = 1.2
 
 
 class TestSlowRequests:
@@ -43,15 +45,41 @@
         cut = [a for a in answers if not a or not a[-1].startswith("READY")]
         assert cut == []
 
+    def test_commit_that_arrives_during_the_rollback_of_a_drain_is_answered(self):
+        # Guards against a connection on which nothing is read while the endpoint rolls
+        # back, until the process has ended.
+        async def scenario() -> list[str]:
+            async with running_fleet() as fleet:
+                self.slow_down(fleet, statement_s=ROLLBACK_S)
+                kernel = fleet.kernels[1]
+                kernel.reload(msgspec.structs.replace(kernel.settings, grace_s=GRACE_S))
+                client = await StatementClient.connect(fleet.address(1), "book")
+                stopping = asyncio.create_task(self.stop(kernel))
+                await asyncio.sleep(0.1)
+                await client.query("BEGIN")
+                # Until after the time at which open transactions are aborted, with
+                # less than a rollback left.
+                lines = await client.query("READ a")
+                assert lines[-1].startswith("READY T")
+                answer = await client.query("COMMIT")
+                await stopping
+                return answer
+
+        answer = asyncio.run(scenario())
+        assert [line.split(" ")[:2] for line in answer] == [
+            ["ERROR", "ABORTED"],
+            ["READY", "I"],
+        ]
+
     @staticmethod
-    def slow_down(fleet: Fleet) -> None:
+    def slow_down(fleet: Fleet, statement_s: float = STATEMENT_S) -> None:
         """Let statements take long, and give them the time."""
         content = configuration(2)
         for route in content["routes"]:
             route["timeout_ms"] = 10_000
         fleet.platform.store.put("config", "main", content)
         for database in fleet.platform.service.databases.values():
-            database.statement_s = STATEMENT_S
+            database.statement_s = statement_s
 
     @staticmethod
     async def stop(kernel) -> None:
