--- a/soak/clients.py
+++ b/soak/clients.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
+from typing import ClassVar
 
-from soak.fleet import SoakFleet
+from soak.fleet import SoakFleet, SoakVm
 from soak.history import History
 from soak.statements import PROMISES, RecordedClient
 from standins.platform import route_suffix
@@ -29,6 +30,8 @@
         Index of the service that it uses.
     """
 
+    client_type: ClassVar[type[RecordedClient]] = RecordedClient
+
     def __init__(
         self,
         *,
@@ -49,20 +52,23 @@
     async def run(self) -> None:
         """Run sessions one after the other until ``is_stopping`` is set."""
         while not self.is_stopping:
-            address = self.random.choice(self.fleet.vms).address
-            client = None
-            try:
-                client = await RecordedClient.open(
-                    address, timeout_s=ANSWER_TIMEOUT_S, sent=self.history.sent
-                )
-                await self._run_session(client)
-            except (OSError, TimeoutError):
-                self.history.counts["broken sessions"] += 1
-            finally:
-                if client is not None:
-                    client.close()
+            await self.connect(self.random.choice(self.fleet.vms))
             await asyncio.sleep(THINK_TIME_S)
 
+    async def connect(self, vm: SoakVm) -> None:
+        """Run one session on a VM."""
+        client = None
+        try:
+            client = await self.client_type.open(
+                vm.address, timeout_s=ANSWER_TIMEOUT_S, sent=self.history.sent, vm=vm
+            )
+            await self._run_session(client)
+        except (OSError, TimeoutError):
+            self.history.counts["broken sessions"] += 1
+        finally:
+            if client is not None:
+                client.close()
+
     async def _run_session(self, client: RecordedClient) -> None:
         route = self.random.choice(["pay", "book"])
         greeting = await client.start(route + route_suffix(self.service))
