Release the connection of a transaction that is aborted after the drain's end

AcceptedRequests refuses what begins after the end of all requests, and the rollback of an aborted transaction began inside of it, so the connection stayed reserved in its pool.

--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -197,6 +197,10 @@
         with contextlib.suppress(TimeoutError):
             async with self.executor.accepted.accept():
                 await self._release_pinned(transaction)
+        if transaction.pinned is not None:
+            # The end had passed before the wait began.
+            transaction.pinned.connection.close()
+            await self._release_pinned(transaction)
 
     async def _give_up(self, command: Command, detail: str) -> Answer:
         """Answer a command that was ended early, by what is known of its run."""
