Begin the drain at a signal that comes during the start

What callers saw: nothing; read from the source. No plug-in waits for another machine in its start today. If one did, or was slow, the front end would already listen, and SIGTERM would have no effect until the start was over: the drain's schedule began then, not at the signal.

Cause: the signal was looked at only after all plug-ins had started.

A signal now ends the wait for the start. The plug-ins that have started drain and stop; the others are left out.

--- a/src/ebonyladder/kernel/kernel.py
+++ b/src/ebonyladder/kernel/kernel.py
@@ -139,9 +139,16 @@
         )
 
     async def start(self) -> None:
-        """Start all plug-ins, each after those it requires."""
-        for plugin in self.plugins:
-            await plugin.start()
+        """Start all plug-ins, each after those it requires.
+
+        If this is cancelled, only the plug-ins that have started drain and stop.
+        """
+        for index, plugin in enumerate(self.plugins):
+            try:
+                await plugin.start()
+            except asyncio.CancelledError:
+                del self.plugins[index:]
+                raise
         logging.info("[kernel] Daemon is up. vm=%s", self.settings.vm)
 
     def reload(self, settings: DaemonSettings) -> None:
--- a/src/ebonyladder/sessions/daemon.py
+++ b/src/ebonyladder/sessions/daemon.py
@@ -33,7 +33,7 @@
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopping.set)
     loop.add_signal_handler(signal.SIGHUP, partial(reloader.check, is_requested=True))
-    await kernel.start()
+    await start_unless_stopped(kernel, stopping)
     kernel.supervise(reloader.run, name="settings")
     await stopping.wait()
     logging.info("[daemon] Drain begins. vm=%s", settings.vm)
@@ -41,6 +41,24 @@
     await kernel.stop()
 
 
+async def start_unless_stopped(kernel: Kernel, stopping: asyncio.Event) -> None:
+    """Start the plug-ins, until a signal stops the daemon.
+
+    A plug-in that waits in its start must not use up the grace period of those that
+    serve callers already.
+    """
+    starting = asyncio.create_task(kernel.start())
+    signalled = asyncio.create_task(stopping.wait())
+    await asyncio.wait({starting, signalled}, return_when=asyncio.FIRST_COMPLETED)
+    signalled.cancel()
+    if starting.done():
+        starting.result()
+        return
+    logging.warning("[daemon] Stopped during the start. vm=%s", kernel.settings.vm)
+    starting.cancel()
+    await asyncio.wait({starting})
+
+
 def run(*, load: Callable[[], SessionSettings], adapter: str) -> None:
     """Run the daemon with the plug-ins of an adapter package.
 
