--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from standins.platform import configuration
 from standins.statement_client import StatementClient
 from tests.platform_fleet import Fleet, running_fleet
@@ -68,3 +69,45 @@
         if not client.greeting.startswith("READY"):
             return None
         return await client.query(text)
+
+
+class TestStoppingLeader:
+    """Guards against callers that wait in vain for a leader that stops.
+
+    Between its release of the leadership and the first update of the next leader,
+    nobody grants permits, and nobody confirms the group states that commits and reads
+    of the primary need.
+    """
+
+    @pytest.mark.parametrize("text", ["READ a", "WRITE a 1"])
+    def test_callers_of_the_leader_are_served_while_it_stops(self, text):
+        async def scenario() -> list[list[str]]:
+            async with running_fleet() as fleet:
+                kernel = next(
+                    k
+                    for k in fleet.kernels
+                    if k.get(FailoverCoordination).fencing_token() is not None
+                )
+                kernel.reload(msgspec.structs.replace(kernel.settings, grace_s=GRACE_S))
+                stopping = asyncio.create_task(TestSlowRequests.stop(kernel))
+                callers = []
+                while not stopping.done():
+                    call = self.call(kernel.settings.callers, text)
+                    callers.append(asyncio.create_task(call))
+                    await asyncio.sleep(0.02)
+                return [a for a in await asyncio.gather(*callers) if a is not None]
+
+        answers = asyncio.run(scenario())
+        assert len(answers) >= 10
+        assert [a for a in answers if not a or a[0].startswith("ERROR")] == []
+
+    @staticmethod
+    async def call(address: str, text: str) -> list[str] | None:
+        """Return the answer to one statement that needs the primary."""
+        try:
+            client = await StatementClient.connect(address, "pay")
+        except OSError:
+            return None
+        if not client.greeting.startswith("READY"):
+            return None
+        return await client.query(text)
