Begin the transaction of a test before the drain that aborts it

The owner's drain and the rule for transactions that begin during a drain were written beside each other. The test set the drain's start 5.5 s back, so its transaction had begun during the drain, which no longer aborts it at half time. The drain now begins after the transaction and the test waits for half of a grace period of 4 s; what it checks is the same.

--- a/tests/test_forwarded_transactions.py
+++ b/tests/test_forwarded_transactions.py
@@ -244,10 +244,12 @@
         deadline_s = self.world.clock.now_s() + 5.0
         return await self.forwarding.acquire(OrganisationId("council"), {}, deadline_s)
 
-    def begin_drain(self, *, elapsed_s: float = 0.0) -> asyncio.Task[None]:
+    def begin_drain(
+        self, *, grace_s: float = 10.0, elapsed_s: float = 0.0
+    ) -> asyncio.Task[None]:
         """Begin to drain the owner, some seconds after the signal of its schedule."""
         started_at_s = self.world.clock.now_s() - elapsed_s
-        plan = DrainPlan(grace_s=10.0, started_at_s=started_at_s)
+        plan = DrainPlan(grace_s=grace_s, started_at_s=started_at_s)
         self.world.executor.accepted.begin_drain(plan)
         return asyncio.create_task(self.service.drain())
 
@@ -289,7 +291,7 @@
             async with self.channel():
                 connection = await self.connect()
                 await connection.begin(command("BEGIN"))
-                draining = self.begin_drain(elapsed_s=5.5)
+                draining = self.begin_drain(grace_s=4.0)
                 await until(
                     lambda: self.world.primary.ran[-1] == "ROLLBACK", "the rollback"
                 )
