Check after the wait for a connection that a replica may still be used

What callers saw: nothing was seen; found while the changes of endpoints during a wait were tested. A read that waits in the queue of a replica was sent there although the replica had begun to leave, or its zone had been closed, meanwhile: up to the route's timeout after it.

Cause: only a primary was checked again after the wait. A replica must now still be listed, active and in a zone and region that the route may use; otherwise the read goes to another endpoint.

Both tests of a withdrawn replica failed before: it ran the read.

--- a/src/ebonyladder/sessions/endpoint_selector.py
+++ b/src/ebonyladder/sessions/endpoint_selector.py
@@ -103,6 +103,18 @@
         has_reads = is_transaction or access is RequestKind.READ
         return self._choose_primary(route, organisation, has_reads=has_reads)
 
+    def may_read_at(
+        self, entry: EndpointEntry, route: Route, organisation: Organisation | None
+    ) -> bool:
+        """Return whether an endpoint is still listed and takes reads of a route."""
+        listed = self.cluster.endpoints.get(entry.id)
+        return (
+            listed is not None
+            and listed.process == entry.process
+            and listed.state is EndpointState.ACTIVE
+            and self._is_allowed(listed, route, organisation)
+        )
+
     def has_current_groups(self) -> bool:
         """Return whether the group states are recent enough for primary reads."""
         age_s = self.cluster.clock.now_s() - self.cluster.groups_confirmed_at_s
@@ -149,8 +161,7 @@
             entry
             for entry in self.cluster.members(route.service)
             if entry.id not in tried
-            and entry.state is EndpointState.ACTIVE
-            and self._is_allowed(entry, route, organisation)
+            and self.may_read_at(entry, route, organisation)
             and not self.pools.get(entry.id).health.is_suspect
             and not self.pools.get(entry.id).health.is_lagging
             # If another VM owns the endpoint, that VM finds the required position.
--- a/src/ebonyladder/sessions/target_choice.py
+++ b/src/ebonyladder/sessions/target_choice.py
@@ -67,15 +67,26 @@
     def require(
         self, request: StatementRequest, target: Target, tried: set[EndpointId]
     ) -> None:
-        """Raise ``EndpointError``, not run, if the primary has changed meanwhile."""
-        if not target.is_primary or target.min_position is not None:
-            return
-        if self._choose_now(request, tried) != target:
+        """Raise ``EndpointError``, not run, if a target isn't valid any more.
+
+        Answers the load of an endpoint with a queue that is withdrawn: its statements
+        would reach it up to their timeouts later.
+        """
+        if target.is_primary and target.min_position is None:
+            is_valid = self._choose_now(request, tried) == target
+            code, problem = ErrorCode.NO_PRIMARY, "the primary changed during the wait"
+        else:
+            is_valid = self.selector.may_read_at(
+                target.entry, request.route, request.organisation
+            )
+            code = ErrorCode.NO_ENDPOINT
+            problem = "the endpoint was withdrawn during the wait"
+        if not is_valid:
             raise EndpointError(
-                code=ErrorCode.NO_PRIMARY,
+                code=code,
                 step=Step.ROUTE,
                 peer=target.entry.id,
-                message="the primary changed during the wait",
+                message=problem,
                 outcome=Outcome.NOT_RUN,
             )
 
--- a/tests/test_changes_during_requests.py
+++ b/tests/test_changes_during_requests.py
@@ -10,8 +10,15 @@
 from ebonyladder.sessions.cluster_view import Owner
 from ebonyladder.sessions.command import Answer, AnswerCode
 from ebonyladder.sessions.quota import GrantedQuota
-from ebonyladder.types import Address, EndpointId, ServiceId, VmId
-from tests.session_fakes import catalog, command, route
+from ebonyladder.types import (
+    Address,
+    EndpointId,
+    EndpointState,
+    ServiceId,
+    VmId,
+    ZoneId,
+)
+from tests.session_fakes import catalog, command, entry, route
 from tests.test_session import World
 
 TIMEOUT_S = 0.2
@@ -20,6 +27,8 @@
 ANSWER_TIMEOUT_S = 0.9
 PROMISES = (AnswerCode.OVERLOADED, AnswerCode.ABORTED)
 PRIMARY = EndpointId("primary")
+NEAR = EndpointId("near")
+LEAVING = EndpointState.LEAVING
 BEGIN = ("BEGIN",)
 WRITE_TRANSACTION = ("BEGIN", "WRITE a b")
 
@@ -256,3 +265,33 @@
         is_success = asyncio.run(run()).code is None
         assert is_success == ("WRITE a b" in trial.world.primary.ran)
         assert not trial.leaks
+
+    @pytest.mark.parametrize(
+        "withdraw",
+        [
+            lambda world: world.cluster.apply_endpoints(
+                world.cluster.endpoints, frozenset({ZoneId("a")})
+            ),
+            lambda world: world.cluster.apply_endpoints(
+                {**world.cluster.endpoints, NEAR: entry("near", state=LEAVING)}
+            ),
+        ],
+        ids=["closed-zone", "leaving"],
+    )
+    def test_read_in_the_queue_of_a_withdrawn_replica_runs_elsewhere(self, withdraw):
+        # Guards against statements that reach an endpoint long after its withdrawal.
+        trial = Trial(change=withdraw)
+        world = trial.world
+
+        def withdraw_and_serve(_: World) -> None:
+            withdraw(world)
+            world.pools.get(NEAR).set_limit(8, share=1.0)
+
+        def fill(_: World) -> None:
+            world.pools.get(NEAR).cap.limit = 0
+
+        trial.change = withdraw_and_serve
+        asyncio.run(trial.run(fill, (), "READ a"))
+        assert trial.answer.code is None
+        assert world.near.ran == []
+        assert not trial.leaks
