Check the connections of a drain only once something is due

What callers saw: nothing was seen; found by a measurement. From SIGTERM on, each connection was checked every 50 ms: with 5,000 connections a check takes 18 ms, a third of the event loop's time, on which the answers of this time wait.

Cause: the checks began with the drain, though nothing is due before idle sessions are closed, 2.3 s later; most connections have ended then. They begin at that time now.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -428,8 +428,9 @@
             if is_listening and drain.refuses_work(now_s):
                 self.server.close()
                 is_listening = False
-            for connection in self.connections:
-                connection.check()
+            # Nothing is due before, and a check of 5,000 connections takes 18 ms.
+            if drain.closes_idle_sessions(now_s):
+                self._check_connections()
             if drain.is_over(now_s) or (not is_listening and not self.connections):
                 break
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
