Close a connection without an answer to what isn't a message, as before

The protocol defines answers to STARTUP with its fields and to QUERY alone, and test_connection_that_violates_the_protocol_is_closed of tests/test_platform_path.py holds that nothing is sent; four of its cases failed with the ERROR and pass now.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -125,11 +125,9 @@
                 line = await self._next_line()
             if line is not None:
                 await self._serve_session(line)
-        except LineError as error:
+        except (LineError, WireError) as error:
+            # The protocol has no answer to what isn't a message.
             self._log_invalid(error)
-        except WireError as error:
-            self._log_invalid(error)
-            await self._refuse_message(AnswerCode.MALFORMED, str(error))
         except (OSError, TimeoutError) as error:
             logging.info("[front] Connection ended. error=%r", error)
         except Exception as error:
