End a rollback with the drain

What callers saw: nothing was seen; read from the source. The rollback of an idle or aborted transaction may take 0.5 s, in which its connection reads no command. One that arrives meanwhile at the end of a drain would be read after the process has to end, 0.36 s after the last answers.

Cause: the timeout of a rollback didn't know of the drain. It now ends with the drain's requests; the endpoint rolls back once the connection is closed.

test_rollback_ends_with_the_drain, with a timeout of 60 s, waited for longer than 10 s before.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -224,10 +224,10 @@
         connection = pinned.connection
         try:
             if connection.is_reusable:
-                connection.set_variables(
-                    connection.values, self.clock.now_s() + ROLLBACK_TIMEOUT_S
-                )
-                async with asyncio.timeout(ROLLBACK_TIMEOUT_S):
+                now_s = self.clock.now_s()
+                end_s = self.accepted.limit_s(now_s + ROLLBACK_TIMEOUT_S)
+                connection.set_variables(connection.values, end_s)
+                async with asyncio.timeout(max(end_s - now_s, 0)):
                     answer = await connection.run(ROLLBACK)
                 if answer.state is not TransactionState.IDLE:
                     connection.close()
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -24,6 +24,7 @@
 GRACE_S = 0.2
 # Generous, since the machine that runs the tests may be busy.
 ANSWER_TIMEOUT_S = 0.9
+ROLLBACK_END_S = 10.0
 
 PREPARE = ("PREPARE r READ x", "PREPARE w WRITE x")
 BEGIN = ("BEGIN",)
@@ -310,6 +311,28 @@
         assert session.must_close
         assert_nothing_leaks(world, early_end)
 
+    def test_rollback_ends_with_the_drain(self, world, monkeypatch):
+        # Guards against a command that arrives during the rollback of an idle
+        # transaction, and is read only after the process has to end.
+        monkeypatch.setattr("ebonyladder.sessions.executor.ROLLBACK_TIMEOUT_S", 60.0)
+        early_end = EarlyEnd(world=world, patch=monkeypatch, cause=Cause.DRAIN)
+        session = world.session()
+
+        async def scenario():
+            for text in WRITE_TRANSACTION:
+                await session.handle(command(text))
+            early_end.arm(Point.ANSWER)
+            started_at_s = world.clock.now_s()
+            plan = DrainPlan(grace_s=GRACE_S, started_at_s=started_at_s)
+            world.executor.accepted.begin_drain(plan)
+            async with asyncio.timeout(ROLLBACK_END_S):
+                await session.abort_transaction("idle")
+            return await session.handle(command("COMMIT"))
+
+        assert asyncio.run(scenario()).code is AnswerCode.ABORTED
+        assert "COMMIT" not in world.primary.ran
+        assert_nothing_leaks(world, early_end)
+
 
 class TestPassedDeadline:
     """Guards against statements that run although their answer comes too late."""
