Send the answers of a drain before the exit, also if the event loop is late

What callers saw: nothing was seen; found with a blocked event loop. If the loop of a slow machine is late from before the end of the requests until after the end of the drain, 0.36 s apart, all running requests were closed without an answer.

Cause: both ends were found passed in one turn, and the drain closed the connections before the requests' tasks had run. The drain now ends no sooner than one check after it has seen that the requests are ended.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -421,6 +421,7 @@
     async def drain(self) -> None:
         """Accept new sessions for a while, and return once all callers are answered."""
         is_listening = True
+        were_requests_ended = False
         while True:
             drain, now_s = self.accepted.drain, self.kernel.clock.now_s()
             if is_listening and drain.refuses_work(now_s):
@@ -429,8 +430,11 @@
             # Nothing is due before, and a check of 5,000 connections takes 18 ms.
             if drain.closes_idle_sessions(now_s):
                 self._check_connections()
-            if drain.is_over(now_s) or (not is_listening and not self.connections):
+            # A late event loop passes both times at once, before any answer is sent.
+            is_over = were_requests_ended and drain.is_over(now_s)
+            if is_over or (not is_listening and not self.connections):
                 break
+            were_requests_ended = drain.ends_requests(now_s)
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         if self.connections:
             logging.warning(
