Log a timeout in a command that isn't the end of a drain as an error

What callers saw: nothing was seen; read from the source. An unexpected TimeoutError in a command was answered and logged as "the VM is stopping", without its trace.

Cause: AcceptedRequests raised the same type for the end of a drain. It raises RequestEndedError, a TimeoutError, now.

The test of the TimeoutError failed before: no line named the error.

--- a/src/ebonyladder/sessions/accepted_requests.py
+++ b/src/ebonyladder/sessions/accepted_requests.py
@@ -13,6 +13,10 @@
 OWN_END_MARGIN_S = 0.05
 
 
+class RequestEndedError(TimeoutError):
+    """End of a request since the VM is stopping."""
+
+
 class AcceptedRequests:
     """Requests of callers and other VMs that run on this VM.
 
@@ -68,18 +72,24 @@
 
         Raises
         ------
-        TimeoutError
+        RequestEndedError
             If the request was ended since the VM is stopping; before the body if it
             comes after that end.
         """
         if self.clock.now_s() >= self.answer_by_s:
-            raise TimeoutError("the VM is stopping")
-        async with asyncio.timeout_at(self._end_on_loop_s()) as scope:
-            self.scopes.add(scope)
-            try:
+            raise RequestEndedError("the VM is stopping")
+        scope = asyncio.timeout_at(self._end_on_loop_s())
+        try:
+            async with scope:
+                self.scopes.add(scope)
                 yield
-            finally:
-                self.scopes.discard(scope)
+        except TimeoutError as error:
+            # A timeout of the request's own isn't the end of it.
+            if scope.expired():
+                raise RequestEndedError("the VM is stopping") from error
+            raise
+        finally:
+            self.scopes.discard(scope)
 
     def _end_on_loop_s(self) -> float | None:
         """Return the end of all requests on the event loop's clock, None for never."""
--- a/src/ebonyladder/sessions/session.py
+++ b/src/ebonyladder/sessions/session.py
@@ -6,6 +6,7 @@
 from absl import logging
 
 from ebonyladder.kernel.error import RequestError
+from ebonyladder.sessions.accepted_requests import RequestEndedError
 from ebonyladder.sessions.catalog import (
     OPEN_ORGANISATION,
     CallerKey,
@@ -153,8 +154,8 @@
         try:
             async with self.executor.accepted.accept():
                 answer = await self._handle(command)
-        except TimeoutError:
-            answer = await self._give_up(command, "the VM is stopping")
+        except RequestEndedError as error:
+            answer = await self._give_up(command, str(error))
         except Exception as error:
             logging.exception(
                 "[session] Command failed unexpectedly. request=%s session=%s kind=%s",
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -311,6 +311,19 @@
         assert session.must_close
         assert_nothing_leaks(world, early_end)
 
+    @pytest.mark.parametrize("error", [RuntimeError, TimeoutError])
+    def test_error_is_logged_with_the_id_of_the_request(
+        self, world, monkeypatch, caplog, error
+    ):
+        # Guards against a timeout of another kind that is taken for that of a drain.
+        async def fail(*_, **__):
+            raise error("injected")
+
+        monkeypatch.setattr(world.quota, "admit", fail)
+        (answer,) = run_commands(world.session(), "WRITE a b")
+        assert answer.code is LATE_BUSY
+        assert "Command failed unexpectedly. request=c1" in caplog.text
+
     def test_rollback_ends_with_the_drain(self, world, monkeypatch):
         # Guards against a command that arrives during the rollback of an idle
         # transaction, and is read only after the process has to end.
