--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -5,7 +5,7 @@
 
 from ebonyladder.kernel.clock import ManualClock, SystemClock
 from ebonyladder.platform.lines import LineReader
-from ebonyladder.platform.session_front_end import SessionConnection
+from ebonyladder.platform.session_connection import SessionConnection
 from ebonyladder.sessions.accepted_requests import AcceptedRequests
 from ebonyladder.sessions.command import Answer, TransactionState
 from ebonyladder.sessions.drain import DrainPlan
