Let a read end by its first attempt if the second one finds no endpoint

What callers saw: nothing was seen; read from the source. A read whose first endpoint is slow is sent to a second one after 0.35 s. If that attempt found no endpoint or no connection, the read was answered with FAILED at once and its first attempt was broken off, well before the route's timeout.

Cause: the first attempt that ended, ended the read. One that got no connection or no answer now ends only itself while the other is under way.

The test, with a replica that answers after the second attempt has failed, got FAILED before and gets the row now.

--- a/src/ebonyladder/sessions/executor.py
+++ b/src/ebonyladder/sessions/executor.py
@@ -34,6 +34,8 @@
 from ebonyladder.sessions.target_choice import TargetChoice
 from ebonyladder.types import EndpointId, RequestKind
 
+# Codes of an attempt to read that got no connection, or no answer.
+INCONCLUSIVE_CODES = (AnswerCode.OVERLOADED, AnswerCode.FAILED)
 # Backoff before a statement that was not run is retried.
 RETRY_BACKOFF_S = 0.03
 # A read without an answer for this long is sent to another endpoint as well: several
@@ -247,27 +249,28 @@
     async def _read(self, request: StatementRequest) -> Answer:
         """Run a read, also at a second endpoint if the first doesn't respond."""
         tried: set[EndpointId] = set()
-        attempts: set[asyncio.Task[Answer]] = set()
+        attempts = {asyncio.create_task(self._attempt_read(request, tried))}
+        is_hedged = False
         try:
             while True:
-                attempts.add(asyncio.create_task(self._attempt_read(request, tried)))
-                while attempts:
-                    remaining_s = self._remaining_s(request)
-                    is_hedged = len(attempts) > 1
-                    wait_s = (
-                        remaining_s if is_hedged else min(remaining_s, HEDGE_DELAY_S)
-                    )
-                    done, attempts = await asyncio.wait(
-                        attempts,
-                        timeout=max(wait_s, 0),
-                        return_when=asyncio.FIRST_COMPLETED,
-                    )
-                    if done:
-                        return done.pop().result()
-                    if self._remaining_s(request) <= 0:
-                        return time_out(request)
-                    if not is_hedged:
-                        break
+                remaining_s = self._remaining_s(request)
+                wait_s = remaining_s if is_hedged else min(remaining_s, HEDGE_DELAY_S)
+                done, attempts = await asyncio.wait(
+                    attempts,
+                    timeout=max(wait_s, 0),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                answers = [task.result() for task in done]
+                # After an inconclusive one, the other attempt may still succeed.
+                final = [a for a in answers if a.code not in INCONCLUSIVE_CODES]
+                if final or (answers and not attempts):
+                    return (final or answers)[0]
+                if self._remaining_s(request) <= 0:
+                    return time_out(request)
+                if not is_hedged:
+                    is_hedged = True
+                    second = self._attempt_read(request, tried)
+                    attempts.add(asyncio.create_task(second))
         finally:
             for task in attempts:
                 task.cancel()
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from ebonyladder.sessions import executor
 from ebonyladder.sessions.catalog import Consistency
 from ebonyladder.sessions.command import (
     Answer,
@@ -346,6 +347,36 @@
         assert "COMMIT" not in world.primary.ran
         assert_nothing_leaks(world, early_end)
 
+    def test_second_attempt_of_a_read_that_finds_no_endpoint_ends_only_itself(
+        self, world, monkeypatch
+    ):
+        # Guards against a failure while the first endpoint is still at work.
+        monkeypatch.setattr("ebonyladder.sessions.executor.HEDGE_DELAY_S", 0.02)
+        world.record_sample()
+        world.far.is_down = world.primary.is_down = True
+        # No primary reads, which is known after a short wait.
+        world.cluster.groups_confirmed_at_s = float("-inf")
+        second_attempt = asyncio.Event()
+        fail_read = executor.fail_read
+
+        def fail_and_record(*args) -> Answer:
+            second_attempt.set()
+            return fail_read(*args)
+
+        run = FakeConnection.run
+
+        async def run_late(connection, command, **fields) -> Answer:
+            answer = await run(connection, command, **fields)
+            await second_attempt.wait()
+            await asyncio.sleep(0.01)
+            return answer
+
+        monkeypatch.setattr(executor, "fail_read", fail_and_record)
+        monkeypatch.setattr(FakeConnection, "run", run_late)
+        (answer,) = run_commands(world.session(Consistency.BOUNDED), "READ a")
+        assert answer.code is None
+        assert world.near.ran == ["READ a"]
+
 
 class TestPassedDeadline:
     """Guards against statements that run although their answer comes too late."""
