--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from ebonyladder.sessions import executor
 from ebonyladder.sessions.catalog import Consistency
 from ebonyladder.sessions.command import (
     Answer,
@@ -24,6 +25,7 @@
 GRACE_S = 0.2
 # Generous, since the machine that runs the tests may be busy.
 ANSWER_TIMEOUT_S = 0.9
+ROLLBACK_END_S = 10.0
 
 PREPARE = ("PREPARE r READ x", "PREPARE w WRITE x")
 BEGIN = ("BEGIN",)
@@ -310,6 +312,71 @@
         assert session.must_close
         assert_nothing_leaks(world, early_end)
 
+    @pytest.mark.parametrize("error", [RuntimeError, TimeoutError])
+    def test_error_is_logged_with_the_id_of_the_request(
+        self, world, monkeypatch, caplog, error
+    ):
+        # Guards against a timeout of another kind that is taken for that of a drain.
+        async def fail(*_, **__):
+            raise error("injected")
+
+        monkeypatch.setattr(world.quota, "admit", fail)
+        (answer,) = run_commands(world.session(), "WRITE a b")
+        assert answer.code is LATE_BUSY
+        assert "Command failed unexpectedly. request=c1" in caplog.text
+
+    def test_rollback_ends_with_the_drain(self, world, monkeypatch):
+        # Guards against a command that arrives during the rollback of an idle
+        # transaction, and is read only after the process has to end.
+        monkeypatch.setattr("ebonyladder.sessions.executor.ROLLBACK_TIMEOUT_S", 60.0)
+        early_end = EarlyEnd(world=world, patch=monkeypatch, cause=Cause.DRAIN)
+        session = world.session()
+
+        async def scenario():
+            for text in WRITE_TRANSACTION:
+                await session.handle(command(text))
+            early_end.arm(Point.ANSWER)
+            started_at_s = world.clock.now_s()
+            plan = DrainPlan(grace_s=GRACE_S, started_at_s=started_at_s)
+            world.executor.accepted.begin_drain(plan)
+            async with asyncio.timeout(ROLLBACK_END_S):
+                await session.abort_transaction("idle")
+            return await session.handle(command("COMMIT"))
+
+        assert asyncio.run(scenario()).code is AnswerCode.ABORTED
+        assert "COMMIT" not in world.primary.ran
+        assert_nothing_leaks(world, early_end)
+
+    def test_second_attempt_of_a_read_that_finds_no_endpoint_ends_only_itself(
+        self, world, monkeypatch
+    ):
+        # Guards against a failure while the first endpoint is still at work.
+        monkeypatch.setattr("ebonyladder.sessions.executor.HEDGE_DELAY_S", 0.02)
+        world.record_sample()
+        world.far.is_down = world.primary.is_down = True
+        # No primary reads, which is known after a short wait.
+        world.cluster.groups_confirmed_at_s = float("-inf")
+        second_attempt = asyncio.Event()
+        fail_read = executor.fail_read
+
+        def fail_and_record(*args) -> Answer:
+            second_attempt.set()
+            return fail_read(*args)
+
+        run = FakeConnection.run
+
+        async def run_late(connection, command, **fields) -> Answer:
+            answer = await run(connection, command, **fields)
+            await second_attempt.wait()
+            await asyncio.sleep(0.01)
+            return answer
+
+        monkeypatch.setattr(executor, "fail_read", fail_and_record)
+        monkeypatch.setattr(FakeConnection, "run", run_late)
+        (answer,) = run_commands(world.session(Consistency.BOUNDED), "READ a")
+        assert answer.code is None
+        assert world.near.ran == ["READ a"]
+
 
 class TestPassedDeadline:
     """Guards against statements that run although their answer comes too late."""
