Let failovers and rates go on without a VM that was stopped as planned

What callers saw: in a fleet of stand-ins, a primary that crashed half a second after a planned stop of another VM was replaced 1.8 s later than without the stop. Read from the source: the rate share of a VM that was stopped and didn't come back was granted to nobody for 30 s.

Cause: to the leader, a VM that was stopped was one that is silent. It stayed in the list for 6 s, and each failover waited 2.3 s for it to apply the group state.

After a drain that has answered all requests, a VM sends a last report that it has ended. The leader then doesn't wait for this process, removes its entry and releases its shares. A next process of the VM counts as usual, by its incarnation. Without that report, or at an older leader, all is as before.

--- a/src/ebonyladder/sessions/fleet/failure_detector.py
+++ b/src/ebonyladder/sessions/fleet/failure_detector.py
@@ -6,7 +6,14 @@
 from ebonyladder.sessions.cause import FailoverCause
 from ebonyladder.sessions.cluster_view import ClusterView, GroupPhase
 from ebonyladder.sessions.messages import Report
-from ebonyladder.types import EndpointId, EndpointState, Role, ServiceId, VmId
+from ebonyladder.types import (
+    EndpointId,
+    EndpointState,
+    Incarnation,
+    Role,
+    ServiceId,
+    VmId,
+)
 
 # Time between two failovers of the same service, so that an endpoint that is only slow
 # to start isn't replaced again.
@@ -54,10 +61,25 @@
         found = self.reports.get(vm)
         return found[1] if found else float("-inf")
 
+    def has_ended(self, vm: VmId, incarnation: Incarnation) -> bool:
+        """Tell whether a VM's last report was the last one of this process."""
+        found = self.reports.get(vm)
+        if found is None:
+            return False
+        report = found[0]
+        return report.has_ended and report.incarnation == incarnation
+
     def reported_within(self, duration_s: float) -> list[VmId]:
-        """Return the VMs whose last report came within this time, in seconds."""
+        """Return the VMs whose last report came within this time, in seconds.
+
+        Those that have ended aren't among them.
+        """
         oldest_s = self.clock.now_s() - duration_s
-        return [vm for vm, (_, at_s) in self.reports.items() if at_s >= oldest_s]
+        return [
+            vm
+            for vm, (report, at_s) in self.reports.items()
+            if at_s >= oldest_s and not report.has_ended
+        ]
 
     def record_attempt(self, service: ServiceId, *, is_replaced: bool) -> None:
         """Record that an attempt at a failover has ended.
@@ -128,8 +150,8 @@
 
     def recent_reports(self) -> dict[VmId, Report]:
         """Return the reports that are recent enough to be used."""
-        oldest_s = self.clock.now_s() - REPORT_TTL_S
-        return {vm: r for vm, (r, at_s) in self.reports.items() if at_s >= oldest_s}
+        recent = self.reported_within(REPORT_TTL_S)
+        return {vm: self.reports[vm][0] for vm in recent}
 
     def _is_reported_by_majority(
         self,
--- a/src/ebonyladder/sessions/fleet/follower.py
+++ b/src/ebonyladder/sessions/fleet/follower.py
@@ -1,6 +1,7 @@
 """Follower's side of the leader connection: sends reports and applies updates."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -46,6 +47,9 @@
 # Longest time to connect or to send a report, in seconds: several round trips between
 # regions.
 CONNECT_TIMEOUT_S = 1.0
+# Longest time to send the last report, in seconds: a part of what a stop has left after
+# the answers to callers.
+END_REPORT_TIMEOUT_S = 0.1
 # Longest time to get the answer of a VM that may be unreachable, in seconds: a
 # connection and a report between regions.
 PROBE_TIMEOUT_S = 0.4
@@ -95,6 +99,8 @@
         Time at which the last update arrived on the current connection.
     is_draining : bool
         Whether this VM is stopping.
+    has_ended : bool
+        Whether this VM serves nobody any more.
     """
 
     def __init__(
@@ -120,6 +126,8 @@
         self.started_at_s = clock.now_s()
         self.group_changed = asyncio.Event()
         self.is_draining = False
+        self.has_ended = False
+        self.end_reported = asyncio.Event()
         cluster.listeners.append(self._report_listing)
         self._reset()
 
@@ -138,6 +146,19 @@
         self.is_draining = True
         self.group_changed.set()
 
+    async def report_end(self) -> None:
+        """Report that this VM serves nobody any more, if it reports to a VM.
+
+        Failovers need not wait for it then, and others may use its rate shares.
+        """
+        if not self.is_connected:
+            return
+        self.has_ended = True
+        self.group_changed.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(END_REPORT_TIMEOUT_S):
+                await self.end_reported.wait()
+
     @property
     def is_connected(self) -> bool:
         """Whether the leader or a standby has recently sent an update."""
@@ -207,8 +228,11 @@
     async def _send_reports(self, connection: ClientConnection) -> None:
         while True:
             self.group_changed.clear()
+            report = self.report()
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await connection.send(encode(self.report()))
+                await connection.send(encode(report))
+            if report.has_ended:
+                self.end_reported.set()
             await asyncio.sleep(MIN_REPORT_INTERVAL_S)
             interval_s = REPORT_INTERVAL_S * self.report_interval_factor
             changed = asyncio.ensure_future(self.group_changed.wait())
@@ -335,6 +359,7 @@
                 if group.phase is GroupPhase.MOVING
             },
             is_draining=self.is_draining,
+            has_ended=self.has_ended,
         )
 
     def _catalog_of(self, update: LeaderUpdate) -> Catalog | None:
--- a/src/ebonyladder/sessions/fleet/group_barrier.py
+++ b/src/ebonyladder/sessions/fleet/group_barrier.py
@@ -15,7 +15,7 @@
 )
 from ebonyladder.sessions.fleet.failure_detector import FailureDetector
 from ebonyladder.sessions.messages import Report
-from ebonyladder.types import LogPosition, Position, ServiceId, Term, VmId
+from ebonyladder.types import Incarnation, LogPosition, Position, ServiceId, Term, VmId
 
 # Longest interval between checks of the VMs that a barrier waits for, in seconds.
 BARRIER_POLL_INTERVAL_S = 0.2
@@ -89,12 +89,23 @@
             )
         self.epoch_acknowledged.set()
 
-    def record_removed(self, vm: VmId) -> None:
+    def record_removed(self, vm: VmId, incarnation: Incarnation | None = None) -> None:
         """Record that a VM was removed from the list.
 
-        It may still use group states that it confirmed at the store before that.
+        It may still use group states that it confirmed at the store before that,
+        unless the process whose entry it was has ended.
         """
-        self.removed_at_s[vm] = self.clock.now_s()
+        if incarnation is None or not self.failure_detector.has_ended(vm, incarnation):
+            self.removed_at_s[vm] = self.clock.now_s()
+
+    def _registered(self) -> set[VmId]:
+        """Return the VMs of the list that haven't reported their end."""
+        has_ended = self.failure_detector.has_ended
+        return {
+            vm
+            for vm, entry in self.vms().items()
+            if not has_ended(vm, entry.incarnation)
+        }
 
     async def wait(self, group: GroupState, timeout_s: float) -> None:
         """Return once all VMs have applied a group state, or after ``timeout_s``.
@@ -108,7 +119,7 @@
             reported = self.failure_detector.reported_within(timeout_s)
             missing = [
                 vm
-                for vm in {*self.vms(), *reported}
+                for vm in {*self._registered(), *reported}
                 if vm != self.cluster.vm
                 and self.applied_epochs.get((vm, group.service), 0) < group.epoch
             ]
--- a/src/ebonyladder/sessions/fleet/leader.py
+++ b/src/ebonyladder/sessions/fleet/leader.py
@@ -195,6 +195,9 @@
             last_update_made_at_s=report.acknowledged_at_s,
             acknowledged=report.shares,
         )
+        if report.has_ended:
+            self.shares.release(report.vm)
+            return self._update(report, is_leader=self.fencing_token is not None)
         # A check of the lease iterates over all VMs, so an answer makes only one.
         if self.fencing_token is None:
             requests = report.requests if self.grants_permits else {}
@@ -382,15 +385,18 @@
         )
 
     def expired_vms(self) -> list[VmId]:
-        """Return the VMs whose reports timed out."""
-        now_s = self.clock.now_s()
-        if now_s - self.leadership.acquired_at_s < VM_REPORT_TIMEOUT_S:
-            return []
+        """Return the VMs that have reported their end or whose reports timed out."""
+        detector, now_s = self.failure_detector, self.clock.now_s()
+        leading_since_s = self.leadership.acquired_at_s
         return [
             vm
-            for vm in self.vms()
+            for vm, entry in self.vms().items()
             if vm != self.cluster.vm
-            and now_s - self.failure_detector.last_report_at_s(vm) > VM_REPORT_TIMEOUT_S
+            and (
+                detector.has_ended(vm, entry.incarnation)
+                or now_s - max(detector.last_report_at_s(vm), leading_since_s)
+                > VM_REPORT_TIMEOUT_S
+            )
         ]
 
     def _newer_groups(self, report: Report) -> tuple[GroupState, ...]:
--- a/src/ebonyladder/sessions/fleet/shares.py
+++ b/src/ebonyladder/sessions/fleet/shares.py
@@ -222,6 +222,12 @@
         }
         vm.pending = {}
 
+    def release(self, vm: VmId) -> None:
+        """Let others use the shares of a VM that has ended."""
+        found = self.vms.pop(vm, None)
+        if found is not None:
+            self._remove(found)
+
     def _remove(self, vm: VmRateShares) -> None:
         for name in vm.organisations():
             self.allocated[name] -= vm.upper_bound(name)
--- a/src/ebonyladder/sessions/messages.py
+++ b/src/ebonyladder/sessions/messages.py
@@ -96,6 +96,8 @@
         for each service that is changing its primary.
     is_draining : bool
         Whether the sender is stopping, so that it should own no endpoint.
+    has_ended : bool
+        Whether the sender serves nobody any more: its last report, before its end.
     """
 
     vm: VmId
@@ -115,6 +117,7 @@
     listing: StoreListing | None = None
     acknowledged: dict[ServiceId, AcknowledgedRange | None] = {}
     is_draining: bool = False
+    has_ended: bool = False
 
 
 class ClusterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -231,7 +231,14 @@
         await self.forwarding_service.drain()
 
     async def stop(self) -> None:
-        """Close the connections to other VMs."""
+        """Report the end of this VM, and close the connections to other VMs.
+
+        After a drain that has answered all requests nothing is served any more.
+        """
+        accepted = self.forwarding_service.executor.accepted
+        is_finished = not accepted.count and not self.forwarding_service.is_busy
+        if self.kernel.draining and is_finished:
+            await self.follower.report_end()
         if self.server is not None:
             self.server.close()
 
@@ -418,7 +425,8 @@
     async def _evict_vms(self) -> None:
         for vm in self.leader.expired_vms():
             found = self.vm_watcher.objects.get(vm)
-            if found is None:
+            entry = self.vm_watcher.entries.get(vm)
+            if found is None or entry is None:
                 continue
             try:
                 await self.store.delete(VMS, vm, found.revision)
@@ -427,7 +435,7 @@
                     "[fleet] VM could not be removed. vm=%s error=%s", vm, error
                 )
                 return
-            self.leader.barrier.record_removed(vm)
+            self.leader.barrier.record_removed(vm, entry.incarnation)
             logging.info("[fleet] VM is removed from the list. vm=%s", vm)
             self.vm_watcher.objects.pop(vm, None)
             self.vm_watcher.apply(self.vm_watcher.objects)
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -255,6 +255,53 @@
         assert self.measure_barrier(world, 30.0) < 30.0
 
 
+class TestEnd:
+    """Guards against a leader that waits for a VM that was stopped as planned."""
+
+    def setup_method(self):
+        self.world = World(SystemClock())
+        self.world.lead()
+
+    def end(self) -> None:
+        """Receive the last report of the other VM."""
+        self.world.leader.answer(report(shares={ORGANISATION.name: 0.7}))
+        self.world.leader.answer(report(is_draining=True, has_ended=True))
+
+    def measure_barrier(self) -> float:
+        """Return how long a barrier takes, in seconds."""
+        return TestBarrier().measure_barrier(self.world, 0.3)
+
+    def test_barrier_does_not_wait_for_a_vm_that_has_ended(self):
+        self.end()
+        assert self.measure_barrier() < 0.3
+
+    def test_barrier_does_not_wait_after_the_entry_was_removed(self):
+        self.end()
+        incarnation = self.world.vms.pop(OTHER).incarnation
+        self.world.leader.barrier.record_removed(OTHER, incarnation)
+        assert self.measure_barrier() < 0.3
+
+    def test_barrier_waits_for_the_next_process_of_the_vm(self):
+        # Guards against a process that has read the former group state at its start.
+        self.end()
+        self.world.vms[OTHER] = msgspec.structs.replace(
+            self.world.vms[OTHER], incarnation=Incarnation(2)
+        )
+        assert self.measure_barrier() >= 0.29
+
+    def test_entry_is_removed_at_once(self):
+        assert self.world.leader.expired_vms() == []
+        self.end()
+        assert self.world.leader.expired_vms() == [OTHER]
+
+    def test_others_may_use_its_shares(self):
+        # Guards against a rate that is cut for 30 s after a VM was stopped.
+        self.end()
+        del self.world.vms[OTHER]
+        self.world.leader.refresh_shares()
+        assert self.world.leader.shares.grantable_fraction(ORGANISATION.name) == 1.0
+
+
 class TestWhatCallersWereTold:
     """Guards against a promotion without a commit that callers know of."""
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -6,9 +6,10 @@
 import pytest
 
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
+from ebonyladder.sessions.fleet.group_barrier import VM_REPORT_TIMEOUT_S
 from standins.platform import configuration
 from standins.statement_client import StatementClient
-from tests.platform_fleet import Fleet, running_fleet
+from tests.platform_fleet import Fleet, running_fleet, until
 
 pytestmark = pytest.mark.xdist_group("processes")
 
@@ -111,3 +112,26 @@
         if not client.greeting.startswith("READY"):
             return None
         return await client.query(text)
+
+
+class TestEndOfVm:
+    """Guards against a leader that takes a VM that was stopped for a silent one."""
+
+    def test_stopped_vm_is_removed_from_the_list_at_once(self):
+        async def scenario() -> None:
+            async with running_fleet() as fleet:
+                stopped = next(
+                    k
+                    for k in fleet.kernels
+                    if k.get(FailoverCoordination).fencing_token() is None
+                )
+                stopped.reload(
+                    msgspec.structs.replace(stopped.settings, grace_s=GRACE_S)
+                )
+                await TestSlowRequests.stop(stopped)
+                ended_at_s = stopped.clock.now_s()
+                entries = fleet.platform.store.objects["ebonyladder-vms"]
+                await until(lambda: stopped.settings.vm not in entries, "the removal")
+                assert stopped.clock.now_s() - ended_at_s < VM_REPORT_TIMEOUT_S / 2
+
+        asyncio.run(scenario())
