Repeat a failed release of the leadership, and stop leading before it

What callers saw: nothing; read from the source and reproduced. If the write of the release failed, as it does when it meets a renewal, a stopping leader stayed the leader until its process ended, and promoted nothing. If only the answer was lost, it went on leading beside the next leader until its lease expired.

Cause: one attempt, and the leadership ended by the answer to it.

A leader now stops leading before it sends the write, and repeats the release until the store names it no more. While the store doesn't even answer a read it goes on leading, since nobody could take over.

--- a/src/ebonyladder/sessions/fleet/leader_record.py
+++ b/src/ebonyladder/sessions/fleet/leader_record.py
@@ -18,6 +18,9 @@
 from ebonyladder.sessions.watcher import convert_content
 from ebonyladder.types import Address
 
+# Interval of attempts to release the leadership, in seconds.
+RELEASE_RETRY_INTERVAL_S = 0.3
+
 
 class LeaderRecordStore:
     """Exchanges the leader record between the store and this VM's ``Leadership``.
@@ -88,7 +91,24 @@
             self.renewal = self.spawn(self._write(), name="renewal")
 
     async def release(self) -> None:
-        """Mark the record as released, so that another VM takes over immediately."""
+        """Release the leadership, however many attempts the store needs."""
+        while True:
+            if await self._release_once():
+                return
+            await asyncio.sleep(RELEASE_RETRY_INTERVAL_S)
+
+    async def _release_once(self) -> bool:
+        """Mark the record as released, so that another VM takes over immediately.
+
+        This VM stops leading before that, since a write without an answer may take
+        effect, and then another VM leads; it goes on leading while the store doesn't
+        even answer a read. Returns False if the store may still name this VM.
+        """
+        if not await self.read():
+            return False
+        if not self.leadership.is_named:
+            return True
+        self.leadership.is_releasing = True
         released = msgspec.structs.replace(self.leadership.record, is_released=True)
         content = msgspec.to_builtins(released)
         try:
@@ -97,9 +117,10 @@
             )
         except StoreError as error:
             logging.warning("[fleet] Leadership could not be released. error=%s", error)
-            return
+            return False
         self.leadership.apply_record(released, found.revision)
         logging.info("[fleet] Leadership is released. token=%d", released.token)
+        return True
 
     async def _write(self) -> None:
         """Acquire or renew the leader lease by a conditional write."""
@@ -123,7 +144,7 @@
             if error.code is ErrorCode.STORE_CONFLICT:
                 await self._reread()
             return
-        if not self.leadership.is_holder:
+        if not self.leadership.is_named:
             logging.info("[fleet] Leadership is acquired. token=%d", record.token)
             self.on_acquired()
         self.leadership.record_renewal(record, found.revision, sent_at_s)
--- a/src/ebonyladder/sessions/fleet/leadership.py
+++ b/src/ebonyladder/sessions/fleet/leadership.py
@@ -106,6 +106,8 @@
         self.renewal_attempt_at_s = float("-inf")
         self.acquired_at_s = clock.now_s()
         self.acknowledged_at_s: dict[VmId, float] = {}
+        # Whether this VM no longer leads, although the store may still name it.
+        self.is_releasing = False
 
     def apply_record(self, record: LeaderRecord | None, revision: Revision) -> None:
         """Apply the record that was read from the store."""
@@ -142,7 +144,7 @@
         self, record: LeaderRecord, revision: Revision, sent_at_s: float
     ) -> None:
         """Record that a call sent at ``sent_at_s`` wrote this VM's own record."""
-        if not self.is_holder:
+        if not self.is_named:
             self.acquired_at_s = sent_at_s
         self._set_record(record, revision)
         self.renewed_at_s = sent_at_s
@@ -169,6 +171,11 @@
 
     @property
     def is_holder(self) -> bool:
+        """Whether the record names this process, which isn't giving it up."""
+        return self.is_named and not self.is_releasing
+
+    @property
+    def is_named(self) -> bool:
         """Whether the record names this process."""
         record = self.record
         return (
@@ -248,7 +255,7 @@
         store_revision : Revision
             Revision at which the store had no record.
         """
-        if self.is_holder:
+        if self.is_named:
             return msgspec.structs.replace(
                 self.record, renewals=self.record.renewals + 1
             )
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -221,10 +221,9 @@
                 self.leadership.record.token,
             )
             await asyncio.sleep(TAKEOVER_TIMEOUT_S - unanswered_s)
-        if self.leadership.is_holder:
-            await self.leader_record.release()
-            # This VM's operations would wait for permits that it no longer grants.
-            self.quota.mark_leader_lost()
+        await self.leader_record.release()
+        # This VM's operations would wait for permits that it no longer grants.
+        self.quota.mark_leader_lost()
 
     async def drain(self) -> None:
         """Finish what other VMs have forwarded to this one."""
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
 from ebonyladder.kernel.step import Step
 from ebonyladder.metrics import Metrics
 from ebonyladder.sessions.cluster_view import GroupPhase
@@ -243,6 +244,41 @@
 
         assert asyncio.run(scenario()) == [True, True, True]
 
+    @pytest.mark.parametrize("outcome", [Outcome.NOT_RUN, Outcome.UNKNOWN])
+    def test_release_is_repeated_after_a_failed_write(self, outcome):
+        # Guards against a leader that stays until its process ends, since the write of
+        # the release met a renewal or an outage, and against two leaders after a
+        # release whose answer was lost.
+        async def scenario() -> list[int | None]:
+            async with running_fleet() as fleet:
+                plugins = [k.get(FailoverCoordination) for k in fleet.kernels]
+                leader = next(p for p in plugins if p.fencing_token() is not None)
+                replace = leader.store.replace
+                tokens: list[int | None] = []
+
+                async def fail_once(*args):
+                    tokens.append(leader.leader.fencing_token)
+                    if outcome is Outcome.UNKNOWN:
+                        await replace(*args)
+                    leader.store.replace = replace
+                    raise StoreError(
+                        code=ErrorCode.STORE_UNAVAILABLE,
+                        step=Step.STORE_WRITE,
+                        outcome=outcome,
+                    )
+
+                leader.store.replace = fail_once
+                leader.kernel.draining = True
+                async with asyncio.timeout(10):
+                    await leader.announce_drain()
+                record = fleet.platform.store.objects["ebonyladder-leaders"]["leader"]
+                spec = record["spec"]
+                vm = leader.cluster.vm
+                assert spec["is_released"] or spec["holder"] != vm
+                return tokens
+
+        assert asyncio.run(scenario()) == [None]
+
     @pytest.mark.parametrize("is_answered", [True, False])
     def test_leadership_is_released_during_the_drain_after_a_slow_promotion(
         self, is_answered
