--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -7,6 +7,7 @@
 
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.fleet.group_barrier import VM_REPORT_TIMEOUT_S
+from ebonyladder.sessions.plugins.sessions import SessionFactory
 from standins.platform import configuration
 from standins.statement_client import StatementClient
 from tests.platform_fleet import Fleet, running_fleet, until
@@ -45,15 +46,40 @@
         cut = [a for a in answers if not a or not a[-1].startswith("READY")]
         assert cut == []
 
+    def test_shorter_grace_period_ends_the_requests_that_run(self):
+        # Guards against requests that still run when the process is killed.
+        async def scenario() -> tuple[list[str] | None, float]:
+            async with running_fleet() as fleet:
+                self.slow_down(fleet, statement_s=20.0)
+                await until(lambda: fleet.cluster(1).version == 2, "the timeouts")
+                kernel = fleet.kernels[1]
+                kernel.reload(msgspec.structs.replace(kernel.settings, grace_s=30.0))
+                call = asyncio.create_task(self.call(fleet.address(1), "WRITE a 1"))
+                accepted = kernel.get(SessionFactory).executor.accepted
+                await until(lambda: accepted.count, "the request")
+                started_at_s = kernel.clock.now_s()
+                stopping = asyncio.create_task(self.stop(kernel))
+                await until(lambda: accepted.drain is not None, "the drain")
+                shorter = msgspec.structs.replace(kernel.settings, grace_s=GRACE_S)
+                kernel.reload(shorter)
+                answer = await call
+                await stopping
+                return answer, kernel.clock.now_s() - started_at_s
+
+        answer, took_s = asyncio.run(scenario())
+        assert "the VM is stopping" in answer[0]
+        assert answer[-1].startswith("READY")
+        assert took_s < 2 * GRACE_S
+
     @staticmethod
-    def slow_down(fleet: Fleet) -> None:
+    def slow_down(fleet: Fleet, statement_s: float = STATEMENT_S) -> None:
         """Let statements take long, and give them the time."""
         content = configuration(2)
         for route in content["routes"]:
-            route["timeout_ms"] = 10_000
+            route["timeout_ms"] = 30_000
         fleet.platform.store.put("config", "main", content)
         for database in fleet.platform.service.databases.values():
-            database.statement_s = STATEMENT_S
+            database.statement_s = statement_s
 
     @staticmethod
     async def stop(kernel) -> None:
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -9,7 +9,7 @@
 
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.kernel.registry import Registry
-from ebonyladder.sessions import daemon
+from ebonyladder.sessions import daemon, reload
 from ebonyladder.sessions.settings import SessionSettings
 from ebonyladder.types import Address, VmId, ZoneId
 from tests.platform_fleet import until
@@ -112,6 +112,22 @@
         asyncio.run(scenario())
         assert self.events.count("drain a-front") == 1
 
+    def test_settings_that_change_during_the_drain_take_effect(self, monkeypatch):
+        # Guards against a drain for a grace period that has become shorter.
+        monkeypatch.setattr(reload, "CHECK_INTERVAL_S", 0.05)
+
+        async def scenario() -> None:
+            running = asyncio.create_task(self.run_daemon())
+            await until(self.has("start b-slow"), "the start")
+            os.kill(os.getpid(), signal.SIGTERM)
+            await until(self.has("drain a-front"), "the drain")
+            self.file = msgspec.structs.replace(SETTINGS, grace_s=1.5)
+            await until(self.has("reload 1.5 a-front"), "the reload")
+            self.may_stop.set()
+            await running
+
+        asyncio.run(scenario())
+
     def test_failure_of_the_start_ends_the_daemon(self):
         # Guards against a daemon that runs without one of its plug-ins.
         async def fail() -> None:
