--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,7 @@
     "database_network_fault",
     "kill",
 ]
+STOP_KINDS = ["slow_stop", "slow_stops", "crowded_stop"]
 
 
 @dataclass(frozen=True)
@@ -96,6 +97,8 @@
     Run(3008, DARK_KINDS, duration_s=8.0, size=4),
     # Texts were decoded and built again, and answers were paired by their order alone.
     Run(7001, STATEMENT_KINDS),
+    # A drain ended by the clock, and read nothing while it rolled back a transaction.
+    Run(9004, STOP_KINDS),
 ]
 
 
