--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,8 @@
 # of a commit, and these are dropped from the log holders one after the other.
 SERVICE_TIMEOUT_S = 30.0
 CLIENTS = 6
+# Texts of statements may have hundreds of kilobytes.
+MAX_SHOWN_CHARACTERS = 2_000
 
 
 async def run_seed(
@@ -123,7 +125,7 @@
             failed.append(seed)
             print(f"  faults: {faults}\n  logs: {folder}", flush=True)
             for finding in history.findings[:10]:
-                print(f"  {finding}", flush=True)
+                print(f"  {finding[:MAX_SHOWN_CHARACTERS]}", flush=True)
     print(f"{seeds - len(failed)} seeds passed, {len(failed)} failed: {failed}")
     sys.exit(1 if failed else 0)
 
