Test that slow databases of the soak are as before afterwards

Guards against a fault that is drawn but has no effect, or that stays after its time; a stand-in of a daemon gets the record that the soak's clients read.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,9 +17,11 @@
 from soak.process_record import ProcessRecord
 from soak.proxy import CONNECTED, Mode, VmProxy
 from soak.statements import RecordedClient, SentStatement
+from soak.stop_faults import StopFaults
 from standins.platform import ZONES, Platform
 from standins.statement_database import (
     Acknowledgement,
+    Connection,
     DatabaseService,
     Entry,
     ExecutedStatement,
@@ -388,10 +390,57 @@
 
         assert asyncio.run(run()).acknowledgements == []
 
+    @pytest.mark.parametrize("is_busy_when_full", [False, True])
+    def test_full_database_waits_or_refuses(self, is_busy_when_full):
+        async def run() -> list[list[str]]:
+            service = DatabaseService(name="s", zones={"i-0": "a"})
+            database = service.databases["i-0"]
+            database.slots = asyncio.Semaphore(1)
+            database.is_busy_when_full = is_busy_when_full
+            database.statement_s = 0.05
+            reads = [
+                database._run(Connection("council"), f"q{i}", "READ k")
+                for i in range(3)
+            ]
+            return await asyncio.gather(*reads)
+
+        answers = asyncio.run(run())
+        refused = [a for a in answers if a == ["ERROR BUSY -"]]
+        assert len(refused) == (2 if is_busy_when_full else 0)
+
 
 class TestFaults:
     """Guards against faults that are drawn but have no effect."""
 
+    def test_slow_databases_are_as_before_afterwards(self, tmp_path):
+        async def run() -> tuple[list, list, list]:
+            fleet = SoakFleet(folder=tmp_path, size=0)
+            await fleet.start()
+            faults = StopFaults(fleet=fleet, random=random.Random(1), history=History())
+
+            def state() -> list:
+                content = fleet.platform.store.objects["config"]["main"]["spec"]
+                databases = [
+                    d for s in fleet.platform.services for d in s.databases.values()
+                ]
+                return [
+                    [route["timeout_ms"] for route in content["routes"]],
+                    [(d.statement_s, d.slots is None) for d in databases],
+                ]
+
+            before = state()
+            with faults.slow_databases(), faults.limited_databases():
+                during = state()
+            after = state()
+            await fleet.stop()
+            return before, during, after
+
+        before, during, after = asyncio.run(run())
+        assert before == after
+        assert min(during[0]) < 1_000 * GRACE_S < max(during[0])
+        assert max(during[1]) > (0.5, False)
+        assert not any(has_no_limit for _, has_no_limit in during[1])
+
     def test_database_is_silent_to_one_vm_only(self):
         async def answer(proxy: VmProxy, target: str) -> bytes:
             reader, writer = await asyncio.open_connection(*proxy.address.split(":"))
--- a/tests/test_statement_standins.py
+++ b/tests/test_statement_standins.py
@@ -416,6 +416,8 @@
     def __init__(self, database: Database) -> None:
         self.database = database
         self.address = ""
+        # No process that could be stopped.
+        self.record = None
 
     async def start(self) -> asyncio.Server:
         """Listen on a free port."""
