Count no empty log of a replica in the first second of a new leader

Found by reading. A process that starts again without its log and can't register answers under the entry of the one before. Its empty log isn't counted once the leader has known the endpoint for a second, but that time began anew with each leader: within the first second after a change of the leader, or after all VMs were killed, the empty log counted as read, the survey rested on all-replicas, and a log without what that replica had acknowledged was promoted beside a silent primary.

The log holders in the store outlast the leader. One that another leader had stored counts as listed for long; the time begins with this leader only for endpoints that it sees listed first. An empty log of these would not have been counted a second later either.

--- a/src/ebonyladder/sessions/fleet/log_holder_keeper.py
+++ b/src/ebonyladder/sessions/fleet/log_holder_keeper.py
@@ -74,7 +74,8 @@
         self.recorded: dict[ServiceId, LogHolders] = {}
         self.known: dict[ServiceId, LogHolders] = {}
         self.next_update_at_s: dict[ServiceId, float] = {}
-        # Time at which this VM first knew of each holder.
+        # Time at which this VM first knew of each holder, -inf for those that another
+        # leader had stored: this one can't know for how long they have been listed.
         self.known_since_s: dict[EndpointProcess, float] = {}
         # Unlisted holders whose processes have ended, with what showed it.
         self.ended: dict[EndpointProcess, EndEvidence] = {}
@@ -304,6 +305,8 @@
         holders = convert_content(stored, LogHolders)
         if holders is None:
             return
+        for entry in holders.endpoints:
+            self.known_since_s.setdefault(entry.process, float("-inf"))
         known = self.record_listed(holders.service, holders.endpoints)
         before = self.recorded.get(holders.service, holders)
         # What another leader has dropped since then had ended.
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -19,6 +19,7 @@
 from ebonyladder.sessions.failover import Failover
 from ebonyladder.sessions.failover_attempt import FailoverAttempt
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
+from ebonyladder.sessions.fleet.log_holder_keeper import LogHolderKeeper
 from ebonyladder.sessions.log_holders import LogHolders
 from ebonyladder.sessions.successor import LOG_RETURN_TIME_S
 from ebonyladder.types import (
@@ -41,6 +42,7 @@
     fake_endpoints,
     position,
 )
+from tests.store_fakes import MemoryStore
 
 NO_POSITION = position(0, 0)
 NEAR = EndpointProcess("near@0")
@@ -669,6 +671,26 @@
         assert self.world.replace_primary(FailoverCause.UNRESPONSIVE)
         assert self.world.promoter.calls == [("near", 7)]
 
+    def test_empty_log_does_not_count_in_the_first_second_of_a_leader(self):
+        # Guards against losing what a replica had acknowledged that has started again
+        # without its log and can't register: the next leader had loaded it just now.
+        world, store = self.world, MemoryStore()
+
+        def new_keeper() -> LogHolderKeeper:
+            return LogHolderKeeper(
+                cluster=world.cluster,
+                store=store,
+                connector=world.connector,
+                clock=world.clock,
+            )
+
+        asyncio.run(new_keeper().update(SERVICE, may_remove=True))
+        keeper = new_keeper()
+        assert asyncio.run(keeper.load())
+        world.coordination.known_since_s = keeper.known_since_s.__getitem__
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == []
+
     def test_empty_logs_count_if_the_service_has_no_commits(self):
         # Guards against an outage of a service that was never written to.
         self.world.near.set_received(position(0, 0))
--- a/tests/test_log_holders.py
+++ b/tests/test_log_holders.py
@@ -216,6 +216,18 @@
         processes = {e.process for e in keeper.current(SERVICE).endpoints}
         assert "far@0" in processes
 
+    def test_next_leader_takes_stored_holders_for_listed_long_ago(self, world):
+        # Guards against counting the empty log of a replica that has started again
+        # without its log, in the first second of a leader: its process was stored by
+        # the leader before, and may have acknowledged commits.
+        keeper = world.new_keeper()
+        asyncio.run(keeper.load())
+        world.cluster.endpoints[EndpointId("new")] = entry("new")
+        keeper.current(SERVICE)
+        assert keeper.known_since_s["far@0"] == float("-inf")
+        assert keeper.known_since_s["new@0"] <= world.clock.now_s()
+        assert keeper.known_since_s["new@0"] > float("-inf")
+
     def test_replica_that_answers_although_unlisted_stays(self, world):
         # Guards against an entry that expired while its replica goes on receiving.
         del world.cluster.endpoints[EndpointId("far")]
