Take no empty log for a final position after all VMs have ended

Found by reading, proved with plain calls. What callers were told is known in memory only, so it is forgotten when all VMs end. Then, with every log that answers empty, the survey took the service for one without commits: the empty log of a former primary that had started again without its own counted as its final position beside a silent replica with all commits, and the empty logs of replicas that had started again counted as all replicas. In both cases an empty log was promoted.

And the position that the primary had inherited, which the store keeps in the group state, shows that a service has commits, as the told position does.

Both tests fail on the former source.

--- a/src/ebonyladder/sessions/successor.py
+++ b/src/ebonyladder/sessions/successor.py
@@ -358,7 +358,14 @@
         # that is older than the last pause is found by ``is_current``.
         received = replica_positions(await control.statuses())
         return self._survey(
-            attempt, {p: at for p, at in received.items() if p in paused}
+            attempt,
+            {
+                process: position
+                for process, position in received.items()
+                if process in paused
+                # A primary that started again without its log has no final position.
+                and (process != attempt.primary or position.position)
+            },
         )
 
     def _survey(
@@ -366,7 +373,9 @@
     ) -> LogSurvey:
         """Return the survey of the logs that were read."""
         known = self.coordination.acknowledged(attempt.service)
-        has_commits = any(at.position for at in (known, *received.values()))
+        # What callers were told is forgotten if all VMs end, the group state isn't.
+        inherited = self.cluster.groups[attempt.service].inherited or known
+        has_commits = any(at.position for at in (known, inherited, *received.values()))
         return LogSurvey(
             primary=attempt.primary,
             holders=attempt.by_process,
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -691,6 +691,32 @@
         assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
         assert world.promoter.calls == []
 
+    def test_empty_log_of_a_primary_is_no_final_position_after_all_vms_ended(self):
+        # Guards against losing every commit: the only log is at a replica that is
+        # silent, the others have started without one, and nobody knows of a commit.
+        self.world.primary.is_unresponsive = False
+        self.world.primary.status = self.world.far.status
+        self.world.near.set_received(position(0, 0))
+        self.world.far.is_unresponsive = True
+        assert not self.world.replace_primary(FailoverCause.DEMOTED)
+        assert self.world.promoter.calls == []
+
+    def test_empty_logs_do_not_count_if_a_primary_has_inherited_commits(self):
+        # Guards against losing every commit after all VMs have ended: the replicas
+        # have started again without their logs, the primary will be back.
+        self.world.near.set_received(position(0, 0))
+        self.world.coordination.listed_s = {"far@0": 60.0, "near@0": 60.0}
+        self.world.cluster.groups[SERVICE] = GroupState(
+            service=SERVICE,
+            epoch=3,
+            phase=GroupPhase.STABLE,
+            primary=EndpointId("primary"),
+            term=Term(1),
+            inherited=position(1, 10),
+        )
+        assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.world.promoter.calls == []
+
     def test_empty_logs_count_if_the_service_has_no_commits(self):
         # Guards against an outage of a service that was never written to.
         self.world.near.set_received(position(0, 0))
