Store the ends of log holders for the next leader

Found by reading, proved with plain calls: that the process of an unlisted log holder has ended was known in memory only. The address of an endpoint that has left refuses connections for a second or two and is silent after that, so the next leader, or the first one after all VMs were killed, could not find out: it waited for good for a log that is gone.

The ends are stored with the holders, in one write for each that isn't dropped in the same update, and read by the next leader. One that is listed again is taken out, as in memory.

test_next_leader_knows_that_a_departed_replica_has_ended fails on the former source.

--- a/src/ebonyladder/sessions/fleet/log_holder_keeper.py
+++ b/src/ebonyladder/sessions/fleet/log_holder_keeper.py
@@ -40,6 +40,8 @@
 
     NOT_LISTENING = "not-listening"
     RESTARTED = "restarted"
+    # Another leader has stored that it ended.
+    STORED = "stored"
 
 
 class LogHolderKeeper:
@@ -134,11 +136,17 @@
 
     def _must_update(self, service: ServiceId) -> bool:
         """Tell whether a holder isn't stored or has departed."""
-        holders = self.current(service)
+        holders = self._to_store(service)
         recorded = self.recorded.get(service, LogHolders(service=service))
         departed = holders.departed(self.cluster.members(service))
         return bool(departed) or not holders.has_same_processes(recorded)
 
+    def _to_store(self, service: ServiceId) -> LogHolders:
+        """Return the holders with those that are known to have ended."""
+        return msgspec.structs.replace(
+            self.current(service), ended=tuple(sorted(self.ended_processes(service)))
+        )
+
     async def update(self, service: ServiceId, *, may_remove: bool) -> None:
         """Record the listed endpoints; drop departed ones once they aren't needed.
 
@@ -151,7 +159,7 @@
         await self._probe_departed(service)
         if may_remove and self._ended(service) and await self._is_covered(service):
             self._drop_ended(service)
-        holders = self.current(service)
+        holders = self._to_store(service)
         recorded = self.recorded.get(service, LogHolders(service=service))
         if holders.has_same_processes(recorded):
             return
@@ -307,6 +315,8 @@
             return
         for entry in holders.endpoints:
             self.known_since_s.setdefault(entry.process, float("-inf"))
+        for process in holders.ended:
+            self.ended.setdefault(process, EndEvidence.STORED)
         known = self.record_listed(holders.service, holders.endpoints)
         before = self.recorded.get(holders.service, holders)
         # What another leader has dropped since then had ended.
--- a/src/ebonyladder/sessions/log_holders.py
+++ b/src/ebonyladder/sessions/log_holders.py
@@ -11,7 +11,7 @@
 
 from ebonyladder.sessions.cluster_view import EndpointEntry
 from ebonyladder.sessions.connection import EndpointStatus
-from ebonyladder.types import Role, ServiceId
+from ebonyladder.types import EndpointProcess, Role, ServiceId
 
 
 class LogHolders(msgspec.Struct, frozen=True, kw_only=True):
@@ -21,10 +21,14 @@
     ----------
     endpoints : tuple of EndpointEntry
         Entries under which the endpoints were listed, the primary's among them.
+    ended : tuple of EndpointProcess
+        Unlisted ones whose processes are known to have ended. Their addresses may be
+        silent by the time at which another leader asks.
     """
 
     service: ServiceId
     endpoints: tuple[EndpointEntry, ...] = ()
+    ended: tuple[EndpointProcess, ...] = ()
 
     @property
     def latest(self) -> list[EndpointEntry]:
@@ -58,9 +62,9 @@
 
     def has_same_processes(self, other: "LogHolders") -> bool:
         """Tell whether the other value names the same endpoints in the same states."""
-        return {(e.process, e.state) for e in self.endpoints} == {
-            (e.process, e.state) for e in other.endpoints
-        }
+        return self.ended == other.ended and {
+            (e.process, e.state) for e in self.endpoints
+        } == {(e.process, e.state) for e in other.endpoints}
 
 
 def is_covered(
--- a/tests/test_log_holders.py
+++ b/tests/test_log_holders.py
@@ -216,6 +216,28 @@
         processes = {e.process for e in keeper.current(SERVICE).endpoints}
         assert "far@0" in processes
 
+    def test_next_leader_knows_that_a_departed_replica_has_ended(self, world):
+        # Guards against waiting for good for a log that is gone: the address refused
+        # connections for the former leader only, and is silent now.
+        world.primary.is_unresponsive = True
+        world.far.is_down = True
+        far = world.cluster.endpoints.pop(EndpointId("far"))
+        world.update()
+        world.far.is_down = False
+        world.far.is_unresponsive = True
+        world.keeper = world.new_keeper()
+        assert asyncio.run(world.keeper.load())
+        world.update()
+        assert world.keeper.ended_processes(SERVICE) == {"far@0"}
+        assert world.store.writes == 2
+        world.cluster.endpoints[EndpointId("far")] = far
+        world.later()
+        assert world.keeper.due() == [SERVICE]
+        assert world.keeper.ended_processes(SERVICE) == set()
+        world.update()
+        content = world.store.objects[LOG_HOLDERS, SERVICE].content
+        assert not content["ended"]
+
     def test_next_leader_takes_stored_holders_for_listed_long_ago(self, world):
         # Guards against counting the empty log of a replica that has started again
         # without its log, in the first second of a leader: its process was stored by
