--- a/tests/failover_model.py
+++ b/tests/failover_model.py
@@ -76,6 +76,8 @@
 FIRST_REPEATING_SEED = 200_000
 # From this seed on, logs also move to new databases, and all VMs may be killed.
 FIRST_SUCCESSION_SEED = 500_000
+# From this seed on, a VM that led before may lead again, with what it remembers.
+FIRST_RETURN_SEED = 600_000
 UNAVAILABLE = ErrorCode.STORE_UNAVAILABLE
 
 
@@ -344,6 +346,12 @@
         self.keeper.record_listed(service, members)
         return members
 
+    def lead_again(self, token: int) -> None:
+        """Lead with another token, and with the memory of the former leadership."""
+        self.token = token
+        self.has_lease = True
+        self.main = asyncio.create_task(self.run())
+
     def cancel(self) -> None:
         """End all tasks where they wait."""
         for task in (self.main, *self.tasks):
@@ -361,7 +369,8 @@
         ends all pauses in two seeds of four. The platform checks fencing tokens, except
         in one of three seeds from ``FIRST_UNEVEN_SEED`` on. Databases send answers
         twice from ``FIRST_REPEATING_SEED`` on. Logs move to new databases, and all VMs
-        are killed, from ``FIRST_SUCCESSION_SEED`` on.
+        are killed, from ``FIRST_SUCCESSION_SEED`` on. A VM that led before may lead
+        again from ``FIRST_RETURN_SEED`` on.
     """
 
     def __init__(self, *, seed: int) -> None:
@@ -400,6 +409,8 @@
         self.vms = 0
         self.connectors: list[SimulatedConnector] = []
         self.leader: LeaderVm | None = None
+        # VMs that have led and remember what they knew then.
+        self.former_leaders: list[LeaderVm] = []
         self.start_leader()
 
     def start_database(self, zone: str) -> Database:
@@ -415,8 +426,14 @@
         return int(self.clock.now_s() * 1000)
 
     def start_leader(self) -> None:
-        """Let the next VM lead."""
+        """Let the next VM lead, or one that led before."""
         self.vms += 1
+        may_return = self.seed >= FIRST_RETURN_SEED and self.former_leaders
+        if may_return and self.random.random() < 0.6:
+            self.leader = self.random.choice(self.former_leaders)
+            self.leader.lead_again(self.vms)
+            self.record(f"{self.leader.name} leads again, token={self.vms}")
+            return
         self.leader = LeaderVm(model=self, name=f"vm-{self.vms}", token=self.vms)
         self.connectors.append(self.leader.connector)
 
@@ -840,11 +857,13 @@
         leader.has_lease = False
         is_ended = self.random.random() < 0.5
         self.record(f"fault: {leader.name} loses its lease, ends={is_ended}")
+        if leader not in self.former_leaders:
+            self.former_leaders.append(leader)
         if is_ended:
             leader.cancel()
 
         def start() -> None:
-            if self.leader is leader:
+            if self.leader is leader and not leader.has_lease:
                 self.start_leader()
 
         self.end_after(self.random.choice((0.6, 1.0, 2.0)), start)
--- a/tests/failover_successions.py
+++ b/tests/failover_successions.py
@@ -62,10 +62,11 @@
     model.record("fault: all VMs are killed")
     leader.has_lease = False
     leader.cancel()
+    model.former_leaders.clear()
     model.vms_killed_at_s = model.clock.now_s()
 
     def start() -> None:
-        if model.leader is leader:
+        if model.leader is leader and not leader.has_lease:
             model.start_leader()
 
     model.end_after(model.random.choice((0.6, 1.0, 3.0)), start)
