--- a/tests/test_failover_processes.py
+++ b/tests/test_failover_processes.py
@@ -210,7 +210,7 @@
 
         assert findings(scenario, tmp_path) == []
 
-    @pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt, issue 27")
+    @pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt, issue 35")
     def test_new_process_does_not_answer_for_the_one_before(self, tmp_path):
         # A process that had started without the log, and wasn't registered yet, was
         # asked in place of the one that had acknowledged the commits.
--- a/tests/test_silent_databases.py
+++ b/tests/test_silent_databases.py
@@ -259,7 +259,7 @@
 
 
 UNREGISTERED = pytest.param(
-    False, marks=pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt, issue 27")
+    False, marks=pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt, issue 35")
 )
 
 
