Let a pending successor lead without the former primary's own log

A promotion call without an answer may still take effect, so only its endpoint may lead. Meanwhile the former primary had ended, and its log came back under another id at its address, with a last commit that the pending successor lacks; that commit was required for good.

The log that starts at the former primary's address after that one is the former primary's own. What it alone has wasn't received by any replica, so it was never acknowledged. The pending successor now needs no more than the newest of the logs that were received as replicas; all of these must still have been read, and what callers were told is still required. A log at another address counts as before.

--- a/src/ebonyladder/sessions/log_survey.py
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -92,6 +92,38 @@
         ]
         return max(others, default=None)
 
+    @property
+    def newest_replicated(self) -> Position | None:
+        """Newest position of those whose logs were received as replicas.
+
+        An endpoint that started at the former primary's address after that one had
+        ended has its log, and with it commits that no replica may have received.
+        """
+        primary = self.holders.get(self.primary)
+        others = [
+            position
+            for process, position in self.received.items()
+            if process != self.primary
+            and not (
+                primary is not None
+                and self.holders[process].address == primary.address
+                and self.holders[process].process_started_at_ms
+                > primary.process_started_at_ms
+            )
+        ]
+        return max(others, default=None)
+
+    @property
+    def may_lead_pending(self) -> bool:
+        """Whether the pending successor holds all that replicas have acknowledged."""
+        position = self.received.get(self.pending)
+        return (
+            position is not None
+            and not self.missing
+            and position >= self.known
+            and position == self.newest_replicated
+        )
+
     @property
     def basis(self) -> SurveyBasis:
         """What shows that ``required_position`` covers every acknowledged commit.
@@ -107,7 +139,7 @@
         has_final = final is not None and final >= max(newest or final, self.known)
         # Nobody sends the final log to a pending successor any more, and its promotion
         # can't be withdrawn; it was requested when no other log had more.
-        if has_all and self.received.get(self.pending) == newest:
+        if self.may_lead_pending:
             return SurveyBasis.ALL_REPLICAS
         if has_final:
             return SurveyBasis.FINAL_POSITION
@@ -122,6 +154,8 @@
         basis = self.basis
         if basis is SurveyBasis.FINAL_POSITION:
             return self.received[self.primary]
+        if self.may_lead_pending:
+            return self.received[self.pending]
         return None if basis is SurveyBasis.NONE else self.newest
 
     def eligible(self, required: Position) -> list[EndpointEntry]:
--- a/tests/test_failover_model.py
+++ b/tests/test_failover_model.py
@@ -85,6 +85,10 @@
     def test_earlier_successor_is_behind_a_primary_that_stepped_down(self, seed):
         check(seed)
 
+    @pytest.mark.parametrize("seed", [401659, 402345, 600126])
+    def test_earlier_successor_is_behind_a_log_that_came_back(self, seed):
+        check(seed)
+
     def test_log_without_the_unacknowledged_end_of_its_predecessor_may_lead(self):
         check(100067)
 
--- a/tests/test_log_holders.py
+++ b/tests/test_log_holders.py
@@ -105,6 +105,32 @@
         del received["a@0"]
         assert self.required(received, pending=EndpointProcess("b@0")) == 12
 
+    @pytest.mark.parametrize(
+        ("address", "number", "may_lead"),
+        [("host:1", 9, True), ("host:1", 7, False), ("host:2", 9, False)],
+    )
+    def test_pending_successor_needs_nothing_that_only_the_primary_s_log_has(
+        self, address, number, may_lead
+    ):
+        # Model seeds 401659 and 402345: the former primary's log came back under
+        # another id at its address, with commits that no replica had received, and
+        # the successor whose promotion may still take effect waited for them for good.
+        primary = entry("primary", address="host:1")
+        back = entry("back", address=address, process_started_at_ms=9)
+        survey = LogSurvey(
+            primary=PRIMARY,
+            holders={e.process: e for e in (primary, entry("a"), entry("b"), back)},
+            received={
+                EndpointProcess("a@0"): position(1, 9),
+                EndpointProcess("b@0"): position(1, number),
+                EndpointProcess("back@9"): position(1, 12),
+            },
+            known=position(1, 0),
+            pending=EndpointProcess("b@0"),
+        )
+        eligible = {e.process for e in survey.eligible(survey.required_position())}
+        assert ("b@0" in eligible) is may_lead
+
     def test_service_with_one_database(self):
         assert self.required({"primary@0": 12}) == 12
 
