--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -19,7 +19,9 @@
 from ebonyladder.sessions.failover import Failover
 from ebonyladder.sessions.failover_attempt import FailoverAttempt
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
+from ebonyladder.sessions.fleet.log_holder_keeper import LogHolderKeeper
 from ebonyladder.sessions.log_holders import LogHolders
+from ebonyladder.sessions.successor import LOG_RETURN_TIME_S
 from ebonyladder.types import (
     Address,
     EndpointId,
@@ -40,6 +42,7 @@
     fake_endpoints,
     position,
 )
+from tests.store_fakes import MemoryStore
 
 NO_POSITION = position(0, 0)
 NEAR = EndpointProcess("near@0")
@@ -336,19 +339,42 @@
         self.world.primary.is_down = False
         assert self.world.replace_primary(FailoverCause.LEAVING)
 
-    def test_newest_log_takes_over_once_all_that_may_have_more_have_left(self):
-        # Soak seed 7040: a primary and a replica that was to follow it had both left.
+    def let_all_that_may_have_more_leave(self):
+        """Let the primary and the departed replica end after they were leaving."""
         world = self.world
         world.primary.is_down = True
         del world.cluster.endpoints[EndpointId("primary")]
-        primary, left = (
-            entry(name, state=EndpointState.LEAVING) for name in ("primary", "left")
-        )
+        primary = entry("primary", role=Role.PRIMARY, state=EndpointState.LEAVING)
+        left = entry("left", state=EndpointState.LEAVING)
         world.coordination.departed = [left, primary]
-        world.coordination.ended = {left.process}
+        world.coordination.ended = {left.process, primary.process}
+
+    def test_newest_log_takes_over_once_all_that_may_have_more_have_left(self):
+        # Soak seed 7040: a primary and a replica that was to follow it had both left.
+        world = self.world
+        self.let_all_that_may_have_more_leave()
+        assert not world.replace_primary(FailoverCause.UNLISTED)
+        later_s = LOG_RETURN_TIME_S + 0.1
+        world.clock.now_s = lambda: SystemClock().now_s() + later_s
         assert world.replace_primary(FailoverCause.UNLISTED)
         assert world.promoter.calls == [("near", 7)]
 
+    def test_log_that_is_transferred_to_a_new_database_is_waited_for(self):
+        # Guards against losing the commit of a database that drained and ended: the
+        # new one at its address has its log, and registers seconds later.
+        world = self.world
+        self.let_all_that_may_have_more_leave()
+        assert not world.replace_primary(FailoverCause.UNLISTED)
+        assert world.promoter.calls == []
+        new = FakeEndpoint("new", role=Role.REPLICA).set_received(position(1, 11))
+        world.connector.endpoints[EndpointId("new")] = new
+        listed = entry("new", process_started_at_ms=9)
+        world.cluster.endpoints[EndpointId("new")] = listed
+        later_s = LOG_RETURN_TIME_S + 0.1
+        world.clock.now_s = lambda: SystemClock().now_s() + later_s
+        assert world.replace_primary(FailoverCause.UNLISTED)
+        assert world.promoter.calls == [("new", 7)]
+
     def test_crashed_primary_is_waited_for_though_a_replica_has_left(self):
         # Guards against losing what it comes back with.
         world = self.world
@@ -645,6 +671,52 @@
         assert self.world.replace_primary(FailoverCause.UNRESPONSIVE)
         assert self.world.promoter.calls == [("near", 7)]
 
+    def test_empty_log_does_not_count_in_the_first_second_of_a_leader(self):
+        # Guards against losing what a replica had acknowledged that has started again
+        # without its log and can't register: the next leader had loaded it just now.
+        world, store = self.world, MemoryStore()
+
+        def new_keeper() -> LogHolderKeeper:
+            return LogHolderKeeper(
+                cluster=world.cluster,
+                store=store,
+                connector=world.connector,
+                clock=world.clock,
+            )
+
+        asyncio.run(new_keeper().update(SERVICE, may_remove=True))
+        keeper = new_keeper()
+        assert asyncio.run(keeper.load())
+        world.coordination.known_since_s = keeper.known_since_s.__getitem__
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == []
+
+    def test_empty_log_of_a_primary_is_no_final_position_after_all_vms_ended(self):
+        # Guards against losing every commit: the only log is at a replica that is
+        # silent, the others have started without one, and nobody knows of a commit.
+        self.world.primary.is_unresponsive = False
+        self.world.primary.status = self.world.far.status
+        self.world.near.set_received(position(0, 0))
+        self.world.far.is_unresponsive = True
+        assert not self.world.replace_primary(FailoverCause.DEMOTED)
+        assert self.world.promoter.calls == []
+
+    def test_empty_logs_do_not_count_if_a_primary_has_inherited_commits(self):
+        # Guards against losing every commit after all VMs have ended: the replicas
+        # have started again without their logs, the primary will be back.
+        self.world.near.set_received(position(0, 0))
+        self.world.coordination.listed_s = {"far@0": 60.0, "near@0": 60.0}
+        self.world.cluster.groups[SERVICE] = GroupState(
+            service=SERVICE,
+            epoch=3,
+            phase=GroupPhase.STABLE,
+            primary=EndpointId("primary"),
+            term=Term(1),
+            inherited=position(1, 10),
+        )
+        assert not self.world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert self.world.promoter.calls == []
+
     def test_empty_logs_count_if_the_service_has_no_commits(self):
         # Guards against an outage of a service that was never written to.
         self.world.near.set_received(position(0, 0))
--- a/tests/test_failover_model.py
+++ b/tests/test_failover_model.py
@@ -58,6 +58,10 @@
     def test_crashed_database_comes_back_with_its_log(self, seed):
         check(seed)
 
+    @pytest.mark.parametrize("seed", [500083, 501561, 501827])
+    def test_log_of_a_leaving_database_comes_back(self, seed):
+        check(seed)
+
     def test_replica_restarts_before_a_late_effect(self):
         check(100027)
 
@@ -81,6 +85,10 @@
     def test_earlier_successor_is_behind_a_primary_that_stepped_down(self, seed):
         check(seed)
 
+    @pytest.mark.parametrize("seed", [401659, 402345, 600126])
+    def test_earlier_successor_is_behind_a_log_that_came_back(self, seed):
+        check(seed)
+
     def test_log_without_the_unacknowledged_end_of_its_predecessor_may_lead(self):
         check(100067)
 
--- a/tests/test_log_holders.py
+++ b/tests/test_log_holders.py
@@ -105,6 +105,32 @@
         del received["a@0"]
         assert self.required(received, pending=EndpointProcess("b@0")) == 12
 
+    @pytest.mark.parametrize(
+        ("address", "number", "may_lead"),
+        [("host:1", 9, True), ("host:1", 7, False), ("host:2", 9, False)],
+    )
+    def test_pending_successor_needs_nothing_that_only_the_primary_s_log_has(
+        self, address, number, may_lead
+    ):
+        # Model seeds 401659 and 402345: the former primary's log came back under
+        # another id at its address, with commits that no replica had received, and
+        # the successor whose promotion may still take effect waited for them for good.
+        primary = entry("primary", address="host:1")
+        back = entry("back", address=address, process_started_at_ms=9)
+        survey = LogSurvey(
+            primary=PRIMARY,
+            holders={e.process: e for e in (primary, entry("a"), entry("b"), back)},
+            received={
+                EndpointProcess("a@0"): position(1, 9),
+                EndpointProcess("b@0"): position(1, number),
+                EndpointProcess("back@9"): position(1, 12),
+            },
+            known=position(1, 0),
+            pending=EndpointProcess("b@0"),
+        )
+        eligible = {e.process for e in survey.eligible(survey.required_position())}
+        assert ("b@0" in eligible) is may_lead
+
     def test_service_with_one_database(self):
         assert self.required({"primary@0": 12}) == 12
 
@@ -216,6 +242,40 @@
         processes = {e.process for e in keeper.current(SERVICE).endpoints}
         assert "far@0" in processes
 
+    def test_next_leader_knows_that_a_departed_replica_has_ended(self, world):
+        # Guards against waiting for good for a log that is gone: the address refused
+        # connections for the former leader only, and is silent now.
+        world.primary.is_unresponsive = True
+        world.far.is_down = True
+        far = world.cluster.endpoints.pop(EndpointId("far"))
+        world.update()
+        world.far.is_down = False
+        world.far.is_unresponsive = True
+        world.keeper = world.new_keeper()
+        assert asyncio.run(world.keeper.load())
+        world.update()
+        assert world.keeper.ended_processes(SERVICE) == {"far@0"}
+        assert world.store.writes == 2
+        world.cluster.endpoints[EndpointId("far")] = far
+        world.later()
+        assert world.keeper.due() == [SERVICE]
+        assert world.keeper.ended_processes(SERVICE) == set()
+        world.update()
+        content = world.store.objects[LOG_HOLDERS, SERVICE].content
+        assert not content["ended"]
+
+    def test_next_leader_takes_stored_holders_for_listed_long_ago(self, world):
+        # Guards against counting the empty log of a replica that has started again
+        # without its log, in the first second of a leader: its process was stored by
+        # the leader before, and may have acknowledged commits.
+        keeper = world.new_keeper()
+        asyncio.run(keeper.load())
+        world.cluster.endpoints[EndpointId("new")] = entry("new")
+        keeper.current(SERVICE)
+        assert keeper.known_since_s["far@0"] == float("-inf")
+        assert keeper.known_since_s["new@0"] <= world.clock.now_s()
+        assert keeper.known_since_s["new@0"] > float("-inf")
+
     def test_replica_that_answers_although_unlisted_stays(self, world):
         # Guards against an entry that expired while its replica goes on receiving.
         del world.cluster.endpoints[EndpointId("far")]
