Serve a caller that is accepted as a stopping VM closes its listener

Callers saw READY and then a close instead of the answer to a query that had been read. The drain closed the listener and ended in the same turn of the loop if no connection was known, but an accepted connection joins the set only with the first step of its task, one turn later. The stop then closed it.

The drain now looks for connections in the turn after that of the close.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -429,13 +429,15 @@
         is_listening = True
         while True:
             drain, now_s = self.accepted.drain, self.kernel.clock.now_s()
+            # A connection that was accepted right before the listener closed is in the
+            # set only after a turn of the loop.
+            if drain.is_over(now_s) or not (is_listening or self.connections):
+                break
             if is_listening and drain.refuses_work(now_s):
                 self.server.close()
                 is_listening = False
             for connection in self.connections:
                 connection.check()
-            if drain.is_over(now_s) or (not is_listening and not self.connections):
-                break
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         if self.connections:
             logging.warning(
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ebonyladder.kernel.clock import ManualClock
-from ebonyladder.sessions.drain import DrainPlan
+from ebonyladder.sessions.drain import MIN_WORK_S, DrainPlan
 from tests.platform_fleet import until
 from tests.test_texts import ByteDatabase, Vm
 
@@ -128,3 +128,47 @@
 
         asyncio.run(scenario())
         assert "count=1 unsent_bytes=" in caplog.text
+
+
+class TestListener:
+    """Guards against a caller that is accepted as the listener closes, and cut off."""
+
+    @pytest.mark.parametrize("turns", [0, 5])
+    def test_connection_that_was_just_accepted_is_served(self, monkeypatch, turns):
+        # Other plug-ins drain for some turns of the loop after the front end.
+        accepted = asyncio.Event()
+        connection_made = asyncio.StreamReaderProtocol.connection_made
+
+        def record(protocol, transport) -> None:
+            # The drain's turn comes before the first one of the connection's task.
+            accepted.set()
+            connection_made(protocol, transport)
+
+        async def scenario() -> bytes:
+            loop = asyncio.get_running_loop()
+            async with stopping_vm(10) as stopping:
+                front_end = stopping.vm.front_end
+                stopping.clock.monotonic_s = stopping.vm.executor.clock.now_s()
+                monkeypatch.setattr(
+                    asyncio.StreamReaderProtocol, "connection_made", record
+                )
+                plan = DrainPlan(grace_s=GRACE_S, started_at_s=stopping.clock.now_s())
+                front_end.accepted.begin_drain(plan)
+                stopping.clock.monotonic_s = plan.answer_by_s - MIN_WORK_S
+                await loop.sock_connect(
+                    stopping.caller, front_end.server.sockets[0].getsockname()
+                )
+                data = b"STARTUP primary key-1\r\nQUERY 1 READ a\r\n"
+                await loop.sock_sendall(stopping.caller, data)
+                await accepted.wait()
+                await front_end.drain()
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                await front_end.stop()
+                received = b""
+                while data := await loop.sock_recv(stopping.caller, BUFFER_BYTES):
+                    received += data
+                return received
+
+        received = asyncio.run(scenario())
+        assert received.endswith(b"COMPLETE 7.1\r\nREADY I 1.10\r\n")
