Abort idle transactions also while a VM is isolated

An isolated VM wakes each connection every 0.25 s to close idle ones. Each wake began the idle time of an open transaction anew, so a transaction whose caller had paused kept its connection to the endpoint until the isolation ended.

It is measured from the last answer again.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -203,6 +203,7 @@
 
     async def _next_line(self) -> bytes | None:
         """Return the next line, None once the connection ends between two commands."""
+        idle_since_s = asyncio.get_running_loop().time()
         while not self.reader.may_read:
             if self.reader.has_data:
                 if self._must_end:
@@ -219,7 +220,7 @@
                     await self.session.abort_transaction("the VM is stopping")
                     continue
             try:
-                async with asyncio.timeout(self._idle_timeout_s()):
+                async with asyncio.timeout_at(self._idle_end_s(idle_since_s)):
                     await self.reader.wait()
             except TimeoutError:
                 await self.session.abort_transaction(
@@ -243,12 +244,13 @@
         else:
             await self._send(encode_answer(answer.with_state(state)))
 
-    def _idle_timeout_s(self) -> float | None:
-        """Return the time after which an idle transaction is aborted."""
+    def _idle_end_s(self, idle_since_s: float) -> float | None:
+        """Return the time at which an idle transaction is aborted, None for never."""
         if self.session is None or self.session.state is not TransactionState.OPEN:
             return None
         catalog = self.cluster.catalog
-        return catalog.transaction_idle_s if catalog else STARTUP_TIMEOUT_S
+        timeout_s = catalog.transaction_idle_s if catalog else STARTUP_TIMEOUT_S
+        return idle_since_s + timeout_s
 
     def _idle_step(self) -> IdleStep:
         """Return what happens now, as no byte of a command has arrived."""
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -3,6 +3,8 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
+
 from ebonyladder.kernel.clock import ManualClock, SystemClock
 from ebonyladder.platform.lines import LineReader
 from ebonyladder.platform.session_front_end import SessionConnection
@@ -210,6 +212,30 @@
             sent = asyncio.run(main(turns))
             assert b"COMPLETE s1" in sent or b"ERROR UNAUTH" in sent
 
+    def test_idle_transaction_is_aborted_while_the_vm_is_isolated(self):
+        # Guards against checks of the connection that restart its idle time.
+        aborted = asyncio.Event()
+
+        async def abort(detail: str) -> None:
+            aborted.set()
+
+        async def main() -> None:
+            harness = Harness(has_transaction=True)
+            harness.session.abort_transaction = abort
+            harness.view.catalog = msgspec.structs.replace(
+                harness.view.catalog, transaction_idle_s=0.05
+            )
+            await harness.receive(STARTUP)
+            for _ in range(20):
+                harness.connection.close_when_idle()
+                await harness.run()
+            harness.session.state = TransactionState.IDLE
+            harness.session.transaction = None
+            await harness.end()
+
+        asyncio.run(main())
+        assert aborted.is_set()
+
     def test_idle_session_is_closed_immediately(self):
         async def scenario(harness):
             await harness.receive(STARTUP)
