Answer commands that arrived with a refused one before the close

A caller whose key is withdrawn, or whose route is removed, may have sent several commands at once. The first was refused and the connection closed with the others in the buffer, read and without an answer.

The connection is closed once no byte of a command is left, as elsewhere. In the new test the second of two commands had no answer before, and has one now.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -193,7 +193,7 @@
                 await self._send(await self._answer(opened, message))
             finally:
                 self.is_busy = False
-            if opened.must_close:
+            if opened.must_close and not self.reader.has_data:
                 return
             if isinstance(message, Command) and message.kind in SESSION_CHANGES:
                 self._expect_command()
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -212,6 +212,19 @@
             sent = asyncio.run(main(turns))
             assert b"COMPLETE s1" in sent or b"ERROR UNAUTH" in sent
 
+    def test_commands_that_arrived_with_a_refused_one_are_refused_before_the_close(
+        self,
+    ):
+        # Guards against a caller that sends two commands at once.
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            harness.withdraw_key()
+            await harness.receive(QUERY + QUERY)
+
+        harness = run(scenario)
+        assert harness.writer.sent.count(b"ERROR UNAUTH") == 2
+        assert harness.writer.is_closed
+
     def test_idle_transaction_is_aborted_while_the_vm_is_isolated(self):
         # Guards against checks of the connection that restart its idle time.
         aborted = asyncio.Event()
