End requests in time after the machine was suspended during a drain

The end of all requests is set on the event loop's clock, which doesn't count the time of a suspension, while the schedule of the drain does. After one of 0.36 s or more, requests that had begun before it ran on until the process ended, and their connections closed without an answer.

The drains of the front end and of the owner set the ends again once the schedule's time has come. In the new test, in which the clock is moved to that time, requests were not ended within 1 s before, and are now.

--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -438,6 +438,8 @@
             if is_listening and drain.refuses_work(now_s):
                 self.server.close()
                 is_listening = False
+            if drain.ends_requests(now_s):
+                self.accepted.reschedule()
             for connection in self.connections:
                 connection.check()
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
--- a/src/ebonyladder/sessions/accepted_requests.py
+++ b/src/ebonyladder/sessions/accepted_requests.py
@@ -54,6 +54,14 @@
     def begin_drain(self, drain: DrainPlan) -> None:
         """End all requests by the schedule of a drain, also those that run already."""
         self.drain = drain
+        self.reschedule()
+
+    def reschedule(self) -> None:
+        """Set the ends of the running requests by the daemon's clock.
+
+        The event loop's clock doesn't count the time for which the machine is
+        suspended, so requests that ran meanwhile would end that much too late.
+        """
         for scope in self.scopes:
             if not scope.expired():
                 scope.reschedule(self._end_on_loop_s())
--- a/src/ebonyladder/sessions/forwarding_service.py
+++ b/src/ebonyladder/sessions/forwarding_service.py
@@ -101,6 +101,8 @@
             now_s = self.clock.now_s()
             if drain.is_over(now_s) or (drain.refuses_work(now_s) and not self.is_busy):
                 break
+            if drain.ends_requests(now_s):
+                self.executor.accepted.reschedule()
             self._abort_transactions(drain, now_s)
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -3,10 +3,14 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from enum import Enum
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 
+from ebonyladder.kernel.clock import ManualClock
+from ebonyladder.platform.session_front_end import SessionFrontEnd
+from ebonyladder.sessions.accepted_requests import AcceptedRequests
 from ebonyladder.sessions.catalog import Consistency
 from ebonyladder.sessions.command import (
     Answer,
@@ -16,6 +20,7 @@
 )
 from ebonyladder.sessions.drain import DrainPlan
 from ebonyladder.sessions.endpoint_selector import NoTarget, Target
+from ebonyladder.sessions.forwarding_service import ForwardingService
 from ebonyladder.sessions.session import Session
 from tests.session_fakes import FakeConnection, catalog, command, route
 from tests.test_session import World, run_commands
@@ -363,3 +368,46 @@
         world.quota.admit = admit
         run_commands(world.session(), text)
         assert 0 < timeouts[0] <= short.statement_timeout_s
+
+
+class TestSuspension:
+    """Guards against requests that run on since the machine was suspended.
+
+    The event loop's clock doesn't count that time, and the end of the process does.
+    """
+
+    @staticmethod
+    def front_end(accepted: AcceptedRequests) -> SessionFrontEnd:
+        """Return the front end of callers, one of which is connected."""
+        front_end = SessionFrontEnd(kernel=SimpleNamespace(clock=accepted.clock))
+        front_end.accepted = accepted
+        front_end.server = SimpleNamespace(close=lambda: None)
+        front_end.connections = [SimpleNamespace(check=lambda: None)]
+        return front_end
+
+    @staticmethod
+    def owner(accepted: AcceptedRequests) -> ForwardingService:
+        """Return the service for other VMs, one of whose statements runs."""
+        service = ForwardingService(
+            executor=SimpleNamespace(accepted=accepted), clock=accepted.clock
+        )
+        service.tasks.add(asyncio.current_task())
+        return service
+
+    @pytest.mark.parametrize("plugin", ["front_end", "owner"])
+    def test_request_is_ended_before_the_process(self, plugin):
+        async def scenario() -> None:
+            accepted = AcceptedRequests(clock=ManualClock())
+            plan = DrainPlan(grace_s=6.0, started_at_s=accepted.clock.now_s())
+            accepted.begin_drain(plan)
+            draining = asyncio.create_task(getattr(self, plugin)(accepted).drain())
+            try:
+                with pytest.raises(TimeoutError):
+                    async with asyncio.timeout(1.0) as test_timeout, accepted.accept():
+                        accepted.clock.monotonic_s = plan.answer_by_s
+                        await asyncio.Event().wait()
+                assert not test_timeout.expired()
+            finally:
+                draining.cancel()
+
+        asyncio.run(scenario())
