--- a/src/ebonyladder/platform/session_front_end.py
+++ b/src/ebonyladder/platform/session_front_end.py
@@ -79,17 +79,21 @@
         were_requests_ended = False
         while True:
             drain, now_s = self.accepted.drain, self.kernel.clock.now_s()
+            # A late event loop passes both times at once, before any answer is sent.
+            is_over = were_requests_ended and drain.is_over(now_s)
+            # A connection that was accepted right before the listener closed is in the
+            # set only after a turn of the loop.
+            if is_over or not (is_listening or self.connections):
+                break
             if is_listening and drain.refuses_work(now_s):
                 self.server.close()
                 is_listening = False
+            were_requests_ended = drain.ends_requests(now_s)
+            if were_requests_ended:
+                self.accepted.reschedule()
             # Nothing is due before, and a check of 5,000 connections takes 18 ms.
             if drain.closes_answered_sessions(now_s):
                 self._check_connections()
-            # A late event loop passes both times at once, before any answer is sent.
-            is_over = were_requests_ended and drain.is_over(now_s)
-            if is_over or (not is_listening and not self.connections):
-                break
-            were_requests_ended = drain.ends_requests(now_s)
             await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
         if self.connections:
             logging.warning(
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -3,6 +3,8 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
+
 from ebonyladder.kernel.clock import ManualClock, SystemClock
 from ebonyladder.platform.lines import LineReader
 from ebonyladder.platform.session_connection import SessionConnection
@@ -210,6 +212,43 @@
             sent = asyncio.run(main(turns))
             assert b"COMPLETE s1" in sent or b"ERROR UNAUTH" in sent
 
+    def test_commands_that_arrived_with_a_refused_one_are_refused_before_the_close(
+        self,
+    ):
+        # Guards against a caller that sends two commands at once.
+        async def scenario(harness):
+            await harness.receive(STARTUP)
+            harness.withdraw_key()
+            await harness.receive(QUERY + QUERY)
+
+        harness = run(scenario)
+        assert harness.writer.sent.count(b"ERROR UNAUTH") == 2
+        assert harness.writer.is_closed
+
+    def test_idle_transaction_is_aborted_while_the_vm_is_isolated(self):
+        # Guards against checks of the connection that restart its idle time.
+        aborted = asyncio.Event()
+
+        async def abort(detail: str) -> None:
+            aborted.set()
+
+        async def main() -> None:
+            harness = Harness(has_transaction=True)
+            harness.session.abort_transaction = abort
+            harness.view.catalog = msgspec.structs.replace(
+                harness.view.catalog, transaction_idle_s=0.05
+            )
+            await harness.receive(STARTUP)
+            for _ in range(20):
+                harness.connection.close_when_idle()
+                await harness.run()
+            harness.session.state = TransactionState.IDLE
+            harness.session.transaction = None
+            await harness.end()
+
+        asyncio.run(main())
+        assert aborted.is_set()
+
     def test_idle_session_is_closed_immediately(self):
         async def scenario(harness):
             await harness.receive(STARTUP)
