End a failover with the leadership in which it began

A failover now looks whether its leadership lasts before it stores MOVING and after the barrier, and a leader that releases begins no further one. The announcements of a drain get 0.5 s before the plug-ins drain beside them: with a silent store, the drain of a grace period of 0.5 s ended after 1.5 s.

The two tests fail without the change: a group state is written, and a replica is paused.

--- a/src/ebonyladder/kernel/kernel.py
+++ b/src/ebonyladder/kernel/kernel.py
@@ -21,7 +21,7 @@
 BACKOFF_RESET_S = 30.0
 # Time for announcements of a drain before the plug-ins drain, in seconds; a slow store
 # or peer must not use up the grace period.
-ANNOUNCE_TIMEOUT_S = 1.5
+ANNOUNCE_TIMEOUT_S = 0.5
 
 
 class DaemonSettings(Protocol):
--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -229,6 +229,7 @@
                 phase=GroupPhase.MOVING,
                 primary=former.id,
             )
+        self._require_leading(attempt)
         await self.coordination.write_group(moving)
         logging.info(
             "[failover] Failover begins. service=%s cause=%s epoch=%d old=%s token=%d "
@@ -253,6 +254,8 @@
         finally:
             probing.cancel()
             await asyncio.wait([probing])
+        # The next leader's failover would meet the pauses of this one.
+        self._require_leading(attempt)
         return moving
 
     @staticmethod
@@ -412,6 +415,10 @@
         """Tell whether the leadership in which an attempt began still lasts."""
         return self.coordination.fencing_token() == attempt.token
 
+    def _require_leading(self, attempt: FailoverAttempt) -> None:
+        if not self._is_leading(attempt):
+            raise aborted(attempt.service, "the leadership has ended")
+
     async def _give_up(self, attempt: FailoverAttempt, moving: GroupState) -> None:
         """Return to the former primary, unless a promotion may still take effect."""
         former = attempt.by_process.get(attempt.primary)
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -383,6 +383,8 @@
         )
 
     def _start_failovers(self) -> None:
+        if self.is_releasing:
+            return
         unresponsive, stalled = self.follower.suspect_endpoints()
         services = {e.service for e in self.cluster.endpoints.values()}
         for service in services - self.failing_over:
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -221,6 +221,27 @@
         assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
         assert world.promoter.calls == []
 
+    def test_failover_ends_with_the_leadership_during_the_survey(self):
+        # Guards against group states that the next leader's failover conflicts with.
+        world = World()
+        world.primary.is_down = True
+        tokens = iter([7])
+        world.coordination.fencing_token = lambda: next(tokens, None)
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.coordination.written == []
+
+    def test_failover_ends_with_the_leadership_during_the_barrier(self):
+        # Guards against pauses that change the logs under the next leader's failover.
+        world = World()
+        world.primary.is_down = True
+
+        def release() -> None:
+            world.coordination.token = None
+
+        world.coordination.during_barrier = release
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.near.pauses == world.far.pauses == []
+
     def test_refused_promotion_keeps_the_old_primary(self):
         # Guards against a group that stays without a primary after a refusal.
         world = World()
