Don't wait for an empty log once all others are gone for good

The former primary had left with its log, and a replica answered with an empty one. It wasn't counted, since it may be that of a later process, so the process before was waited for.

An empty log is either the listed process's own or that of a later process of the same id, which knows nothing of before. In both cases the log of the entry doesn't come back. So such a holder counts as gone for the basis all-that-is-left, after the same ten seconds as one that left. The times move to a module of their own, LostLogs.

--- a/src/ebonyladder/sessions/successor.py
+++ b/src/ebonyladder/sessions/successor.py
@@ -12,14 +12,8 @@
 from ebonyladder.sessions.failover_attempt import FailoverAttempt, aborted
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.log_survey import LogSurvey
-from ebonyladder.types import (
-    EndpointProcess,
-    EndpointState,
-    Position,
-    Role,
-    ServiceId,
-    Term,
-)
+from ebonyladder.sessions.lost_logs import LostLogs
+from ebonyladder.types import EndpointProcess, EndpointState, Position, Role, Term
 
 # Time for a replica to receive the log of a primary that has stepped down, in seconds.
 CATCH_UP_TIMEOUT_S = 0.4
@@ -30,11 +24,6 @@
 REGISTRATION_TIME_S = 0.5
 # Time within which a database that joins has received a log, in seconds.
 FIRST_RECEIPT_TIME_S = 1.0
-# The log of an endpoint that drains is transferred to a new one at its address, and one
-# that crashes while it leaves may come back. Time after which neither is waited for, in
-# seconds; the platform gives none, ten seconds are those in which a primary must be
-# replaced.
-LOG_RETURN_TIME_S = 10.0
 # Interval between checks for endpoints that have to be fenced, in seconds.
 FENCE_INTERVAL_S = 0.1
 
@@ -50,11 +39,6 @@
         Reads the members of the service.
     clock : Clock
         Clock of the timeouts.
-
-    Attributes
-    ----------
-    ended_since_s : dict of ServiceId to dict of EndpointProcess to float
-        Times at which surveys first found log holders to have ended.
     """
 
     def __init__(
@@ -67,7 +51,7 @@
         self.cluster = cluster
         self.coordination = coordination
         self.clock = clock
-        self.ended_since_s: dict[ServiceId, dict[EndpointProcess, float]] = {}
+        self.lost_logs = LostLogs(cluster=cluster, clock=clock)
 
     async def choose(self, attempt: FailoverAttempt) -> tuple[EndpointEntry, Position]:
         """Stop commits; return an endpoint that has every acknowledged one.
@@ -386,32 +370,15 @@
             },
             known=known,
             pending=attempt.earlier_successor,
-            gone=attempt.gone(self._ended_for_long(attempt)),
-        )
-
-    def _ended_for_long(self, attempt: FailoverAttempt) -> frozenset[EndpointProcess]:
-        """Return the log holders that ended so long ago that no log comes back.
-
-        An endpoint that has their log by then is listed, and so is a log holder itself.
-        """
-        now_s = self.clock.now_s()
-        ended = attempt.control.gone | self.coordination.ended_log_holders(
-            attempt.service
-        )
-        known = self.ended_since_s.get(attempt.service, {})
-        listed = {entry.process for entry in self.cluster.members(attempt.service)}
-        # The address of an endpoint that has ended refuses connections for a while
-        # only, so what was known of one that isn't listed again stays valid.
-        since_s = {
-            process: known.get(process, now_s)
-            for process in attempt.by_process.keys() - attempt.control.endpoints.keys()
-            if process in ended or process in known.keys() - listed
-        }
-        self.ended_since_s[attempt.service] = since_s
-        return frozenset(
-            process
-            for process, at_s in since_s.items()
-            if now_s - at_s >= LOG_RETURN_TIME_S
+            gone=self.lost_logs.record(
+                attempt,
+                ended=self.coordination.ended_log_holders(attempt.service),
+                empty=frozenset(
+                    process
+                    for process, at in received.items()
+                    if has_commits and not at.position and process != attempt.primary
+                ),
+            ),
         )
 
     def _is_of(
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -21,7 +21,7 @@
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.fleet.log_holder_keeper import LogHolderKeeper
 from ebonyladder.sessions.log_holders import LogHolders
-from ebonyladder.sessions.successor import LOG_RETURN_TIME_S
+from ebonyladder.sessions.lost_logs import LOG_RETURN_TIME_S
 from ebonyladder.types import (
     Address,
     EndpointId,
@@ -375,6 +375,32 @@
         assert world.replace_primary(FailoverCause.UNLISTED)
         assert world.promoter.calls == [("new", 7)]
 
+    def test_empty_log_is_not_waited_for_once_all_others_have_left(self):
+        # Model seeds 200864, 300122, 402349 and 402378: an empty log that may be that
+        # of a later process was waited for, though either way there is none.
+        world = self.world
+        self.let_all_that_may_have_more_leave()
+        world.far.set_received(position(0, 0))
+        world.coordination.listed_s["far@0"] = 60.0
+        assert not world.replace_primary(FailoverCause.UNLISTED)
+        later_s = LOG_RETURN_TIME_S + 0.1
+        world.clock.now_s = lambda: SystemClock().now_s() + later_s
+        assert world.replace_primary(FailoverCause.UNLISTED)
+        assert world.promoter.calls == [("near", 7)]
+
+    def test_empty_log_does_not_end_the_wait_for_a_crashed_primary(self):
+        # Guards against losing what the primary comes back with.
+        world = self.world
+        world.primary.is_down = True
+        world.far.set_received(position(0, 0))
+        world.coordination.departed = []
+        world.coordination.listed_s["far@0"] = 60.0
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        later_s = LOG_RETURN_TIME_S + 0.1
+        world.clock.now_s = lambda: SystemClock().now_s() + later_s
+        assert not world.replace_primary(FailoverCause.UNRESPONSIVE)
+        assert world.promoter.calls == []
+
     def test_crashed_primary_is_waited_for_though_a_replica_has_left(self):
         # Guards against losing what it comes back with.
         world = self.world
--- a/tests/test_failover_model.py
+++ b/tests/test_failover_model.py
@@ -89,6 +89,10 @@
     def test_earlier_successor_is_behind_a_log_that_came_back(self, seed):
         check(seed)
 
+    @pytest.mark.parametrize("seed", [200864, 300122, 402349, 402378])
+    def test_empty_log_is_left_beside_one_whose_primary_has_left(self, seed):
+        check(seed)
+
     def test_log_without_the_unacknowledged_end_of_its_predecessor_may_lead(self):
         check(100067)
 
