Take no replica for a former primary that nobody knows

Found by a test that decided by it: if no group state is stored and no log holder has the role of a primary, the failover named the first holder as the former primary. The end of that replica's log passed for the final position, and a log was promoted with holders missing, the real primary among them. The stored holders keep the role under which they were stored first, and the one that is newer is known in memory only; so this can follow the loss of all VMs.

The group state names no former primary then, so all holders must be read. A primary that turns up is adopted, as after an interrupted failover.

test_replica_is_not_taken_for_a_primary_that_nobody_knows fails on the former source.

--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -37,7 +37,14 @@
 )
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.successor import SuccessorChooser
-from ebonyladder.types import EndpointProcess, Position, Role, ServiceId, Term
+from ebonyladder.types import (
+    EndpointId,
+    EndpointProcess,
+    Position,
+    Role,
+    ServiceId,
+    Term,
+)
 
 # Time until a promoted endpoint must be primary; the platform takes up to 1 s.
 PROMOTE_TIMEOUT_S = 4.0
@@ -49,6 +56,9 @@
 # VMs that don't respond stop using the old primary when their group states expire; the
 # rest covers differing clock rates and statements in flight.
 BARRIER_TIMEOUT_S = GROUP_STATE_TTL_S + 0.5
+# Former primary of a group state if no holder is known to have led: the end of any
+# replica's log would pass for its final position.
+UNKNOWN_PRIMARY = EndpointId("")
 
 
 class Failover:
@@ -220,14 +230,12 @@
                 known, epoch=known.epoch + 1, phase=GroupPhase.MOVING
             )
         else:
-            former = attempt.by_process.get(
-                attempt.primary, attempt.holders.endpoints[0]
-            )
+            former = attempt.by_process.get(attempt.primary)
             moving = GroupState(
                 service=attempt.service,
                 epoch=1,
                 phase=GroupPhase.MOVING,
-                primary=former.id,
+                primary=UNKNOWN_PRIMARY if former is None else former.id,
             )
         await self.coordination.write_group(moving)
         logging.info(
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -375,6 +375,21 @@
         assert world.replace_primary(FailoverCause.UNLISTED)
         assert world.promoter.calls == [("new", 7)]
 
+    def test_replica_is_not_taken_for_a_primary_that_nobody_knows(self):
+        # Guards against the end of any replica's log as the final position: a primary
+        # that was stored before it had its role has crashed, and no group is stored.
+        world = self.world
+        world.primary.is_down = True
+        del world.cluster.endpoints[EndpointId("primary")]
+        world.coordination.departed = [entry("left"), entry("primary")]
+        assert not world.replace_primary(FailoverCause.UNLISTED)
+        assert not world.replace_primary(FailoverCause.INTERRUPTED)
+        assert world.promoter.calls == []
+        world.primary.is_down = False
+        assert world.replace_primary(FailoverCause.INTERRUPTED)
+        assert world.group.primary == "primary"
+        assert world.group.phase is GroupPhase.STABLE
+
     def test_empty_log_is_not_waited_for_once_all_others_have_left(self):
         # Model seeds 200864, 300122, 402349 and 402378: an empty log that may be that
         # of a later process was waited for, though either way there is none.
