--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,7 +29,7 @@
 )
 
 SEED = 1
-# Findings of this seed that are listed in KNOWN-RED.txt, issue 27. Each of its runs
+# Findings of this seed that are listed in KNOWN-RED.txt, issue 35. Each of its runs
 # differs in time, and few have one.
 KNOWN_FINDINGS = [
     "only replicas never listed had received",
@@ -125,7 +125,7 @@
         assert findings == [], f"faults: {faults}, logs: {tmp_path}"
         assert history.counts["writes"] > 0
         if history.findings:
-            pytest.xfail(f"KNOWN-RED.txt, issue 27: {history.findings}")
+            pytest.xfail(f"KNOWN-RED.txt, issue 35: {history.findings}")
 
 
 class TestHistory:
