Refuse transactions that lost access instead of closing their connections

A connection in a transaction is no longer closed for that; its next command is refused and closes it.

test_transaction_of_a_withdrawn_key_is_refused_with_its_next_command fails without the change: the connection is closed.

--- a/src/ebonyladder/platform/session_connection.py
+++ b/src/ebonyladder/platform/session_connection.py
@@ -237,9 +237,13 @@
         return idle_since_s + timeout_s
 
     def _idle_step(self) -> IdleStep:
-        """Return what happens now, as no byte of a command has arrived."""
+        """Return what happens now, as no byte of a command has arrived.
+
+        The next command of a transaction that lost access is refused instead, since a
+        close would be no answer to its operation.
+        """
         drain, now_s = self.accepted.drain, self.clock.now_s()
-        if self._must_end or self._has_lost_access():
+        if self._must_end:
             return IdleStep.CLOSE
         transaction = self.session.transaction if self.session else None
         if transaction is not None:
@@ -255,7 +259,7 @@
             and drain.closes_session(self.answered_at_s, now_s)
             and now_s >= self.command_expected_until_s
         )
-        must_close = self.is_closing or is_closed_by_drain
+        must_close = self.is_closing or is_closed_by_drain or self._has_lost_access()
         return IdleStep.CLOSE if must_close else IdleStep.WAIT
 
     @property
--- a/src/ebonyladder/sessions/drain.py
+++ b/src/ebonyladder/sessions/drain.py
@@ -58,16 +58,16 @@
     def aborts_transaction(self, begun_at_s: float, now_s: float) -> bool:
         """Tell whether a transaction that was begun at a given time is aborted.
 
-        One that was begun during the drain has as long as other requests.
+        One that was begun during the drain is aborted while there is time to answer its
+        next command with that.
         """
-        elapsed_s = now_s - self.started_at_s
-        was_open = begun_at_s <= self.started_at_s
-        return was_open and elapsed_s >= self.grace_s * TRANSACTION_FRACTION
+        if begun_at_s > self.started_at_s:
+            return now_s >= (self._last_work_s + self.answer_by_s) / 2
+        return now_s - self.started_at_s >= self.grace_s * TRANSACTION_FRACTION
 
     def refuses_work(self, now_s: float) -> bool:
         """Tell whether new sessions and transactions are refused."""
-        latest_s = self.started_at_s + self.grace_s / 2
-        return now_s >= max(self.answer_by_s - MIN_WORK_S, latest_s)
+        return now_s >= self._last_work_s
 
     def ends_requests(self, now_s: float) -> bool:
         """Tell whether requests are answered now, finished or not."""
@@ -77,6 +77,11 @@
         """Tell whether the process ends, whatever is still open."""
         return now_s >= self.exit_by_s
 
+    @property
+    def _last_work_s(self) -> float:
+        half_s = self.started_at_s + self.grace_s / 2
+        return max(self.answer_by_s - MIN_WORK_S, half_s)
+
     @property
     def _answer_margin_s(self) -> float:
         return min(ANSWER_MARGIN_S, self.grace_s * ANSWER_MARGIN_FRACTION)
--- a/tests/test_session_front_end.py
+++ b/tests/test_session_front_end.py
@@ -249,6 +249,22 @@
         asyncio.run(main())
         assert aborted.is_set()
 
+    def test_transaction_of_a_withdrawn_key_is_refused_with_its_next_command(self):
+        # Guards against a transaction that ends by a close between two commands.
+        async def main() -> Harness:
+            harness = Harness(has_transaction=True)
+            await harness.receive(STARTUP)
+            await harness.receive(QUERY)
+            harness.withdraw_key()
+            await harness.run()
+            assert not harness.writer.is_closed
+            await harness.receive(QUERY)
+            await harness.end()
+            return harness
+
+        harness = asyncio.run(main())
+        assert b"ERROR UNAUTH" in harness.writer.sent
+
     def test_idle_session_is_closed_immediately(self):
         async def scenario(harness):
             await harness.receive(STARTUP)
@@ -370,11 +386,12 @@
 
         run(scenario)
 
-    def test_only_transactions_that_were_open_are_aborted_at_half_time(self):
+    def test_transactions_that_begin_during_a_drain_are_aborted_later(self):
         plan = DrainPlan(grace_s=GRACE_S, started_at_s=10.0)
         assert not plan.aborts_transaction(9.0, 12.9)
         assert plan.aborts_transaction(9.0, 13.0)
-        assert not plan.aborts_transaction(13.0, 15.0)
+        assert not plan.aborts_transaction(13.0, 14.7)
+        assert plan.aborts_transaction(13.0, 14.9)
 
     def test_part_of_a_line_is_refused_at_the_end_of_the_drain(self):
         async def scenario(harness):
