Restore the logger of the failover model with its cache

Cause: the model sets the level of the logger by setLevel and restored it by assignment, which leaves the logger's cache of enabled levels. Until the next setLevel, lines at INFO were written in whichever test came next on the same worker. Shown by running of the model and the test in one process: fails before, passes now.

--- a/tests/failover_model.py
+++ b/tests/failover_model.py
@@ -944,7 +944,9 @@
     try:
         yield
     finally:
-        logger.handlers, logger.propagate, logger.level = known
+        logger.handlers, logger.propagate, level = known
+        # Assigning the level would leave what the logger has cached for the other one.
+        logger.setLevel(level)
 
 
 async def _run(seed: int) -> FailoverModel:
