--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,4 +1,4 @@
-"""A drill of the store after a failover, then a kill of the leader's process."""
+"""A drill of the store during the planned restart of the leader."""
 
 import asyncio
 import contextlib
@@ -9,129 +9,73 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path[:0] = [str(FOLDER.parents[1]), str(FOLDER.parent / "lib-2")]
 
-from deployment import Deployment, Record, Vm, run_case, until  # noqa: E402
+from deployment import Deployment, Record, run_case, until  # noqa: E402
 
-# The former primary receives the log at this interval, in seconds: as a replica it is
-# 20 ms behind on average.
-RECEIVE_INTERVAL_S = 0.04
-# Time for which a crashed database or process is down, in seconds.
-DATABASE_DOWN_S = 3.0
-PROCESS_DOWN_S = 0.5
-READ_TIME_S = 4.0
-WRITE_INTERVAL_S = 0.01
-# Longest time between two reads, in seconds.
-READ_INTERVAL_S = 0.1
-
-
-class Counter:
-    """Item whose value only grows; the last value that was acknowledged."""
-
-    def __init__(self) -> None:
-        self.sent = 0
-        self.acknowledged = 0
-        self.changed = asyncio.Event()
-
-    def acknowledge(self, value: int) -> None:
-        """Record that a value was acknowledged."""
-        self.acknowledged = max(self.acknowledged, value)
-        self.changed.set()
-        self.changed = asyncio.Event()
+# Time for which a database that drains goes on, in seconds.
+DRAIN_S = 7.0
 
 
 async def play(folder: Path, record: Record, has_trouble: bool) -> bool:
-    """Play the case; return whether rule STALE was broken."""
+    """Play the case; return whether rule ONE was broken."""
     deployment = Deployment(folder=folder, record=record)
     try:
         await deployment.start()
-        return await kill_leader(deployment, record, has_trouble)
+        return await restart_leader(deployment, record, has_trouble)
     finally:
         await deployment.stop()
 
 
-async def kill_leader(
+async def restart_leader(
     deployment: Deployment, record: Record, has_trouble: bool
 ) -> bool:
-    """Replace the primary, let the store return to before that, kill the leader."""
-    await fail_over(deployment, "first")
+    """Restart the leader while the primary fails; then replace the next primary."""
+    platform = deployment.platform
     await asyncio.sleep(6)
     old = deployment.store.copy()
-    record.add(f"copy of the store, group={deployment.group()}")
-    former = deployment.primary()
-    await fail_over(deployment, "second")
-    former.receive_interval_s = RECEIVE_INTERVAL_S
-    record.add(f"group={deployment.group()}")
+    record.add(f"copy of the store, revision={old.revision}")
+    first = deployment.leader()
+    first.send(signal.SIGTERM)
+    await until(lambda: deployment.leader() not in (None, first), "a second leader")
+    record.add(f"leader {deployment.leader().name}")
+    other = deployment.leader()
+    crashed = await deployment.crash_primary()
+    writing = asyncio.create_task(deployment.write_until_done(other, "second"))
+    await until(lambda: platform.promotion_calls, "the first promotion")
+    await writing
+    await first.ended()
+    await deployment.revive(crashed)
     if has_trouble:
         await deployment.drill(old)
-    leader = deployment.leader()
-    other = next(vm for vm in deployment.vms if vm is not leader)
-    counter = Counter()
-    writing = asyncio.create_task(write(deployment, other, counter, record))
-    leader.send(signal.SIGKILL)
-    await leader.ended()
-    await asyncio.sleep(PROCESS_DOWN_S)
-    await leader.start()
-    stale = await read(deployment, leader, counter, record)
+    await first.start()
+    await deployment.write_until_done(first, "restarted")
+    await asyncio.sleep(4)
+    count = len(platform.promotion_calls)
+    await deployment.replace_primary()
+    writing = asyncio.create_task(deployment.write_until_done(other, "third"))
+    with contextlib.suppress(RuntimeError):
+        # Without a promotion no rule is broken.
+        await until(
+            lambda: len(platform.promotion_calls) > count,
+            "the second promotion",
+            timeout_s=DRAIN_S,
+        )
+    await asyncio.sleep(2)
     writing.cancel()
     await asyncio.wait([writing])
-    record.add(f"acknowledged {counter.acknowledged}, stale reads {stale}")
-    if not counter.acknowledged:
-        raise RuntimeError("no write was acknowledged")
-    return stale > 0
-
-
-async def fail_over(deployment: Deployment, value: str) -> None:
-    """Crash the primary, wait for the next one, start the crashed one again."""
-    crashed = await deployment.crash_primary()
-    writing = asyncio.create_task(deployment.write_until_done(deployment.vms[0], value))
-    await asyncio.sleep(DATABASE_DOWN_S)
-    await writing
-    await until(
-        lambda: (
-            deployment.group().get("phase") == "stable"
-            and deployment.group().get("primary") == deployment.primary().name
-        ),
-        "the stored group state",
-    )
-    await deployment.revive(crashed)
-
-
-async def write(
-    deployment: Deployment, vm: Vm, counter: Counter, record: Record
-) -> None:
-    """Write growing values over one session."""
-    client = await deployment.connect(vm, "pay")
-    while True:
-        counter.sent += 1
-        value = counter.sent
-        lines = await deployment.query(vm, client, f"WRITE counter {value}")
-        if not lines:
-            client = await deployment.connect(vm, "pay")
-        elif lines[0].startswith("COMPLETE"):
-            counter.acknowledge(value)
-        await asyncio.sleep(WRITE_INTERVAL_S)
-
-
-async def read(deployment: Deployment, vm: Vm, counter: Counter, record: Record) -> int:
-    """Read on the route of type ``primary``; return the number of stale reads."""
-    loop = asyncio.get_running_loop()
-    stale = 0
-    client = await deployment.connect(vm, "pay")
-    end_s = loop.time() + READ_TIME_S
-    while loop.time() < end_s:
-        # A read right after a commit finds the replicas behind it.
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(READ_INTERVAL_S):
-                await counter.changed.wait()
-        before = counter.acknowledged
-        lines = await deployment.query(vm, client, "READ counter")
-        if not lines:
-            client = await deployment.connect(vm, "pay")
-        elif lines[0].startswith("ROW"):
-            found = int(lines[0].partition(" ")[2] or 0)
-            if found < before:
-                stale += 1
-                record.add(f"stale: {before} was acknowledged before, {found} was read")
-    return stale
+    for call in platform.promotion_calls:
+        record.add(f"promote service={call[0]} holder={call[1]} token={call[2]}")
+    return breaks_one(platform.promotion_calls)
+
+
+def breaks_one(calls: list[tuple[str, str, int]]) -> bool:
+    """Tell whether a token was used by two holders, or after a higher one."""
+    holders: dict[int, str] = {}
+    highest = 0
+    for _, holder, token in calls:
+        if holders.setdefault(token, holder) != holder or token < highest:
+            return True
+        highest = token
+    return False
 
 
 if __name__ == "__main__":
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -29,6 +29,8 @@
 # Time after which the entry of a crashed database disappears, in seconds: three
 # heartbeats.
 EXPIRY_S = 3.6
+# Time for which a crashed database is down, in seconds.
+DATABASE_DOWN_S = 3.0
 START_TIMEOUT_S = 30.0
 POLL_S = 0.02
 # Pause of a client after a refusal, in seconds.
@@ -333,6 +335,21 @@
         await database.start()
         self.record.add(f"start {database.name} primary={database.is_primary}")
 
+    async def fail_over(self, value: str) -> None:
+        """Crash the primary, wait for the next one, start the crashed one again."""
+        crashed = await self.crash_primary()
+        writing = asyncio.create_task(self.write_until_done(self.vms[0], value))
+        await asyncio.sleep(DATABASE_DOWN_S)
+        await writing
+        await until(
+            lambda: (
+                self.group().get("phase") == "stable"
+                and self.group().get("primary") == self.primary().name
+            ),
+            "the stored group state",
+        )
+        await self.revive(crashed)
+
     async def replace_primary(self) -> None:
         """Start a new database, then let the primary report that it drains."""
         former = self.primary()
