--- a/review/6/run.py
+++ b/review/6/run.py
@@ -1,8 +1,8 @@
-"""A primary of a quiet service starts again under its id, without its log."""
+"""A drill of the store after a failover; the leader restarts, two databases crash."""
 
 import asyncio
+import signal
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -10,60 +10,121 @@
 
 from deployment import Deployment, Record, Vm, run_case  # noqa: E402
 
-# Time without requests before the primary crashes, and for which it is down, in
-# seconds.
-QUIET_S = 7.0
-DOWN_S = 1.0
-# Time from its new start to the next request, in seconds.
-PAUSE_S = 0.3
-READ_TIME_S = 6.0
-READ_INTERVAL_S = 0.05
-VALUE = "kept"
+# The former primary receives the log at this interval, in seconds: as a replica it is
+# 20 ms behind on average.
+RECEIVE_INTERVAL_S = 0.04
+# Time for which the killed process is down, in seconds.
+PROCESS_DOWN_S = 0.5
+# Time from its new start to the crashes, and for which a replica and the primary are
+# down, in seconds.
+WRITE_TIME_S = 1.5
+REPLICA_DOWN_S = 4.4
+PRIMARY_DOWN_S = 7.0
+WRITE_INTERVAL_S = 0.005
+
+
+class Acknowledged:
+    """Writes that clients were told of, with the number of promotions before."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.writes: list[tuple[str, int]] = []
 
 
 async def play(folder: Path, record: Record, has_trouble: bool) -> bool:
-    """Play the case; return whether rule STALE was broken."""
+    """Play the case; return whether rule LOST was broken."""
     deployment = Deployment(folder=folder, record=record)
     try:
         await deployment.start()
-        # A primary has been replaced before, as on any day.
-        await deployment.fail_over("first")
-        await deployment.write_until_done(deployment.vms[0], VALUE)
-        await asyncio.sleep(QUIET_S)
-        crashed = await deployment.crash_primary()
-        await asyncio.sleep(DOWN_S)
-        if has_trouble:
-            await crashed.start_without_log(time.time_ns() // 1_000_000)
-            record.add(f"start {crashed.name} without its log, as a replica")
-        else:
-            await deployment.revive(crashed)
-        await asyncio.sleep(PAUSE_S)
-        stale = sum(
-            await asyncio.gather(
-                *(read(deployment, vm, record) for vm in deployment.vms)
-            )
-        )
-        record.add(f"stale reads {stale}")
-        return stale > 0
+        acknowledged = Acknowledged()
+        await crash_databases(deployment, record, has_trouble, acknowledged)
+        return has_lost(deployment, record, acknowledged)
     finally:
         await deployment.stop()
 
 
-async def read(deployment: Deployment, vm: Vm, record: Record) -> int:
-    """Read on the route of type ``primary``; return the number of stale reads."""
-    loop = asyncio.get_running_loop()
-    stale = 0
+async def crash_databases(
+    deployment: Deployment,
+    record: Record,
+    has_trouble: bool,
+    acknowledged: Acknowledged,
+) -> None:
+    """Let the store return to before a failover, kill the leader, crash databases."""
+    service = deployment.service
+    await deployment.fail_over("first")
+    await asyncio.sleep(6)
+    old = deployment.store.copy()
+    record.add(f"copy of the store, group={deployment.group()}")
+    former = deployment.primary()
+    await deployment.fail_over("second")
+    record.add(f"group={deployment.group()}")
+    if has_trouble:
+        await deployment.drill(old)
+    former.receive_interval_s = RECEIVE_INTERVAL_S
+    leader = deployment.leader()
+    others = [vm for vm in deployment.vms if vm is not leader]
+    writing = [
+        asyncio.create_task(write(deployment, vm, acknowledged)) for vm in others
+    ]
+    leader.send(signal.SIGKILL)
+    await leader.ended()
+    await asyncio.sleep(PROCESS_DOWN_S)
+    await leader.start()
+    await asyncio.sleep(WRITE_TIME_S)
+    primary = deployment.primary()
+    replica = next(
+        d for d in service.databases.values() if d is not primary and d is not former
+    )
+    record.add(f"crash {replica.name}, a replica")
+    record.add(f"crash {primary.name} term={primary.term}")
+    await replica.stop()
+    await primary.stop()
+    await asyncio.sleep(REPLICA_DOWN_S)
+    await deployment.revive(replica)
+    await asyncio.sleep(PRIMARY_DOWN_S - REPLICA_DOWN_S)
+    await deployment.revive(primary)
+    # Without a promotion no rule is broken.
+    await asyncio.sleep(4)
+    for task in writing:
+        task.cancel()
+    await asyncio.wait(writing)
+    if not acknowledged.writes:
+        raise RuntimeError("no write was acknowledged")
+
+
+async def write(deployment: Deployment, vm: Vm, acknowledged: Acknowledged) -> None:
+    """Write new items over one session after the other."""
     client = await deployment.connect(vm, "pay")
-    end_s = loop.time() + READ_TIME_S
-    while loop.time() < end_s:
-        lines = await deployment.query(vm, client, "READ item")
+    while True:
+        acknowledged.sent += 1
+        item = f"w{acknowledged.sent}"
+        lines = await deployment.query(vm, client, f"WRITE {item} {item}")
         if not lines:
             client = await deployment.connect(vm, "pay")
-        elif lines[0].startswith("ROW") and lines[0] != f"ROW {VALUE}":
-            stale += 1
-            record.add(f"stale: {VALUE} was acknowledged before, {lines[0]!r} was read")
-        await asyncio.sleep(READ_INTERVAL_S)
-    return stale
+        elif lines[0].startswith("COMPLETE"):
+            effects = len(deployment.service.effects)
+            acknowledged.writes.append((item, effects))
+        await asyncio.sleep(WRITE_INTERVAL_S)
+
+
+def has_lost(
+    deployment: Deployment, record: Record, acknowledged: Acknowledged
+) -> bool:
+    """Tell whether a promoted log lacked a write that was acknowledged before."""
+    is_broken = False
+    for index, effect in enumerate(deployment.service.effects):
+        held = {item for item, _ in effect.commits}
+        lost = [
+            item
+            for item, effects in acknowledged.writes
+            if effects <= index and item not in held
+        ]
+        record.add(
+            f"promoted {effect.name} term={effect.term} lost={len(lost)} "
+            f"{' '.join(lost[:20])}"
+        )
+        is_broken |= bool(lost)
+    return is_broken
 
 
 if __name__ == "__main__":
