--- a/review/6/run.py
+++ b/review/6/run.py
@@ -143,4 +143,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, play)
+    run_case(play)
--- a/review/7/run.py
+++ b/review/7/run.py
@@ -79,4 +79,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, play)
+    run_case(play)
--- a/review/9/run.py
+++ b/review/9/run.py
@@ -118,4 +118,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, play)
+    run_case(play)
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -1,5 +1,6 @@
 """Small deployment of the real programs over stand-ins, for the review's scripts."""
 
+import argparse
 import asyncio
 import os
 import signal
@@ -8,6 +9,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -32,6 +34,8 @@
 # Time for which a crashed database is down, in seconds.
 DATABASE_DOWN_S = 3.0
 START_TIMEOUT_S = 30.0
+# A case that takes longer couldn't run.
+CASE_TIMEOUT_S = 110.0
 POLL_S = 0.02
 # Pause of a client after a refusal, in seconds.
 RETRY_S = 0.5
@@ -379,23 +383,36 @@
         await asyncio.sleep(POLL_S)
 
 
-def run_case(folder: Path, play) -> None:
+def run_case(play) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if not, 2 if it couldn't run."""
-    record = Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", default="1", help="0 plays no disruption")
+    parser.add_argument("--record", type=Path, required=True)
+    arguments = parser.parse_args()
+    record = Record(arguments.record)
+    has_trouble = arguments.trouble != "0"
+    record.add(f"trouble {int(has_trouble)}")
     status = 2
     try:
         with tempfile.TemporaryDirectory(prefix="case-") as path:
-            log_folder = Path(os.environ.get("KEEP_LOGS") or path)
-            is_broken = asyncio.run(play(log_folder, record, has_trouble))
+            is_broken = asyncio.run(_play(play, Path(path), record, has_trouble))
             status = 1 if is_broken else 0
     except Exception as error:
         record.add(f"the case could not run: {error!r}")
         raise
     finally:
         record.add(f"result {status}")
-        sys.stderr.flush()
-        print(f"result {status}")
+        print(f"result {status}", flush=True)
         if status == 2:
+            traceback.print_exc()
+            sys.stderr.flush()
             os._exit(2)
     sys.exit(status)
+
+
+async def _play(play, folder: Path, record: Record, has_trouble: bool) -> bool:
+    """Play a case within its time; SIGTERM ends it and all that it has started."""
+    playing = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, playing.cancel)
+    async with asyncio.timeout(CASE_TIMEOUT_S):
+        return await play(folder, record, has_trouble)
