Keep one leader when the store comes back from an older copy

Cause: the leader record rested on a store that never goes back. A VM that the restored record named under its former incarnation took over at once, its token came from revisions that were given out again, and the VM that led meanwhile ignored the restored record for good, since its revision was lower.

A record whose token is from an earlier era now names nobody. A VM that learns of a later era forgets its record, its renewals and all acknowledgements. If it led, it may lead again at once while its lease would have run, after its own promotion calls have ended or 3 s after one that got no answer; a lower token can't follow a higher one then. Any other VM takes over 6 s after it has learned of the era, when the former leader and all VMs that it counts on have learned of it too. Reports and updates carry the era: a VM that doesn't reach the store learns of a return from the others, an update of another era is neither followed nor acknowledged, and only acknowledgements of the same era prove the lease.

--- a/src/ebonyladder/sessions/fleet/follower.py
+++ b/src/ebonyladder/sessions/fleet/follower.py
@@ -25,6 +25,7 @@
 )
 from ebonyladder.sessions.pool import PoolSet
 from ebonyladder.sessions.quota import GrantedQuota
+from ebonyladder.sessions.store_era import StoreEraTracker
 from ebonyladder.sessions.watch_manager import WatchManager
 from ebonyladder.types import (
     Address,
@@ -86,6 +87,8 @@
         Health of the endpoints.
     incarnation : Incarnation
         Incarnation of this process.
+    eras : StoreEraTracker
+        Era of the store as this VM knows it.
     clock : Clock
         Clock of reports.
     on_unregistered : callable
@@ -112,6 +115,7 @@
         watch_manager: WatchManager,
         pools: PoolSet,
         incarnation: Incarnation,
+        eras: StoreEraTracker,
         clock: Clock,
         on_unregistered: Callable[[], None],
     ) -> None:
@@ -121,6 +125,7 @@
         self.watch_manager = watch_manager
         self.pools = pools
         self.incarnation = incarnation
+        self.eras = eras
         self.clock = clock
         self.on_unregistered = on_unregistered
         self.started_at_s = clock.now_s()
@@ -211,7 +216,9 @@
                 update = decode(await connection.recv(), LeaderUpdate)
         except (WebSocketException, OSError, TimeoutError, ValueError):
             return False
-        return update.is_leader or update.grants_permits
+        return self.eras.is_current(update.era) and (
+            update.is_leader or update.grants_permits
+        )
 
     @staticmethod
     def _connect(address: Address, timeout_s: float) -> connect:
@@ -256,7 +263,14 @@
             self.last_update_at_s = self.clock.now_s()
 
     def apply_update(self, update: LeaderUpdate) -> bool:
-        """Apply an update; False if its sender neither leads nor grants permits."""
+        """Apply an update; False if its sender neither leads nor grants permits.
+
+        A sender that doesn't know the store's present era may have been replaced in it.
+        """
+        self.eras.record_told(update.era)
+        if not self.eras.is_current(update.era):
+            self.has_valid_leader = False
+            return False
         if self.leader_version >= self.cluster.version:
             self.catalog_sent_at_s = self.clock.now_s()
         self.leader_version = update.version
@@ -360,6 +374,7 @@
             },
             is_draining=self.is_draining,
             has_ended=self.has_ended,
+            era=self.eras.known,
         )
 
     def _catalog_of(self, update: LeaderUpdate) -> Catalog | None:
--- a/src/ebonyladder/sessions/fleet/leader.py
+++ b/src/ebonyladder/sessions/fleet/leader.py
@@ -33,6 +33,7 @@
 )
 from ebonyladder.sessions.ownership import assign_owners
 from ebonyladder.sessions.quota import PermitAllocator, PermitGrant
+from ebonyladder.sessions.store_era import StoreEraTracker
 from ebonyladder.sessions.watch_manager import WatchManager
 from ebonyladder.types import (
     ConfigurationVersion,
@@ -64,6 +65,8 @@
         Tells whether this VM's watches of the store work.
     vms : callable
         Returns the registered VMs.
+    eras : StoreEraTracker
+        Era of the store as this VM knows it.
     clock : Clock
         Clock of updates.
 
@@ -84,9 +87,11 @@
         allocator: PermitAllocator,
         watch_manager: WatchManager,
         vms: Callable[[], dict[VmId, VmEntry]],
+        eras: StoreEraTracker,
         clock: Clock,
     ) -> None:
         self.cluster = cluster
+        self.eras = eras
         self.leadership = leadership
         self.failure_detector = failure_detector
         self.allocator = allocator
@@ -133,7 +138,11 @@
         Without a valid leader lease it grants only what the VMs that report to it
         may use without a leader, so another VM may lead at the same time.
         """
-        return self.leadership.is_holder or self.is_active_standby
+        return (
+            self.leadership.is_holder
+            or self.leadership.is_resumable
+            or self.is_active_standby
+        )
 
     @property
     def must_load_groups(self) -> bool:
@@ -177,6 +186,7 @@
 
     def answer(self, report: Report) -> LeaderUpdate:
         """Record a report and return the update for its sender."""
+        self.eras.record_told(report.era)
         if report.catalog is not None and self.cluster.apply_catalog(report.catalog):
             logging.info(
                 "[leader] Newer configuration is received from a VM. version=%d vm=%s",
@@ -185,7 +195,9 @@
             )
             self.catalog_requested_at_s = float("-inf")
         self.barrier.record_report(report)
-        if report.acknowledged_at_s is not None:
+        # A VM that doesn't know the present era may still follow an earlier leader, and
+        # one that knows a later era no longer follows this one.
+        if report.acknowledged_at_s is not None and self.eras.is_current(report.era):
             self.leadership.record_acknowledgement(report.vm, report.acknowledged_at_s)
         self.failure_detector.record_report(report)
         self._apply_listing(report)
@@ -376,6 +388,7 @@
             has_working_watches=self.has_store,
             made_at_s=self.clock.now_s(),
             version=self.cluster.version,
+            era=self.eras.known,
             groups=tuple(self.cluster.groups.values()),
             snapshot=self.snapshot if has_new_owners else None,
         )
@@ -420,6 +433,7 @@
             made_at_s=self.clock.now_s() if made_at_s is None else made_at_s,
             version=self.cluster.version,
             requested_at_s=report.sent_at_s,
+            era=self.eras.known,
             is_registered=report.vm in self.vms(),
             **fields,
         )
--- a/src/ebonyladder/sessions/fleet/leader_record.py
+++ b/src/ebonyladder/sessions/fleet/leader_record.py
@@ -90,6 +90,15 @@
             self.leadership.record_renewal_attempt()
             self.renewal = self.spawn(self._write(), name="renewal")
 
+    def resume(self) -> None:
+        """Take the leadership again that the store has lost, in a task of its own."""
+        if self.renewal is None or self.renewal.done():
+            self.renewal = self.spawn(self._resume(), name="resumption")
+
+    async def _resume(self) -> None:
+        if await self.read() and self.leadership.is_resumable:
+            await self._write()
+
     async def release(self) -> None:
         """Release the leadership, however many attempts the store needs."""
         while True:
@@ -128,6 +137,9 @@
             store_revision = NO_REVISION
             if not self.leadership.is_stored:
                 store_revision = (await self.store.list(LEADERS)).as_of
+                if store_revision < self.leadership.era_start:
+                    return
+            is_resumed = self.leadership.is_resumable
             record = self.leadership.next_record(
                 self.address, store_revision=store_revision
             )
@@ -144,10 +156,17 @@
             if error.code is ErrorCode.STORE_CONFLICT:
                 await self._reread()
             return
-        if not self.leadership.is_named:
-            logging.info("[fleet] Leadership is acquired. token=%d", record.token)
+        was_named = self.leadership.is_named
+        self.leadership.record_renewal(
+            record, found.revision, sent_at_s, is_resumed=is_resumed
+        )
+        if not was_named and self.leadership.is_named:
+            logging.info(
+                "[fleet] Leadership is acquired. token=%d resumed=%s",
+                record.token,
+                is_resumed,
+            )
             self.on_acquired()
-        self.leadership.record_renewal(record, found.revision, sent_at_s)
 
     async def _reread(self) -> None:
         """Read the holder of the leader lease after a conflict.
--- a/src/ebonyladder/sessions/fleet/leadership.py
+++ b/src/ebonyladder/sessions/fleet/leadership.py
@@ -28,6 +28,11 @@
 # Interval of attempts while the store refuses them, in seconds: refused calls are
 # billed too.
 RENEWAL_RETRY_INTERVAL_S = 0.4
+# A VM that doesn't know of a leader in the store's present era takes over after this
+# long, in seconds: until then every VM that the former leader counts on, or that leader
+# itself, has learned of the era. A watch on a silent connection ends after 3 s, the
+# backoff after that is at most 1.6 s, a report follows within 0.8 s.
+ERA_TAKEOVER_DELAY_S = 6.0
 # A VM with fewer cores than this waits this much longer before a takeover, in seconds:
 # the leader answers the whole fleet, and half a core is too slow for the reports of 72
 # VMs.
@@ -108,6 +113,46 @@
         self.acknowledged_at_s: dict[VmId, float] = {}
         # Whether this VM no longer leads, although the store may still name it.
         self.is_releasing = False
+        # Number below the tokens of the store's present era, and when it was learned.
+        self.era_start = 0
+        self.era_known_at_s = float("-inf")
+        # Until then no other VM takes over from this one, which led when the store came
+        # back from an older copy.
+        self.resumable_until_s = float("-inf")
+        # Whether this VM has led without a break since before the present era.
+        self.has_resumed = False
+
+    def record_era(self, era_start: int, *, lease_remaining_s: float) -> None:
+        """Record that a later era of the store has begun.
+
+        What this VM knows of the record was written in an earlier era, and the store
+        may have lost it. No VM leads by such a record: the one that the store names may
+        have been replaced since.
+
+        Parameters
+        ----------
+        lease_remaining_s : float
+            For how long this VM's lease stays valid, 0 if it doesn't lead. It may take
+            the leadership again in this time without a pause.
+        """
+        now_s = self.clock.now_s()
+        self.era_start = era_start
+        self.era_known_at_s = now_s
+        self.resumable_until_s = now_s + lease_remaining_s
+        self.has_resumed = False
+        self.record = None
+        self.is_unreadable = False
+        self.renewed_at_s = float("-inf")
+        self.acknowledged_at_s.clear()
+
+    @property
+    def is_resumable(self) -> bool:
+        """Whether this VM led until the store came back, and may go on at once."""
+        return (
+            self.record is None
+            and not self.is_releasing
+            and self.clock.now_s() < self.resumable_until_s
+        )
 
     def apply_record(self, record: LeaderRecord | None, revision: Revision) -> None:
         """Apply the record that was read from the store."""
@@ -116,8 +161,11 @@
         if record is not None and revision < self.revision:
             # The answer to an earlier read arrived later.
             return
-        if record is not None and record.token < self.highest_token:
-            # Another writer has put an earlier record back.
+        if record is not None and record.token < max(
+            self.highest_token, self.era_start
+        ):
+            # Another writer has put an earlier record back, or it is one of the copy
+            # from which the store came back.
             self.apply_unreadable_record(revision)
             return
         self._set_record(record, revision)
@@ -141,11 +189,23 @@
         return self.record is not None or self.is_unreadable
 
     def record_renewal(
-        self, record: LeaderRecord, revision: Revision, sent_at_s: float
+        self,
+        record: LeaderRecord,
+        revision: Revision,
+        sent_at_s: float,
+        *,
+        is_resumed: bool = False,
     ) -> None:
-        """Record that a call sent at ``sent_at_s`` wrote this VM's own record."""
+        """Record that a call sent at ``sent_at_s`` wrote this VM's own record.
+
+        Parameters
+        ----------
+        is_resumed : bool
+            Whether this VM went on leading as the store came back.
+        """
         if not self.is_named:
             self.acquired_at_s = sent_at_s
+            self.has_resumed = is_resumed
         self._set_record(record, revision)
         self.renewed_at_s = sent_at_s
 
@@ -182,6 +242,7 @@
             record is not None
             and record.holder == self.vm
             and record.incarnation == self.incarnation
+            and record.token > self.era_start
             and not record.is_released
         )
 
@@ -210,10 +271,12 @@
     def needs_renewal(self, vms: Iterable[VmId]) -> bool:
         """Tell whether the holder has to renew its record in the store."""
         now_s = self.clock.now_s()
-        if not self.is_holder or now_s - self.renewed_at_s < LEASE_RENEWAL_INTERVAL_S:
+        if not self.is_holder:
             return False
         if now_s - self.renewal_attempt_at_s < RENEWAL_RETRY_INTERVAL_S:
             return False
+        if now_s - self.renewed_at_s < LEASE_RENEWAL_INTERVAL_S:
+            return False
         never_s = float("-inf")
         return any(
             now_s - self.acknowledged_at_s.get(vm, never_s) >= LEASE_RENEWAL_INTERVAL_S
@@ -230,6 +293,8 @@
             and record.holder == self.vm
             and record.incarnation != self.incarnation
         )
+        if record is None and now_s - self.era_known_at_s < ERA_TAKEOVER_DELAY_S:
+            return self.is_resumable
         is_missing = record is None and not self.is_unreadable
         if is_missing or was_holder_before_restart:
             return now_s - self.started_at_s >= self.takeover_delay_s
@@ -248,7 +313,8 @@
 
         A token is at most the revision of the write that stores it, so one above the
         revision of the record, or of the store if there is none, is above all earlier
-        ones, also if another writer has removed the record or put an old one back.
+        ones, also if another writer has removed the record or put an old one back. It
+        is above those of all earlier eras, which begin below the present one.
 
         Parameters
         ----------
@@ -257,11 +323,13 @@
         """
         if self.is_named:
             return msgspec.structs.replace(
-                self.record, renewals=self.record.renewals + 1
+                self.record,
+                renewals=self.record.renewals + 1,
             )
         return LeaderRecord(
             holder=self.vm,
             incarnation=self.incarnation,
             address=address,
-            token=max(self.highest_token, self.revision, store_revision) + 1,
+            token=max(self.highest_token, self.revision, store_revision, self.era_start)
+            + 1,
         )
--- a/src/ebonyladder/sessions/messages.py
+++ b/src/ebonyladder/sessions/messages.py
@@ -17,6 +17,7 @@
 )
 from ebonyladder.sessions.command import Answer, Command, CommandKind, Prepared
 from ebonyladder.sessions.connection import ReadBound
+from ebonyladder.sessions.objects import StoreEra
 from ebonyladder.sessions.quota import PermitGrant
 from ebonyladder.types import (
     Address,
@@ -98,6 +99,8 @@
         Whether the sender is stopping, so that it should own no endpoint.
     has_ended : bool
         Whether the sender serves nobody any more: its last report, before its end.
+    era : StoreEra or None
+        Latest era of the store that the sender knows.
     """
 
     vm: VmId
@@ -118,6 +121,7 @@
     acknowledged: dict[ServiceId, AcknowledgedRange | None] = {}
     is_draining: bool = False
     has_ended: bool = False
+    era: StoreEra | None = None
 
 
 class ClusterSnapshot(msgspec.Struct, frozen=True, kw_only=True):
@@ -179,6 +183,8 @@
         Whether the VM should send its catalog, which is newer.
     should_watch : bool
         Whether the VM should watch the store for the leader.
+    era : StoreEra or None
+        Latest era of the store that the sender knows.
     """
 
     is_leader: bool
@@ -197,6 +203,7 @@
     change_data: bytes | None = None
     wants_catalog: bool = False
     should_watch: bool = False
+    era: StoreEra | None = None
 
 
 class ForwardedStatement(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -39,6 +39,7 @@
 from ebonyladder.sessions.plugins.sessions import SessionFactory
 from ebonyladder.sessions.quota import GrantedQuota, PermitAllocator
 from ebonyladder.sessions.registry import register
+from ebonyladder.sessions.store_era import StoreEraTracker
 from ebonyladder.sessions.watch_manager import WatchManager
 from ebonyladder.settings import split_address
 from ebonyladder.types import (
@@ -69,6 +70,7 @@
         PromotionClient,
         EndpointDirectory,
         WatchManager,
+        StoreEraTracker,
     )
 
     def __init__(self, *, kernel: Kernel) -> None:
@@ -87,6 +89,7 @@
         self.store = self.kernel.get(ObjectStore)
         self.quota = self.kernel.get(GrantedQuota)
         self.watch_manager = self.kernel.get(WatchManager)
+        self.eras = self.kernel.get(StoreEraTracker)
         session_factory = self.kernel.get(SessionFactory)
         clock = self.kernel.clock
         self.group_watcher = GroupWatcher(store=self.store, cluster=self.cluster)
@@ -137,6 +140,7 @@
             ),
             watch_manager=self.watch_manager,
             vms=lambda: self.vm_watcher.entries,
+            eras=self.eras,
             clock=clock,
         )
         self.follower = Follower(
@@ -146,6 +150,7 @@
             watch_manager=self.watch_manager,
             pools=session_factory.pools,
             incarnation=self.incarnation,
+            eras=self.eras,
             clock=clock,
             on_unregistered=self.registration.is_needed.set,
         )
@@ -176,6 +181,8 @@
             max_size=MAX_ENCODED_BYTES,
             ping_interval=None,
         )
+        self.eras.listeners.append(self._record_era)
+        self._record_era()
         self.watch_manager.add(self.group_watcher)
         self.watch_manager.add(self.vm_watcher)
         refresh_groups = partial(
@@ -302,11 +309,36 @@
         else:
             await self.leader.serve(connection)
 
+    def _record_era(self) -> None:
+        """Apply that the store has come back from an older copy."""
+        era_start = self.eras.era_start
+        if era_start == self.leadership.era_start:
+            return
+        is_leading = self.leader.fencing_token is not None
+        self.leadership.record_era(
+            era_start,
+            lease_remaining_s=self.lease_remaining_s() if is_leading else 0.0,
+        )
+        self.registration.is_needed.set()
+
+    def _resume_leadership(self) -> None:
+        """Lead in the store's new era, once no call of the earlier one can come late.
+
+        The platform would see a lower token after a higher one.
+        """
+        unanswered_s = self.kernel.clock.now_s() - self.failover.unanswered_at_s
+        if not self.failover.calls_in_flight and unanswered_s >= TAKEOVER_TIMEOUT_S:
+            self.leader_record.resume()
+
     async def _run_leader(self) -> None:
         """Run the leader's tasks while this VM is the leader."""
         version = self.cluster.version
         while True:
             await self._wait_for_requests()
+            if self.leadership.is_resumable:
+                self._resume_leadership()
+                self._grant_locally(has_valid_lease=False)
+                continue
             if not self.leadership.is_holder:
                 self.vm_watcher.stop_watching()
                 self._run_standby()
@@ -443,7 +475,7 @@
 
     async def _find_leader(self) -> None:
         """Read the leader record from the store; take over if there is no leader."""
-        if self.leader.fencing_token is not None:
+        if self.leader.fencing_token is not None or self.leadership.is_resumable:
             return
         is_read = await self.leader_record.read()
         may_take_over = is_read and self.leadership.may_take_over()
@@ -452,5 +484,5 @@
 
     def _start_leading(self) -> None:
         """Begin with new buckets, unless this VM has granted permits until now."""
-        if not self.leader.is_active_standby:
+        if not (self.leader.is_active_standby or self.leadership.has_resumed):
             self.leader.allocator.reset(is_empty=False)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -7,11 +7,13 @@
 from ebonyladder.sessions.fleet.follower import Follower
 from ebonyladder.sessions.fleet.leadership import Leadership
 from ebonyladder.sessions.messages import ClusterSnapshot, LeaderUpdate
+from ebonyladder.sessions.objects import StoreEra
 from ebonyladder.sessions.quota import GrantedQuota, PermitGrant
+from ebonyladder.sessions.store_era import StoreEraTracker
 from ebonyladder.sessions.watch_manager import WatchManager
 from ebonyladder.types import ConfigurationVersion, Incarnation, VmId, ZoneId
 from tests.fleet import run_virtual
-from tests.session_fakes import ORGANISATION, cluster
+from tests.session_fakes import ORGANISATION, CountingMetrics, cluster
 
 
 class World:
@@ -25,6 +27,7 @@
             vm=VmId("vm-2"), incarnation=Incarnation(1), clock=clock
         )
         self.watch_manager = WatchManager(supervise=lambda run, name: None)
+        self.eras = StoreEraTracker(metrics=CountingMetrics())
         self.follower = Follower(
             cluster=self.cluster,
             leadership=self.leadership,
@@ -32,6 +35,7 @@
             watch_manager=self.watch_manager,
             pools=SimpleNamespace(pools={}),
             incarnation=Incarnation(1),
+            eras=self.eras,
             clock=clock,
             on_unregistered=lambda: None,
         )
@@ -121,3 +125,34 @@
     def test_vm_without_watches_uses_the_leader_s_lists(self):
         world = self.apply(has_working_watches=False, is_watched_here=False)
         assert "near" in world.cluster.endpoints
+
+
+class TestStoreReturn:
+    """Guards against a VM that follows a leader of an earlier era of the store."""
+
+    def test_leader_of_an_earlier_era_is_not_followed(self):
+        # Its lease would rest on this VM, which may see another leader by now.
+        world = World(ManualClock())
+        world.eras.record(StoreEra(5), known_when_sent=None)
+        world.clock.advance(5.0)
+        before_s = world.leadership.leader_contact_at_s
+        update = world.update(is_leader=True, era=StoreEra(4))
+        assert not world.follower.apply_update(update)
+        assert not world.follower.has_valid_leader
+        assert world.leadership.leader_contact_at_s == before_s
+        assert world.follower.report().acknowledged_at_s is None
+
+    def test_leader_of_the_same_era_is_followed(self):
+        world = World(ManualClock())
+        world.eras.record(StoreEra(5), known_when_sent=None)
+        assert world.follower.apply_update(
+            world.update(is_leader=True, era=StoreEra(5))
+        )
+        assert world.follower.report().era == 5
+
+    def test_vm_without_the_store_learns_of_the_return(self):
+        # Guards against a VM that follows a paused former leader for good.
+        world = World(ManualClock())
+        update = world.update(is_leader=True, era=StoreEra(6))
+        assert world.follower.apply_update(update)
+        assert world.eras.known == 6
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -21,8 +21,9 @@
 from ebonyladder.sessions.fleet.leadership import Leadership
 from ebonyladder.sessions.fleet.shares import EQUAL_FRACTION
 from ebonyladder.sessions.messages import Report
-from ebonyladder.sessions.objects import Revision
+from ebonyladder.sessions.objects import Revision, StoreEra
 from ebonyladder.sessions.quota import PermitAllocator, Tolerance
+from ebonyladder.sessions.store_era import StoreEraTracker, era_start
 from ebonyladder.sessions.watch_manager import WatchManager
 from ebonyladder.types import (
     Address,
@@ -34,7 +35,14 @@
     VmId,
     ZoneId,
 )
-from tests.session_fakes import ORGANISATION, SERVICE, cluster, entry, position
+from tests.session_fakes import (
+    ORGANISATION,
+    SERVICE,
+    CountingMetrics,
+    cluster,
+    entry,
+    position,
+)
 
 ADDRESS = Address("127.0.0.1:1")
 OTHER = VmId("vm-2")
@@ -68,6 +76,7 @@
             vm=VmId("vm-1"), incarnation=Incarnation(1), clock=self.clock
         )
         self.vms = {name: vm(name) for name in (VmId("vm-1"), OTHER)}
+        self.eras = StoreEraTracker(metrics=CountingMetrics())
         self.leader = Leader(
             cluster=self.cluster,
             leadership=self.leadership,
@@ -75,6 +84,7 @@
             allocator=PermitAllocator(clock=self.clock, tolerance=Tolerance()),
             watch_manager=WatchManager(supervise=lambda run, name: None),
             vms=lambda: self.vms,
+            eras=self.eras,
             clock=self.clock,
         )
 
@@ -347,3 +357,38 @@
         detector.record_attempt(SERVICE, is_replaced=True)
         pause_s = detector.next_attempt_at_s[SERVICE] - world.clock.now_s()
         assert pause_s == pytest.approx(expected)
+
+
+class TestStoreReturn:
+    """Guards against a leader that goes on in an earlier era of the store."""
+
+    @staticmethod
+    def world() -> World:
+        """Return a leader that knows era 5."""
+        world = World()
+        world.eras.record(StoreEra(5), known_when_sent=None)
+        world.lead()
+        return world
+
+    @pytest.mark.parametrize(("era", "counts"), [(None, False), (4, False), (5, True)])
+    def test_only_acknowledgements_of_the_era_prove_the_lease(self, era, counts):
+        # Guards against two leaders: a VM of another era may take over.
+        world = self.world()
+        world.leader.answer(report(era=era, acknowledged_at_s=3.0))
+        assert (OTHER in world.leadership.acknowledged_at_s) is counts
+
+    def test_leader_learns_of_the_return_from_a_report(self):
+        # Guards against a leader without the store that is replaced unnoticed.
+        world = self.world()
+        begun = []
+        world.eras.listeners.append(lambda: begun.append(world.eras.known))
+        answer = world.leader.answer(report(era=StoreEra(6), acknowledged_at_s=3.0))
+        assert begun == [6]
+        assert answer.era == 6
+
+    def test_leader_that_may_resume_still_grants_permits(self):
+        # Guards against callers that are refused while the leader writes its record.
+        world = self.world()
+        world.leadership.record_era(era_start(StoreEra(6)), lease_remaining_s=2.0)
+        assert world.leader.fencing_token is None
+        assert world.leader.grants_permits
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -4,6 +4,7 @@
 
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.sessions.fleet.leadership import (
+    ERA_TAKEOVER_DELAY_S,
     LEADER_LEASE_S,
     LEASE_RENEWAL_INTERVAL_S,
     SMALL_VM_CORES,
@@ -14,6 +15,7 @@
     LeadershipState,
 )
 from ebonyladder.sessions.objects import Revision
+from ebonyladder.sessions.store_era import era_start
 from ebonyladder.types import Address, Incarnation, VmId
 
 ONE, TWO = VmId("vm-1"), VmId("vm-2")
@@ -236,3 +238,115 @@
         found.apply_record(older, Revision(9))
         assert found.record is None
         assert found.next_record(ADDRESS).token > 1
+
+
+class TestStoreReturn:
+    """Guards against leaders that rely on what the store has lost."""
+
+    LATER = era_start(2)
+
+    @staticmethod
+    def later_revision(number: int) -> Revision:
+        """Return a revision of the later era."""
+        return Revision(era_start(2) + number)
+
+    def test_restored_record_does_not_name_a_leader(self):
+        # review/7: the VM that the restored record names led by it beside its
+        # successor, whose record the store had lost.
+        found = leader(ManualClock())
+        restored = found.record
+        found.record_era(self.LATER, lease_remaining_s=0.0)
+        found.apply_record(restored, self.later_revision(1))
+        assert found.state(FLEET) is LeadershipState.FOLLOWER
+        assert not found.may_take_over()
+
+    def test_restarted_holder_of_a_restored_record_does_not_take_over_at_once(self):
+        # review/7: it promoted with a lower token than its successor had.
+        clock = ManualClock()
+        found = Leadership(vm=ONE, incarnation=Incarnation(2), clock=clock)
+        found.record_era(self.LATER, lease_remaining_s=0.0)
+        found.apply_record(leader(ManualClock()).record, self.later_revision(1))
+        clock.advance(ERA_TAKEOVER_DELAY_S - 0.1)
+        assert not found.may_take_over()
+        clock.advance(0.2)
+        assert found.may_take_over()
+
+    def test_missing_record_is_not_taken_over_at_once(self):
+        # The copy may be older than the first leader, which leads until it learns of
+        # the return.
+        clock = ManualClock()
+        found = leadership(clock, TWO)
+        found.record_era(self.LATER, lease_remaining_s=0.0)
+        found.apply_record(None, Revision(0))
+        assert not found.may_take_over()
+        clock.advance(ERA_TAKEOVER_DELAY_S + 0.1)
+        assert found.may_take_over()
+
+    def test_token_is_above_those_of_earlier_eras_without_memory_of_them(self):
+        # Guards against a lower token from a new VM, which can't know of the tokens
+        # that the store has lost.
+        found = leadership(ManualClock(), TWO)
+        found.record_era(self.LATER, lease_remaining_s=0.0)
+        record = found.next_record(ADDRESS, store_revision=Revision(3))
+        assert record.token > era_start(1) + 2**39
+        assert record.token > self.LATER
+
+    def test_leader_of_the_later_era_is_followed_at_a_lower_number(self):
+        # Guards against records that are ignored for good, since those of before the
+        # return had higher revisions.
+        clock = ManualClock()
+        found = leadership(clock, TWO)
+        found.apply_record(leader(clock).record, Revision(500))
+        found.record_era(self.LATER, lease_remaining_s=0.0)
+        record = LeaderRecord(
+            holder=ONE,
+            incarnation=Incarnation(1),
+            address=ADDRESS,
+            token=self.LATER + 4,
+        )
+        found.apply_record(record, self.later_revision(4))
+        assert found.record is record
+        assert not found.may_take_over()
+
+    def test_leader_resumes_only_while_its_lease_lasts(self):
+        # Guards against two leaders: after that time another VM may take over.
+        clock = ManualClock()
+        found = leader(clock)
+        found.record_era(self.LATER, lease_remaining_s=LEADER_LEASE_S)
+        assert found.is_resumable
+        assert found.may_take_over()
+        assert found.state(FLEET) is LeadershipState.FOLLOWER
+        clock.advance(LEADER_LEASE_S)
+        assert not found.is_resumable
+        assert not found.may_take_over()
+
+    def test_resumed_leader_leads_by_a_new_record(self):
+        clock = ManualClock()
+        found = leader(clock)
+        found.record_era(self.LATER, lease_remaining_s=LEADER_LEASE_S)
+        record = found.next_record(ADDRESS)
+        found.record_renewal(
+            record, self.later_revision(2), clock.now_s(), is_resumed=True
+        )
+        assert found.state(FLEET) is LeadershipState.LEADER
+        assert found.has_resumed
+        found.record_era(era_start(3), lease_remaining_s=0.0)
+        assert not found.has_resumed
+
+    def test_leader_that_ends_its_leadership_does_not_resume(self):
+        found = leader(ManualClock())
+        found.is_releasing = True
+        found.record_era(self.LATER, lease_remaining_s=LEADER_LEASE_S)
+        assert not found.is_resumable
+
+    def test_acknowledgements_of_an_earlier_era_prove_no_lease(self):
+        # Guards against a lease that rests on VMs which follow another leader by now.
+        clock = ManualClock()
+        found = leader(clock)
+        found.record_acknowledgement(TWO, clock.now_s() + 60.0)
+        found.record_era(self.LATER, lease_remaining_s=0.0)
+        found.record_renewal(
+            found.next_record(ADDRESS), self.later_revision(2), clock.now_s()
+        )
+        clock.advance(LEADER_LEASE_S + 0.1)
+        assert found.state(FLEET) is LeadershipState.LEASE_EXPIRED
