Restore the group states when the store comes back from an older copy

Cause: a leader and a VM that starts took the group states in the store for the latest. Those of a copy name a primary that has been replaced since, and states that the next leader stores stay hidden from VMs that know a higher epoch.

Epochs now begin above the start of the era. The first leader of an era writes the state of every service again before it acts: its own memory if it has led without a break, otherwise what the endpoints show, which is the primary of the newest term once every log holder has answered. A flag in the leader record says that this is done. Until then no VM confirms group states from the store by itself, so it serves no primary route on a state of the copy. A group state that the store has lost is created again instead of being replaced at a lost revision for good.

--- a/src/ebonyladder/sessions/cluster_view.py
+++ b/src/ebonyladder/sessions/cluster_view.py
@@ -178,6 +178,8 @@
         # Time at which each leaving endpoint was first seen as leaving.
         self.leaving_since_s: dict[EndpointProcess, float] = {}
         self.groups: dict[ServiceId, GroupState] = {}
+        # Number below the epochs of the store's present era.
+        self.era_start = 0
         # Last commit of each service that was acknowledged to a caller of this VM.
         self.acknowledged: dict[ServiceId, AcknowledgedRange] = {}
         # Newest position of each endpoint's log that this VM has seen.
@@ -218,6 +220,24 @@
         self.notify()
         return True
 
+    def record_era(self, era_start: int) -> None:
+        """Record the start of the store's present era."""
+        self.era_start = era_start
+
+    def next_epoch(self, service: ServiceId) -> int:
+        """Return the epoch of the next group state of a service.
+
+        It is above those of all earlier eras, also of states that the store has lost
+        and that this VM doesn't know.
+        """
+        known = self.groups.get(service)
+        return max(self.era_start, known.epoch if known else 0) + 1
+
+    def is_restored(self, service: ServiceId) -> bool:
+        """Tell whether the known group state was written in the present era."""
+        known = self.groups.get(service)
+        return known is not None and known.epoch > self.era_start
+
     def apply_endpoints(
         self,
         entries: dict[EndpointId, EndpointEntry],
--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -227,13 +227,15 @@
         if known is not None:
             attempt.earlier_successor = known.successor
             moving = msgspec.structs.replace(
-                known, epoch=known.epoch + 1, phase=GroupPhase.MOVING
+                known,
+                epoch=self.cluster.next_epoch(attempt.service),
+                phase=GroupPhase.MOVING,
             )
         else:
             former = attempt.by_process.get(attempt.primary)
             moving = GroupState(
                 service=attempt.service,
-                epoch=1,
+                epoch=self.cluster.next_epoch(attempt.service),
                 phase=GroupPhase.MOVING,
                 primary=UNKNOWN_PRIMARY if former is None else former.id,
             )
--- a/src/ebonyladder/sessions/fleet/group_store.py
+++ b/src/ebonyladder/sessions/fleet/group_store.py
@@ -10,6 +10,7 @@
 from ebonyladder.kernel.error import ErrorCode, Outcome, StoreError
 from ebonyladder.kernel.step import Step
 from ebonyladder.sessions.cluster_view import ClusterView, GroupState
+from ebonyladder.sessions.fleet.leadership import Leadership
 from ebonyladder.sessions.fleet.watchers import GroupWatcher
 from ebonyladder.sessions.objects import GROUPS, ObjectStore
 from ebonyladder.sessions.watch_manager import WatchManager
@@ -78,7 +79,7 @@
             found = await self.store.get(GROUPS, group.service)
             # A retry conflicts with an earlier attempt whose answer was lost.
             if found is None or found.content != content:
-                self.watcher.apply_object(found)
+                self.watcher.apply_object(group.service, found)
                 raise
         self.watcher.objects[group.service] = found
         self.cluster.apply_group(group)
@@ -92,12 +93,15 @@
                 logging.WARNING, "[fleet] Groups could not be read. error=%s", 5, error
             )
             return False
-        for found in list_result.objects:
-            self.watcher.apply_object(found)
+        self.watcher.apply_list(list_result)
         return True
 
     async def refresh(
-        self, *, watch_manager: WatchManager, is_registered: Callable[[], Awaitable]
+        self,
+        *,
+        watch_manager: WatchManager,
+        leadership: Leadership,
+        is_registered: Callable[[], Awaitable],
     ) -> None:
         """Confirm the group states from the store while no leader confirms them.
 
@@ -105,6 +109,8 @@
         ----------
         watch_manager : WatchManager
             Tells whether this VM still looks for its first leader.
+        leadership : Leadership
+            Tells whether the store has the latest group states.
         is_registered : callable
             Tells whether a failover would wait for this VM.
         """
@@ -116,6 +122,12 @@
             )
             if is_recent or not watch_manager.is_decided:
                 continue
-            if await is_registered() and await self.read_all():
+            if (
+                leadership.may_trust_groups
+                and await is_registered()
+                and await self.read_all()
+                # The store may have come back from an older copy meanwhile.
+                and leadership.may_trust_groups
+            ):
                 self.cluster.record_groups_confirmed(sent_at_s)
             await asyncio.sleep(GROUP_STATE_REFRESH_S / 4)
--- a/src/ebonyladder/sessions/fleet/leadership.py
+++ b/src/ebonyladder/sessions/fleet/leadership.py
@@ -53,6 +53,9 @@
         Grows with each renewal of the same holder.
     is_released : bool
         Whether the holder has released the leadership.
+    has_restored_groups : bool
+        Whether a leader of the store's present era has written all group states, so
+        that VMs may rely on those in the store.
     """
 
     holder: VmId
@@ -61,6 +64,7 @@
     token: int
     renewals: int = 0
     is_released: bool = False
+    has_restored_groups: bool = False
 
 
 class LeadershipState(Enum):
@@ -121,6 +125,7 @@
         self.resumable_until_s = float("-inf")
         # Whether this VM has led without a break since before the present era.
         self.has_resumed = False
+        self.has_restored_groups = False
 
     def record_era(self, era_start: int, *, lease_remaining_s: float) -> None:
         """Record that a later era of the store has begun.
@@ -140,6 +145,7 @@
         self.era_known_at_s = now_s
         self.resumable_until_s = now_s + lease_remaining_s
         self.has_resumed = False
+        self.has_restored_groups = False
         self.record = None
         self.is_unreadable = False
         self.renewed_at_s = float("-inf")
@@ -154,6 +160,15 @@
             and self.clock.now_s() < self.resumable_until_s
         )
 
+    @property
+    def may_trust_groups(self) -> bool:
+        """Whether the group states in the store are the latest ones.
+
+        After the store has come back from an older copy they may name a former primary
+        until a leader of the present era has written them again.
+        """
+        return not self.era_start or self.has_restored_groups
+
     def apply_record(self, record: LeaderRecord | None, revision: Revision) -> None:
         """Apply the record that was read from the store."""
         if revision == self.revision and record is not None:
@@ -214,6 +229,7 @@
         self.is_unreadable = False
         if record is not None:
             self.highest_token = record.token
+            self.has_restored_groups |= record.has_restored_groups
         self.revision = revision
         self.record_changed_at_s = self.clock.now_s()
 
@@ -275,6 +291,8 @@
             return False
         if now_s - self.renewal_attempt_at_s < RENEWAL_RETRY_INTERVAL_S:
             return False
+        if self.has_restored_groups and not self.record.has_restored_groups:
+            return True
         if now_s - self.renewed_at_s < LEASE_RENEWAL_INTERVAL_S:
             return False
         never_s = float("-inf")
@@ -325,6 +343,7 @@
             return msgspec.structs.replace(
                 self.record,
                 renewals=self.record.renewals + 1,
+                has_restored_groups=self.has_restored_groups,
             )
         return LeaderRecord(
             holder=self.vm,
@@ -332,4 +351,5 @@
             address=address,
             token=max(self.highest_token, self.revision, store_revision, self.era_start)
             + 1,
+            has_restored_groups=self.has_restored_groups,
         )
--- a/src/ebonyladder/sessions/fleet/watchers.py
+++ b/src/ebonyladder/sessions/fleet/watchers.py
@@ -9,7 +9,13 @@
     VmEntry,
     zone_sizes,
 )
-from ebonyladder.sessions.objects import GROUPS, VMS, ObjectStore, StoreObject
+from ebonyladder.sessions.objects import (
+    GROUPS,
+    VMS,
+    ListResult,
+    ObjectStore,
+    StoreObject,
+)
 from ebonyladder.sessions.watcher import KindWatcher, convert_content
 from ebonyladder.types import VmId
 
@@ -31,12 +37,24 @@
             if group is not None:
                 self.cluster.apply_group(group)
 
-    def apply_object(self, found: StoreObject | None) -> None:
-        """Apply one object that was read outside of the watch."""
-        if found is not None:
-            self.objects[found.name] = found
+    def apply_object(self, name: str, found: StoreObject | None) -> None:
+        """Apply one object that was read outside of the watch, None if it is gone."""
+        if found is None:
+            self.objects.pop(name, None)
+        else:
+            self.objects[name] = found
             self.apply(self.objects)
 
+    def apply_list(self, result: ListResult) -> None:
+        """Apply a list that was read outside of the watch, which may be ahead of it."""
+        listed = {found.name: found for found in result.objects}
+        self.objects = listed | {
+            name: known
+            for name, known in self.objects.items()
+            if known.revision > result.as_of
+        }
+        self.apply(self.objects)
+
 
 class VmWatcher(KindWatcher):
     """Keeps the list of registered VMs.
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -23,6 +23,7 @@
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
 from ebonyladder.sessions.fleet.failure_detector import FailureDetector
 from ebonyladder.sessions.fleet.follower import Follower
+from ebonyladder.sessions.fleet.group_restorer import GroupRestorer
 from ebonyladder.sessions.fleet.group_store import GroupStore
 from ebonyladder.sessions.fleet.leader import Leader
 from ebonyladder.sessions.fleet.leader_record import LeaderRecordStore
@@ -122,6 +123,13 @@
             connector=self.kernel.get(EndpointConnector),
             clock=clock,
         )
+        self.group_restorer = GroupRestorer(
+            cluster=self.cluster,
+            leadership=self.leadership,
+            group_store=self.group_store,
+            log_holders=self.log_holder_keeper,
+            connector=self.kernel.get(EndpointConnector),
+        )
         self.leader_record = LeaderRecordStore(
             store=self.store,
             leadership=self.leadership,
@@ -188,6 +196,7 @@
         refresh_groups = partial(
             self.group_store.refresh,
             watch_manager=self.watch_manager,
+            leadership=self.leadership,
             is_registered=self.registration.check,
         )
         sample_primaries = partial(
@@ -310,11 +319,15 @@
             await self.leader.serve(connection)
 
     def _record_era(self) -> None:
-        """Apply that the store has come back from an older copy."""
+        """Apply that the store has come back from an older copy.
+
+        What it has lost is kept from this VM's memory until it is written again.
+        """
         era_start = self.eras.era_start
-        if era_start == self.leadership.era_start:
+        if era_start == self.cluster.era_start:
             return
         is_leading = self.leader.fencing_token is not None
+        self.cluster.record_era(era_start)
         self.leadership.record_era(
             era_start,
             lease_remaining_s=self.lease_remaining_s() if is_leading else 0.0,
@@ -398,9 +411,13 @@
         is_read = await asyncio.gather(
             self.log_holder_keeper.load(), self.group_store.read_all()
         )
-        if all(is_read):
-            self.leader.record_groups_loaded(token)
-            logging.info("[fleet] Groups are read by the new leader. token=%d", token)
+        if not all(is_read):
+            return
+        has_list = self.leader.has_store
+        if not await self.group_restorer.restore(has_current_list=has_list):
+            return
+        self.leader.record_groups_loaded(token)
+        logging.info("[fleet] Groups are read by the new leader. token=%d", token)
 
     async def _wait_for_requests(self) -> None:
         try:
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -350,3 +350,45 @@
         )
         clock.advance(LEADER_LEASE_S + 0.1)
         assert found.state(FLEET) is LeadershipState.LEASE_EXPIRED
+
+
+class TestRestoredGroups:
+    """Guards against group states of the copy that are taken for the latest."""
+
+    def test_states_are_trusted_once_a_leader_has_restored_them(self):
+        clock = ManualClock()
+        first, second = leader(clock), leadership(clock, TWO)
+        assert first.may_trust_groups and second.may_trust_groups
+        for found in (first, second):
+            found.record_era(era_start(2), lease_remaining_s=0.0)
+        first.record_renewal(
+            first.next_record(ADDRESS), Revision(era_start(2) + 2), clock.now_s()
+        )
+        second.apply_record(first.record, Revision(era_start(2) + 2))
+        assert not first.may_trust_groups and not second.may_trust_groups
+        first.has_restored_groups = True
+        assert first.needs_renewal(FLEET)
+        record = first.next_record(ADDRESS)
+        second.apply_record(record, Revision(era_start(2) + 3))
+        assert second.may_trust_groups
+
+    def test_next_leader_of_the_era_need_not_restore_them_again(self):
+        clock = ManualClock()
+        found = leadership(clock, TWO)
+        found.record_era(era_start(2), lease_remaining_s=0.0)
+        record = LeaderRecord(
+            holder=ONE,
+            incarnation=Incarnation(1),
+            address=ADDRESS,
+            token=era_start(2) + 4,
+            has_restored_groups=True,
+        )
+        found.apply_record(record, Revision(era_start(2) + 4))
+        assert found.next_record(ADDRESS).has_restored_groups
+
+    def test_later_return_undoes_it(self):
+        found = leadership(ManualClock())
+        found.record_era(era_start(2), lease_remaining_s=0.0)
+        found.has_restored_groups = True
+        found.record_era(era_start(3), lease_remaining_s=0.0)
+        assert not found.may_trust_groups
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -108,3 +108,49 @@
             await world.replace_primary()
 
         assert return_findings(scenario, tmp_path) == []
+
+
+class TestPrimaryAfterReturn:
+    """Guards against a primary that the copy names and that was replaced since."""
+
+    def test_former_primary_does_not_serve_primary_routes(self, tmp_path):
+        # review/9: the leader was killed after the return and counted the restored
+        # group state's primary, a replica by then, as the primary.
+        async def scenario(world: ReturnWorld) -> None:
+            older = await world.copy_after_failover()
+            former = await world.replace_primary_and_block()
+            await world.come_back(older)
+            await world.kill(await world.leader())
+            await asyncio.sleep(READ_TIME_S)
+            former.is_replication_blocked = False
+
+        assert return_findings(scenario, tmp_path) == []
+
+    def test_vms_that_are_all_new_find_the_primary(self, tmp_path):
+        # No VM knows any state of the earlier era; only the databases show it.
+        async def scenario(world: ReturnWorld) -> None:
+            older = await world.copy_after_failover()
+            former = await world.replace_primary_and_block()
+            for vm in world.fleet.vms:
+                vm.send(signal.SIGKILL)
+            await world.come_back(older)
+            await world.kill(*world.fleet.vms)
+            await asyncio.sleep(READ_TIME_S)
+            await world.until_served()
+            former.is_replication_blocked = False
+
+        assert return_findings(scenario, tmp_path) == []
+
+    def test_two_returns_around_a_failover(self, tmp_path):
+        # A second return undoes what was restored after the first one.
+        async def scenario(world: ReturnWorld) -> None:
+            older = await world.copy_after_failover()
+            await world.replace_primary()
+            await world.come_back(older)
+            later = world.store.take_copy()
+            await world.kill(await world.leader())
+            await world.come_back(later)
+            await world.replace_primary()
+            await world.come_back(later)
+
+        assert return_findings(scenario, tmp_path) == []
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -4,12 +4,17 @@
 import random
 from typing import Any
 
+import msgspec
 import pytest
 
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.kernel.error import ErrorCode, StoreError
 from ebonyladder.kernel.step import Step
-from ebonyladder.sessions.fleet.watchers import VmWatcher
+from ebonyladder.sessions.cluster_view import GroupPhase, GroupState
+from ebonyladder.sessions.fleet.watchers import (
+    GroupWatcher,
+    VmWatcher,
+)
 from ebonyladder.sessions.objects import (
     Changes,
     Kind,
@@ -20,8 +25,9 @@
 )
 from ebonyladder.sessions.watch_manager import WatchManager
 from ebonyladder.sessions.watcher import MAX_BACKOFF_S, backoff_s
+from ebonyladder.types import EndpointId
 from tests.fleet import run_virtual
-from tests.session_fakes import cluster
+from tests.session_fakes import SERVICE, cluster
 
 
 class CountingStore(ObjectStore):
@@ -185,3 +191,37 @@
     def test_backoff_is_bounded(self):
         # Guards against a change that becomes active too late after an outage.
         assert all(backoff_s(n) <= MAX_BACKOFF_S for n in range(1, 100))
+
+
+class TestGroupsAfterReturn:
+    """Guards against revisions that no longer belong to a state."""
+
+    @staticmethod
+    def stored(revision: int) -> StoreObject:
+        """Return a state as stored."""
+        group = GroupState(
+            service=SERVICE,
+            epoch=revision,
+            phase=GroupPhase.STABLE,
+            primary=EndpointId("primary"),
+        )
+        return StoreObject(
+            name=SERVICE,
+            revision=Revision(revision),
+            content=msgspec.to_builtins(group),
+        )
+
+    @pytest.mark.parametrize(("known", "is_kept"), [(3, False), (9, True)])
+    def test_state_that_the_store_lost_is_created_again(self, clock, known, is_kept):
+        # A conditional write on the lost revision would conflict for good. A state
+        # that this VM wrote after the list was made stays.
+        watcher = GroupWatcher(store=None, cluster=cluster(clock))
+        watcher.apply_object(SERVICE, self.stored(known))
+        watcher.apply_list(ListResult(objects=(), as_of=Revision(5)))
+        assert (SERVICE in watcher.objects) is is_kept
+
+    def test_missing_object_is_forgotten(self, clock):
+        watcher = GroupWatcher(store=None, cluster=cluster(clock))
+        watcher.apply_object(SERVICE, self.stored(3))
+        watcher.apply_object(SERVICE, None)
+        assert SERVICE not in watcher.objects
