Ask the endpoints who led last after the store has lost group states

Cause: a failover takes the final position of the last endpoint that led, and the group state of the copy names an earlier one. Where the endpoints didn't show which of them led last, the restored state was used all the same. The list of log holders dropped what the copy lacks, as if another leader had dropped it, and failovers didn't wait for VMs that had registered after the copy was made.

A state that the endpoints don't show is now stored as MOVING and incomplete. Its failover uses the primary of the newest term if all log holders answer. One silent holder is treated as the last leader: every commit that it has acknowledged was received by another one, and all of these are paused and read. With more silent holders the service waits. Holders are dropped only by what a leader of the same era has stored, listed endpoints become holders before the list of the copy is read, and VMs that the copy lacks count for 6 s or until they are evicted.

--- a/src/ebonyladder/sessions/cluster_view.py
+++ b/src/ebonyladder/sessions/cluster_view.py
@@ -105,6 +105,9 @@
     inherited : Position or None
         Last position in the primary's log when it was promoted. Commits of earlier
         terms after this position are not in its log. None if it isn't known.
+    is_incomplete : bool
+        Whether the store has lost what came before, while MOVING: another endpoint may
+        have been promoted, so the endpoints themselves must show which one led last.
     """
 
     service: ServiceId
@@ -114,6 +117,7 @@
     term: Term = Term(0)
     successor: EndpointProcess | None = None
     inherited: Position | None = None
+    is_incomplete: bool = False
 
 
 class AcknowledgedRange(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/ebonyladder/sessions/failover.py
+++ b/src/ebonyladder/sessions/failover.py
@@ -36,6 +36,7 @@
     aborted,
 )
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
+from ebonyladder.sessions.lead_evidence import find_last_leader
 from ebonyladder.sessions.successor import SuccessorChooser
 from ebonyladder.types import (
     EndpointId,
@@ -137,7 +138,7 @@
             holders=holders,
         )
         await control.probe(holders.latest)
-        attempt.primary = self._former_primary(attempt)
+        attempt.find_former_primary(self.cluster.groups.get(service))
         if not self._is_needed(cause, attempt):
             logging.info(
                 "[failover] Primary is kept. service=%s cause=%s", service, cause.value
@@ -153,7 +154,7 @@
         if not control.endpoints:
             raise aborted(service, "no endpoint can take over")
         moving = await self._begin(attempt, cause)
-        attempt.primary = self._former_primary(attempt)
+        attempt.find_former_primary(self.cluster.groups.get(service))
         if attempt.earlier_successor is None and not self._is_needed(cause, attempt):
             logging.info("[failover] Primary answers again. service=%s", service)
             await self._give_up(attempt, moving)
@@ -288,6 +289,14 @@
         Either an interrupted failover has promoted it, or it is the former primary,
         which came back with its log under another id at the same address.
         """
+        if moving.is_incomplete and attempt.earlier_successor is None:
+            members = self.cluster.members(attempt.service)
+            return find_last_leader(
+                attempt.control,
+                attempt.holders,
+                min_term=moving.term,
+                listed={entry.process for entry in members},
+            )
         former = attempt.by_process.get(attempt.primary)
         may_have_come_back = (
             former is not None
@@ -330,25 +339,6 @@
             )
         attempt.primary = successor
 
-    def _former_primary(self, attempt: FailoverAttempt) -> EndpointProcess | None:
-        """Return the process of the former primary.
-
-        An endpoint that was started again is the former primary only if it still has
-        its role, since a new process knows nothing of the log.
-        """
-        group = self.cluster.groups.get(attempt.service)
-        if group is not None:
-            entries = [e for e in attempt.holders.endpoints if e.id == group.primary]
-        else:
-            entries = [e for e in attempt.holders.endpoints if e.role is Role.PRIMARY]
-        entries.sort(key=lambda e: e.process_started_at_ms)
-        if not entries:
-            return None
-        newest = attempt.control.endpoints.get(entries[-1].process)
-        if newest is not None and newest.status.role is Role.PRIMARY:
-            return newest.entry.process
-        return entries[0].process
-
     def _is_needed(self, cause: FailoverCause, attempt: FailoverAttempt) -> bool:
         """Return whether the primary must be replaced; False if it is only slow."""
         probes = attempt.control.endpoints
@@ -464,6 +454,7 @@
             primary=primary.id,
             term=term,
             successor=None,
+            is_incomplete=False,
         )
         while True:
             try:
--- a/src/ebonyladder/sessions/failover_attempt.py
+++ b/src/ebonyladder/sessions/failover_attempt.py
@@ -2,13 +2,15 @@
 
 from ebonyladder.kernel.error import EbonyladderError, ErrorCode
 from ebonyladder.kernel.step import Step
-from ebonyladder.sessions.cluster_view import EndpointEntry
+from ebonyladder.sessions.cluster_view import EndpointEntry, GroupState
 from ebonyladder.sessions.endpoint_control import EndpointControl
+from ebonyladder.sessions.lead_evidence import find_silent_leader
 from ebonyladder.sessions.log_holders import LogHolders
 from ebonyladder.types import (
     EndpointProcess,
     EndpointState,
     Position,
+    Role,
     ServiceId,
     Term,
 )
@@ -103,6 +105,37 @@
             or (entry.state is EndpointState.LEAVING and entry.process in ended)
         )
 
+    def find_former_primary(self, group: GroupState | None) -> None:
+        """Find the process of the former primary.
+
+        An endpoint that was started again is the former primary only if it still has
+        its role, since a new process knows nothing of the log.
+
+        Parameters
+        ----------
+        group : GroupState or None
+            Last known group state of the service.
+        """
+        if group is not None and group.is_incomplete:
+            self.primary = find_silent_leader(self.control, self.holders)
+            return
+        entries = [
+            entry
+            for entry in self.holders.endpoints
+            if (
+                entry.role is Role.PRIMARY
+                if group is None
+                else entry.id == group.primary
+            )
+        ]
+        entries.sort(key=lambda e: e.process_started_at_ms)
+        if not entries:
+            self.primary = None
+            return
+        newest = self.control.endpoints.get(entries[-1].process)
+        leads = newest is not None and newest.status.role is Role.PRIMARY
+        self.primary = (newest.entry if leads else entries[0]).process
+
     @property
     def has_stepped_down(self) -> bool:
         """Whether the survey rests on a step-down of the former primary."""
--- a/src/ebonyladder/sessions/fleet/group_barrier.py
+++ b/src/ebonyladder/sessions/fleet/group_barrier.py
@@ -19,9 +19,6 @@
 
 # Longest interval between checks of the VMs that a barrier waits for, in seconds.
 BARRIER_POLL_INTERVAL_S = 0.2
-# A VM that has not reported for this long is removed from the list, in seconds. A
-# failover waits for the VMs of the list.
-VM_REPORT_TIMEOUT_S = 6.0
 # VMs of which the line about a barrier names the last commit.
 MAX_LOGGED_VMS = 4
 NO_POSITION = Position(term=Term(0), position=LogPosition(0))
--- a/src/ebonyladder/sessions/fleet/group_restorer.py
+++ b/src/ebonyladder/sessions/fleet/group_restorer.py
@@ -132,7 +132,7 @@
     async def _ask_endpoints(
         self, service: ServiceId, known: GroupState | None
     ) -> GroupState:
-        """Return the state that the endpoints show, the known one if they show none."""
+        """Return the state that the endpoints show, MOVING if they don't show it."""
         holders = self.log_holders.current(service)
         term = Term(0) if known is None else known.term
         successor = None if known is None else known.successor
@@ -156,11 +156,14 @@
             answers,
         )
         if not is_known:
-            return known or GroupState(
+            return GroupState(
                 service=service,
                 epoch=0,
                 phase=GroupPhase.MOVING,
                 primary=UNKNOWN_PRIMARY,
+                term=term,
+                successor=successor,
+                is_incomplete=True,
             )
         is_same = known is not None and (known.primary, known.term) == (
             found.entry.id,
--- a/src/ebonyladder/sessions/fleet/leader.py
+++ b/src/ebonyladder/sessions/fleet/leader.py
@@ -18,11 +18,12 @@
     zone_sizes,
 )
 from ebonyladder.sessions.fleet.failure_detector import FailureDetector
-from ebonyladder.sessions.fleet.group_barrier import VM_REPORT_TIMEOUT_S, GroupBarrier
+from ebonyladder.sessions.fleet.group_barrier import GroupBarrier
 from ebonyladder.sessions.fleet.leadership import Leadership, LeadershipState
 from ebonyladder.sessions.fleet.shares import RateShares
 from ebonyladder.sessions.fleet.standbys import choose_standbys
 from ebonyladder.sessions.fleet.store_relays import StoreRelays
+from ebonyladder.sessions.fleet.watchers import VM_REPORT_TIMEOUT_S
 from ebonyladder.sessions.messages import (
     SMALL_LEVEL,
     ClusterSnapshot,
--- a/src/ebonyladder/sessions/fleet/log_holder_keeper.py
+++ b/src/ebonyladder/sessions/fleet/log_holder_keeper.py
@@ -98,8 +98,21 @@
             return False
         for stored in found.objects:
             self._apply(stored)
+        for service in self.recorded.keys() - {stored.name for stored in found.objects}:
+            # The store has lost them, so they are stored again.
+            self.recorded.pop(service)
+            self.objects.pop(service, None)
         return True
 
+    def record_return(self) -> None:
+        """Keep the listed endpoints as holders before the list is read again.
+
+        A store that has come back from an older copy lacks what joined since, until it
+        registers again; one that has ended meanwhile never does.
+        """
+        for service in {entry.service for entry in self.cluster.endpoints.values()}:
+            self.current(service)
+
     def current(self, service: ServiceId) -> LogHolders:
         """Return the holders that are known or listed."""
         return self.record_listed(service, self.cluster.members(service))
@@ -298,6 +311,7 @@
                 stored = await self.store.get(LOG_HOLDERS, holders.service)
                 if stored is None:
                     self.objects.pop(holders.service, None)
+                    self.recorded.pop(holders.service, None)
                 else:
                     self._apply(stored)
             raise
@@ -309,6 +323,7 @@
 
         Its revision is kept, so that the next update replaces it.
         """
+        former = self.objects.get(ServiceId(stored.name))
         self.objects[ServiceId(stored.name)] = stored
         holders = convert_content(stored, LogHolders)
         if holders is None:
@@ -319,7 +334,11 @@
             self.ended.setdefault(process, EndEvidence.STORED)
         known = self.record_listed(holders.service, holders.endpoints)
         before = self.recorded.get(holders.service, holders)
-        # What another leader has dropped since then had ended.
-        dropped = before.departed(holders.endpoints)
+        is_later_era = former is not None and (
+            former.revision < self.cluster.era_start < stored.revision
+        )
+        # What another leader has dropped since then had ended. A copy lacks what was
+        # stored after it was taken.
+        dropped = [] if is_later_era else before.departed(holders.endpoints)
         self.known[holders.service] = known.without(dropped)
         self.recorded[holders.service] = holders
--- a/src/ebonyladder/sessions/fleet/watchers.py
+++ b/src/ebonyladder/sessions/fleet/watchers.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections.abc import Mapping
 
+from absl import logging
+
+from ebonyladder.kernel.error import StoreError
 from ebonyladder.sessions.cluster_view import (
     ClusterView,
     GroupState,
@@ -21,6 +24,9 @@
 
 # Interval at which a VM that doesn't lead lists the VMs, in seconds.
 LIST_INTERVAL_S = 5.0
+# A VM that has not reported for this long is removed from the list, in seconds. A
+# failover waits for the VMs of the list.
+VM_REPORT_TIMEOUT_S = 6.0
 
 
 class GroupWatcher(KindWatcher):
@@ -68,6 +74,9 @@
         super().__init__(store=store, kind=VMS)
         self.cluster = cluster
         self.entries: dict[VmId, VmEntry] = {}
+        # Entries that the store may have lost, and the time until which they count.
+        self.kept: dict[VmId, VmEntry] = {}
+        self.kept_until_s = float("-inf")
         self.is_watching = False
         self.watching_started = asyncio.Event()
 
@@ -83,6 +92,37 @@
         self.is_watching = False
         self.watching_started.clear()
 
+    def record_return(self) -> None:
+        """Keep the known entries for as long as a VM may take to register again.
+
+        A store that has come back from an older copy lacks the VMs that registered
+        since. Failovers and the lease must wait for these, and rates are divided among
+        them.
+        """
+        self.kept = dict(self.entries)
+        self.kept_until_s = self.cluster.clock.now_s() + VM_REPORT_TIMEOUT_S
+
+    async def evict(self, vm: VmId) -> bool:
+        """Remove a VM from the list; False if the store doesn't remove it."""
+        found = self.objects.get(vm)
+        # The store may have lost it, so that there is nothing to remove.
+        if found is not None:
+            try:
+                await self.store.delete(VMS, vm, found.revision)
+            except StoreError as error:
+                logging.info(
+                    "[fleet] VM could not be removed. vm=%s error=%s", vm, error
+                )
+                return False
+        logging.info("[fleet] VM is removed from the list. vm=%s", vm)
+        self._forget(vm)
+        return True
+
+    def _forget(self, vm: VmId) -> None:
+        self.kept.pop(vm, None)
+        self.objects.pop(vm, None)
+        self.apply(self.objects)
+
     async def _watch_changes(self, as_of: int) -> None:
         if self.is_watching:
             await super()._watch_changes(as_of)
@@ -99,7 +139,8 @@
         A VM whose entry became invalid keeps its last valid one, since failovers must
         still wait for it; it registers again once the leader has no entry of it.
         """
-        entries = {}
+        is_kept = self.cluster.clock.now_s() < self.kept_until_s
+        entries = dict(self.kept) if is_kept else {}
         for name, found in objects.items():
             entry = convert_content(found, VmEntry) or self.entries.get(VmId(name))
             if entry is not None:
--- a/src/ebonyladder/sessions/lead_evidence.py
+++ b/src/ebonyladder/sessions/lead_evidence.py
@@ -50,3 +50,17 @@
         if found.status.role is Role.PRIMARY and found.status.term == newest_term
     ]
     return leading[0] if len(leading) == 1 else None
+
+
+def find_silent_leader(
+    control: EndpointControl, holders: LogHolders
+) -> EndpointProcess | None:
+    """Return the only log holder that doesn't answer, None if there are more or none.
+
+    If no other one leads, it may have led last. Every commit that it has acknowledged
+    was received by one of the others.
+    """
+    silent = [
+        e.process for e in holders.endpoints if e.process not in control.endpoints
+    ]
+    return silent[0] if len(silent) == 1 else None
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -7,7 +7,6 @@
 from absl import logging
 from websockets.asyncio.server import Server, ServerConnection, serve
 
-from ebonyladder.kernel.error import StoreError
 from ebonyladder.kernel.kernel import Kernel
 from ebonyladder.kernel.plugin import Plugin
 from ebonyladder.sessions.cause import FailoverCause
@@ -36,7 +35,7 @@
 from ebonyladder.sessions.forwarding_service import ForwardingService
 from ebonyladder.sessions.log_holders import LogHolders
 from ebonyladder.sessions.messages import MAX_ENCODED_BYTES
-from ebonyladder.sessions.objects import VMS, ObjectStore
+from ebonyladder.sessions.objects import ObjectStore
 from ebonyladder.sessions.plugins.sessions import SessionFactory
 from ebonyladder.sessions.quota import GrantedQuota, PermitAllocator
 from ebonyladder.sessions.registry import register
@@ -332,6 +331,8 @@
             era_start,
             lease_remaining_s=self.lease_remaining_s() if is_leading else 0.0,
         )
+        self.vm_watcher.record_return()
+        self.log_holder_keeper.record_return()
         self.registration.is_needed.set()
 
     def _resume_leadership(self) -> None:
@@ -474,21 +475,12 @@
 
     async def _evict_vms(self) -> None:
         for vm in self.leader.expired_vms():
-            found = self.vm_watcher.objects.get(vm)
             entry = self.vm_watcher.entries.get(vm)
-            if found is None or entry is None:
+            if entry is None:
                 continue
-            try:
-                await self.store.delete(VMS, vm, found.revision)
-            except StoreError as error:
-                logging.info(
-                    "[fleet] VM could not be removed. vm=%s error=%s", vm, error
-                )
+            if not await self.vm_watcher.evict(vm):
                 return
             self.leader.barrier.record_removed(vm, entry.incarnation)
-            logging.info("[fleet] VM is removed from the list. vm=%s", vm)
-            self.vm_watcher.objects.pop(vm, None)
-            self.vm_watcher.apply(self.vm_watcher.objects)
 
     async def _find_leader(self) -> None:
         """Read the leader record from the store; take over if there is no leader."""
--- a/tests/test_group_restorer.py
+++ b/tests/test_group_restorer.py
@@ -4,16 +4,19 @@
 import itertools
 
 import msgspec
+import pytest
 
 from ebonyladder.kernel.clock import ManualClock, SystemClock
+from ebonyladder.sessions.cause import FailoverCause
 from ebonyladder.sessions.cluster_view import GroupPhase, GroupState
 from ebonyladder.sessions.endpoint_control import EndpointControl
+from ebonyladder.sessions.failover import UNKNOWN_PRIMARY
 from ebonyladder.sessions.fleet.group_restorer import GroupRestorer
 from ebonyladder.sessions.fleet.group_store import GroupStore
 from ebonyladder.sessions.fleet.leadership import Leadership
 from ebonyladder.sessions.fleet.log_holder_keeper import LogHolderKeeper
 from ebonyladder.sessions.fleet.watchers import GroupWatcher
-from ebonyladder.sessions.lead_evidence import find_last_leader
+from ebonyladder.sessions.lead_evidence import find_last_leader, find_silent_leader
 from ebonyladder.sessions.log_holders import LogHolders
 from ebonyladder.sessions.objects import GROUPS
 from ebonyladder.sessions.store_era import era_start
@@ -22,10 +25,12 @@
     SERVICE,
     FakeConnector,
     cluster,
+    entry,
     fake_endpoints,
     position,
 )
 from tests.store_fakes import MemoryStore
+from tests.test_failover import World as FailoverWorld
 
 LATER = era_start(2)
 NEAR = EndpointProcess("near@0")
@@ -179,12 +184,39 @@
         world.promote("near", 2)
         assert world.restore().inherited is None
 
+    @pytest.mark.parametrize("name", ["primary", "near", "far"])
+    def test_silent_holder_may_be_the_one_that_leads(self, name):
+        # review/6: the former primary was taken for the last one that led while the
+        # present one and the replica with its last commits were down.
+        world = World()
+        world.know(state("primary", term=1, epoch=9))
+        getattr(world, name).is_down = True
+        restored = world.restore()
+        assert restored.phase is GroupPhase.MOVING
+        assert (restored.primary, restored.is_incomplete) == (UNKNOWN_PRIMARY, True)
+
+    def test_promotion_under_way_elsewhere_is_waited_for(self):
+        # Guards against a primary that is named while another promotion takes effect.
+        world = World()
+        world.know(state("primary", term=1, epoch=9, successor=NEAR))
+        restored = world.restore()
+        assert restored.phase is GroupPhase.MOVING
+        assert restored.successor == NEAR
+
     def test_outdated_list_of_endpoints_does_not_suffice(self):
         # Guards against a primary that is missing among those asked.
         world = World()
         assert not asyncio.run(world.restorer.restore(has_current_list=False))
         assert world.store.writes == 0
 
+    def test_holder_that_joined_after_the_copy_must_answer(self):
+        # Guards against forgetting an endpoint that the store's list lacks.
+        world = World()
+        world.know(state("primary", term=1, epoch=9))
+        world.cluster.endpoints[EndpointId("new")] = entry("new")
+        world.log_holders.record_return()
+        assert world.restore().is_incomplete
+
 
 class TestLeadEvidence:
     """Guards against a primary that is named although another one may lead."""
@@ -192,7 +224,7 @@
     LISTED = frozenset(EndpointProcess(f"{n}@0") for n in ("primary", "near", "far"))
 
     def ask(self, world: World, *, min_term: int = 0, listed=LISTED):
-        """Return the last leader, None if it isn't known."""
+        """Return the last leader and the silent one, as far as they are known."""
 
         async def probe():
             control = EndpointControl(connector=world.restorer.connector)
@@ -201,41 +233,100 @@
             found = find_last_leader(
                 control, holders, min_term=Term(min_term), listed=listed
             )
-            return found and found.entry.process
+            return found and found.entry.process, find_silent_leader(control, holders)
 
         return asyncio.run(probe())
 
     def test_only_primary_of_the_newest_term_leads(self):
-        assert self.ask(World()) == "primary@0"
+        assert self.ask(World()) == ("primary@0", None)
 
     def test_primary_of_an_older_term_has_been_replaced(self):
         world = World()
         world.near.set_received(position(2, 1))
-        assert self.ask(world) is None
-        assert self.ask(World(), min_term=2) is None
+        assert self.ask(world) == (None, None)
+        assert self.ask(World(), min_term=2) == (None, None)
 
     def test_two_primaries_of_one_term_show_nothing(self):
         world = World()
         world.near.status = msgspec.structs.replace(
             world.near.status, role=Role.PRIMARY
         )
-        assert self.ask(world) is None
+        assert self.ask(world) == (None, None)
 
     def test_silent_holder_that_is_not_listed_does_not_count(self):
         # Guards against a service that is down for good after a database has left.
         world = World()
         world.far.is_down = True
-        assert self.ask(world) is None
+        assert self.ask(world) == (None, "far@0")
         listed = self.LISTED - {"far@0"}
-        assert self.ask(world, listed=listed) == "primary@0"
+        assert self.ask(world, listed=listed) == ("primary@0", "far@0")
 
     def test_two_silent_holders_may_have_commits_of_a_newer_term(self):
         world = World()
         world.far.is_down = world.near.is_down = True
-        assert self.ask(world, listed=frozenset()) is None
+        assert self.ask(world, listed=frozenset()) == (None, None)
 
     def test_service_without_holders_has_no_leader(self):
         control = EndpointControl(connector=FakeConnector())
         holders = LogHolders(service=SERVICE)
         found = find_last_leader(control, holders, min_term=Term(0), listed=frozenset())
-        assert found is None
+        assert (found, find_silent_leader(control, holders)) == (None, None)
+
+
+class TestFailoverOfAnIncompleteState:
+    """Guards against a service that waits for good, and against lost commits."""
+
+    @staticmethod
+    def world() -> FailoverWorld:
+        """Return a failover whose group state was lost by the store."""
+        world = FailoverWorld()
+        world.cluster.apply_group(
+            GroupState(
+                service=SERVICE,
+                epoch=LATER + 1,
+                phase=GroupPhase.MOVING,
+                primary=UNKNOWN_PRIMARY,
+                term=Term(1),
+                is_incomplete=True,
+            )
+        )
+        return world
+
+    def test_primary_that_all_holders_show_is_used_again(self):
+        world = self.world()
+        assert world.replace_primary(FailoverCause.INTERRUPTED)
+        assert world.promoter.calls == []
+        assert (world.group.primary, world.group.phase) == (
+            "primary",
+            GroupPhase.STABLE,
+        )
+        assert not world.group.is_incomplete
+
+    def test_only_silent_holder_is_replaced_as_the_primary(self):
+        # What it has acknowledged was received by one of the others.
+        world = self.world()
+        world.primary.is_down = True
+        world.far.set_received(position(1, 11))
+        assert world.replace_primary(FailoverCause.INTERRUPTED)
+        assert [name for name, _ in world.promoter.calls] == ["far"]
+
+    def test_two_silent_holders_are_waited_for(self):
+        # review/6: both holders of the last commits were down.
+        world = self.world()
+        world.primary.is_down = world.far.is_down = True
+        assert not world.replace_primary(FailoverCause.INTERRUPTED)
+        assert world.promoter.calls == []
+        assert world.group.phase is GroupPhase.MOVING
+        world.primary.is_down = world.far.is_down = False
+        assert world.replace_primary(FailoverCause.INTERRUPTED)
+        assert world.group.primary == "primary"
+
+    def test_silent_replica_may_have_been_promoted(self):
+        # Guards against a former primary that is used again beside its successor: it
+        # leads in the view of those that answer, so it steps down before another call.
+        world = self.world()
+        world.near.is_down = True
+        assert world.replace_primary(FailoverCause.INTERRUPTED)
+        (promoted,) = (name for name, _ in world.promoter.calls)
+        assert promoted != "near"
+        assert world.group.term > 1
--- a/tests/test_log_holders.py
+++ b/tests/test_log_holders.py
@@ -1,6 +1,7 @@
 """Log holders: what a failover must know, and how the leader keeps it."""
 
 import asyncio
+import itertools
 
 import msgspec
 import pytest
@@ -12,6 +13,7 @@
 from ebonyladder.sessions.log_holders import LogHolders, is_covered
 from ebonyladder.sessions.log_survey import LogSurvey
 from ebonyladder.sessions.objects import LOG_HOLDERS
+from ebonyladder.sessions.store_era import era_start
 from ebonyladder.types import EndpointId, EndpointProcess, Role, Term
 from tests.session_fakes import (
     SERVICE,
@@ -443,3 +445,70 @@
             return {e.id for e in keeper.current(SERVICE).endpoints}
 
         assert "left" not in asyncio.run(run())
+
+
+class TestStoreReturn:
+    """Guards against holders that are dropped since a copy of the store lacks them."""
+
+    @pytest.fixture
+    def world(self, monkeypatch) -> World:
+        """Return a keeper with one more holder than the copy has."""
+        monkeypatch.setattr(log_holder_keeper, "CATCH_UP_TIMEOUT_S", 0.0)
+        world = World()
+        world.update()
+        world.copy = dict(world.store.objects)
+        world.cluster.endpoints[EndpointId("new")] = entry("new")
+        world.later()
+        world.update()
+        assert "new@0" in world.stored()
+        return world
+
+    @staticmethod
+    def come_back(world: World) -> None:
+        """Let the store come back from the copy in a later era."""
+        later = era_start(2)
+        world.cluster.record_era(later)
+        world.store.objects = {
+            key: msgspec.structs.replace(found, revision=later + found.revision)
+            for key, found in world.copy.items()
+        }
+        world.store.revisions = itertools.count(later + 10)
+        world.keeper.record_return()
+        del world.cluster.endpoints[EndpointId("new")]
+
+    def test_holder_that_the_copy_lacks_is_kept_and_stored_again(self, world):
+        # review/6: it may have the only copy of the last commits.
+        self.come_back(world)
+        assert asyncio.run(world.keeper.load())
+        world.later()
+        world.update(may_remove=False)
+        assert "new@0" in world.stored()
+
+    def test_holder_that_was_not_stored_yet_is_kept(self, world):
+        world.cluster.endpoints[EndpointId("newest")] = entry("newest")
+        self.come_back(world)
+        del world.cluster.endpoints[EndpointId("newest")]
+        current = world.keeper.current(SERVICE)
+        assert "newest@0" in {e.process for e in current.endpoints}
+
+    def test_holders_that_the_copy_lacks_altogether_are_stored_again(self, world):
+        world.copy.clear()
+        self.come_back(world)
+        assert asyncio.run(world.keeper.load())
+        assert world.keeper.due() == [SERVICE]
+        world.later()
+        world.update(may_remove=False)
+        assert world.stored() == ["far@0", "near@0", "new@0", "primary@0"]
+
+    def test_what_another_leader_drops_in_the_same_era_is_dropped(self, world):
+        # Guards against holders that are waited for after they have ended.
+        self.come_back(world)
+        asyncio.run(world.keeper.load())
+        world.update(may_remove=False)
+        stored = world.store.objects[LOG_HOLDERS, SERVICE]
+        content = dict(stored.content)
+        content["endpoints"] = [e for e in content["endpoints"] if e["id"] != "new"]
+        asyncio.run(world.store.replace(LOG_HOLDERS, SERVICE, content, stored.revision))
+        asyncio.run(world.keeper.load())
+        current = world.keeper.current(SERVICE)
+        assert "new@0" not in {e.process for e in current.endpoints}
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -154,3 +154,26 @@
             await world.come_back(later)
 
         assert return_findings(scenario, tmp_path) == []
+
+
+class TestCommitsAfterReturn:
+    """Guards against the promotion of a log that lacks acknowledged commits."""
+
+    @pytest.mark.parametrize("kill_all", [False, True])
+    def test_crashed_holders_of_the_last_commits_are_waited_for(
+        self, kill_all, tmp_path
+    ):
+        # review/6: the primary and the only replica with its last commits crashed, and
+        # the restored group state's primary was promoted as the last one that led.
+        async def scenario(world: ReturnWorld) -> None:
+            older = await world.copy_after_failover()
+            former = await world.replace_primary_and_block()
+            await world.come_back(older)
+            holders = [d for d in world.service.databases.values() if d is not former]
+            vms = world.fleet.vms if kill_all else [await world.leader()]
+            await asyncio.gather(*(d.stop() for d in holders), world.kill(*vms))
+            former.is_replication_blocked = False
+            await asyncio.sleep(DOWN_S)
+            await asyncio.gather(*(d.start() for d in holders))
+
+        assert return_findings(scenario, tmp_path) == []
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -10,8 +10,9 @@
 from ebonyladder.kernel.clock import ManualClock
 from ebonyladder.kernel.error import ErrorCode, StoreError
 from ebonyladder.kernel.step import Step
-from ebonyladder.sessions.cluster_view import GroupPhase, GroupState
+from ebonyladder.sessions.cluster_view import GroupPhase, GroupState, VmEntry
 from ebonyladder.sessions.fleet.watchers import (
+    VM_REPORT_TIMEOUT_S,
     GroupWatcher,
     VmWatcher,
 )
@@ -23,9 +24,10 @@
     Revision,
     StoreObject,
 )
+from ebonyladder.sessions.store_era import era_start
 from ebonyladder.sessions.watch_manager import WatchManager
 from ebonyladder.sessions.watcher import MAX_BACKOFF_S, backoff_s
-from ebonyladder.types import EndpointId
+from ebonyladder.types import Address, EndpointId, Incarnation, VmId, ZoneId
 from tests.fleet import run_virtual
 from tests.session_fakes import SERVICE, cluster
 
@@ -193,6 +195,53 @@
         assert all(backoff_s(n) <= MAX_BACKOFF_S for n in range(1, 100))
 
 
+class TestVmsAfterReturn:
+    """Guards against failovers and leases that pass over VMs the copy lacks."""
+
+    @staticmethod
+    def stored(*names: str, revision: int = 1) -> dict[str, StoreObject]:
+        """Return the entries of VMs as stored."""
+        return {
+            name: StoreObject(
+                name=name,
+                revision=Revision(revision),
+                content=msgspec.to_builtins(
+                    VmEntry(
+                        vm=VmId(name),
+                        address=Address("127.0.0.1:1"),
+                        zone=ZoneId("b"),
+                        incarnation=Incarnation(1),
+                    )
+                ),
+            )
+            for name in names
+        }
+
+    def returned(self, clock: ManualClock) -> VmWatcher:
+        """Return a list of three VMs whose store lacks the last one now."""
+        watcher = VmWatcher(store=None, cluster=cluster(clock))
+        watcher.apply(self.stored("vm-1", "vm-2", "vm-3"))
+        watcher.record_return()
+        watcher.objects = self.stored("vm-1", "vm-2", revision=era_start(2) + 1)
+        watcher.apply(watcher.objects)
+        return watcher
+
+    def test_vm_that_the_copy_lacks_is_counted_until_it_may_have_registered(
+        self, clock
+    ):
+        watcher = self.returned(clock)
+        assert set(watcher.entries) == {"vm-1", "vm-2", "vm-3"}
+        clock.advance(VM_REPORT_TIMEOUT_S + 0.1)
+        watcher.apply(watcher.objects)
+        assert set(watcher.entries) == {"vm-1", "vm-2"}
+
+    def test_removed_vm_is_not_counted(self, clock):
+        # Guards against a failover that waits for a VM which has ended.
+        watcher = self.returned(clock)
+        assert asyncio.run(watcher.evict(VmId("vm-3")))
+        assert set(watcher.entries) == {"vm-1", "vm-2"}
+
+
 class TestGroupsAfterReturn:
     """Guards against revisions that no longer belong to a state."""
 
