Let the store come back from older copies in the soak

The soak now draws returns alone, twice in a row, and beside kills, pauses and planned restarts of VMs, of all VMs, and beside crashes of databases. The store of a run names its era if one of these faults may be drawn.

The state page names the era that the VM knows, and whether a service waits for its log holders since its group state was lost.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from soak.proxy import Mode
 from soak.statement_faults import StatementFaults
 from soak.stop_faults import StopFaults
+from soak.store_faults import FIRST_ERA, StoreFaults
 from standins.object_store import Outage
 
 MAX_FAULT_DURATION_S = 3.0
@@ -45,6 +46,7 @@
         self.fleet = fleet
         self.random = random.Random(seed)
         self.log: list[str] = []
+        store_faults = StoreFaults(fleet=fleet, random=self.random)
         self.kinds: list[Callable[[], Awaitable[None]]] = [
             self.kill,
             self.pause,
@@ -65,9 +67,12 @@
             *FailoverFaults(fleet=fleet, random=self.random).kinds,
             *StatementFaults(fleet=fleet, random=self.random, history=history).kinds,
             *StopFaults(fleet=fleet, random=self.random, history=history).kinds,
+            *store_faults.kinds,
         ]
         if kinds:
             self.kinds = [kind for kind in self.kinds if kind.__name__ in kinds]
+        if set(self.kinds) & set(store_faults.kinds):
+            fleet.platform.store.era = FIRST_ERA
 
     async def run(self, duration_s: float, mean_gap_s: float) -> None:
         """Start faults at random times; return when the last one has ended."""
--- a/src/ebonyladder/platform/probe.py
+++ b/src/ebonyladder/platform/probe.py
@@ -13,6 +13,7 @@
 from ebonyladder.sessions.readiness import Readiness
 from ebonyladder.sessions.registry import register
 from ebonyladder.sessions.state_view import describe
+from ebonyladder.sessions.store_era import StoreEraTracker
 from ebonyladder.settings import split_address
 
 
@@ -21,7 +22,12 @@
     """Answers the load balancer's probes and serves metrics and state."""
 
     name: ClassVar[str] = "probe"
-    requires: ClassVar[tuple[type, ...]] = (Readiness, Metrics, SessionFactory)
+    requires: ClassVar[tuple[type, ...]] = (
+        Readiness,
+        Metrics,
+        SessionFactory,
+        StoreEraTracker,
+    )
 
     def __init__(self, *, kernel: Kernel) -> None:
         super().__init__(kernel=kernel)
@@ -65,4 +71,6 @@
 
     async def _handle_state(self, request: web.Request) -> web.Response:
         pools = self.kernel.get(SessionFactory).pools
-        return web.json_response(describe(self.kernel.get(ClusterView), pools))
+        era = self.kernel.get(StoreEraTracker).known
+        cluster = self.kernel.get(ClusterView)
+        return web.json_response(describe(cluster, pools, era=era))
--- a/src/ebonyladder/sessions/state_view.py
+++ b/src/ebonyladder/sessions/state_view.py
@@ -3,19 +3,28 @@
 from typing import Any
 
 from ebonyladder.sessions.cluster_view import ClusterView
+from ebonyladder.sessions.objects import StoreEra
 from ebonyladder.sessions.pool import PoolSet
 
 
-def describe(cluster: ClusterView, pools: PoolSet) -> dict[str, Any]:
+def describe(
+    cluster: ClusterView, pools: PoolSet, *, era: StoreEra | None
+) -> dict[str, Any]:
     """Return the VM's view of the cluster, with its versions and ages.
 
     Ages are in seconds. Keys of callers are left out.
+
+    Parameters
+    ----------
+    era : StoreEra or None
+        Latest era of the store that the VM knows.
     """
     now_s = cluster.clock.now_s()
     return {
         "vm": cluster.vm,
         "zone": cluster.zone,
         "configuration": cluster.version,
+        "store_era": era,
         "evidence_age_s": round(now_s - cluster.groups_confirmed_at_s, 3),
         "fleet": cluster.fleet,
         "deputies": list(cluster.standbys),
@@ -26,6 +35,7 @@
                 "phase": group.phase.value,
                 "primary": group.primary,
                 "term": group.term,
+                "is_incomplete": group.is_incomplete,
             }
             for group in cluster.groups.values()
         },
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 from soak.__main__ import run_seed
 from soak.failover_faults import FailoverFaults
 from soak.fault_group import silenced
+from soak.faults import Faults
 from soak.fleet import GRACE_S, SoakFleet, SoakVm
 from soak.history import History
 from soak.process_record import ProcessRecord
@@ -78,6 +79,16 @@
     "kill",
 ]
 STOP_KINDS = ["slow_stop", "slow_stops", "crowded_stop"]
+STORE_KINDS = [
+    "store_return",
+    "store_returns",
+    "return_without_leader",
+    "return_after_restart",
+    "return_around_failover",
+    "return_without_vms",
+    "return_with_paused_vms",
+    "return_with_crashes",
+]
 
 
 @dataclass(frozen=True)
@@ -102,12 +113,24 @@
     # A drain ended by the clock, and read nothing while it rolled back a transaction.
     Run(9004, STOP_KINDS),
 ]
+# Runs in which the store comes back from older copies, beside crashes of databases.
+STORE_RETURNS = [Run(11001, STORE_KINDS), Run(11101, [*STORE_KINDS, "database_crash"])]
+
+
+def kinds_before_returns() -> list[str]:
+    """Return the faults that there were before the store could come back."""
+    fleet = SoakFleet(folder=Path(), size=0)
+    faults = Faults(fleet=fleet, seed=0, history=History())
+    names = [kind.__name__ for kind in faults.kinds]
+    return [name for name in names if name not in STORE_KINDS]
 
 
 @pytest.mark.xdist_group("processes")
 class TestSoak:
     @pytest.mark.parametrize(
-        "run", [Run(SEED), *REGRESSIONS], ids=lambda run: str(run.seed)
+        "run",
+        [Run(SEED, kinds_before_returns()), *REGRESSIONS, *STORE_RETURNS],
+        ids=lambda run: str(run.seed),
     )
     def test_promises_hold_under_faults(self, run, tmp_path):
         # Guards against lost and repeated writes and against stale reads under
