Confirm from the store only group states of the present era

A conditional write that was sent before a return can run after it, if its revision was given out again to the same object. It then puts a group state of the earlier era back after the leader has restored all of them, and a VM that starts would confirm it from the store, or a new leader act on it.

Such a state is known by its epoch. A VM confirms the states in the store only if all of them are of the present era, and a leader restores those that aren't, whatever the leader record says.

--- a/src/ebonyladder/sessions/cluster_view.py
+++ b/src/ebonyladder/sessions/cluster_view.py
@@ -237,6 +237,14 @@
         known = self.groups.get(service)
         return max(self.era_start, known.epoch if known else 0) + 1
 
+    @property
+    def has_only_restored_groups(self) -> bool:
+        """Whether all known group states were written in the present era.
+
+        A write of an earlier era that runs late can put one of that era back.
+        """
+        return all(self.is_restored(service) for service in self.groups)
+
     def is_restored(self, service: ServiceId) -> bool:
         """Tell whether the known group state was written in the present era."""
         known = self.groups.get(service)
--- a/src/ebonyladder/sessions/fleet/group_restorer.py
+++ b/src/ebonyladder/sessions/fleet/group_restorer.py
@@ -71,7 +71,7 @@
         bool
             Whether the states in the store are the latest ones now.
         """
-        if self.leadership.may_trust_groups:
+        if self.leadership.may_trust_groups and self.cluster.has_only_restored_groups:
             return True
         knows_latest = self.leadership.has_resumed
         if not knows_latest and not has_current_list:
--- a/src/ebonyladder/sessions/fleet/group_store.py
+++ b/src/ebonyladder/sessions/fleet/group_store.py
@@ -128,6 +128,7 @@
                 and await self.read_all()
                 # The store may have come back from an older copy meanwhile.
                 and leadership.may_trust_groups
+                and self.cluster.has_only_restored_groups
             ):
                 self.cluster.record_groups_confirmed(sent_at_s)
             await asyncio.sleep(GROUP_STATE_REFRESH_S / 4)
--- a/tests/test_group_restorer.py
+++ b/tests/test_group_restorer.py
@@ -1,7 +1,10 @@
 """Group states of the store's present era: written again, or asked of the endpoints."""
 
 import asyncio
+import contextlib
 import itertools
+from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
 import msgspec
 import pytest
@@ -12,7 +15,7 @@
 from ebonyladder.sessions.endpoint_control import EndpointControl
 from ebonyladder.sessions.failover import UNKNOWN_PRIMARY
 from ebonyladder.sessions.fleet.group_restorer import GroupRestorer
-from ebonyladder.sessions.fleet.group_store import GroupStore
+from ebonyladder.sessions.fleet.group_store import GROUP_STATE_REFRESH_S, GroupStore
 from ebonyladder.sessions.fleet.leadership import Leadership
 from ebonyladder.sessions.fleet.log_holder_keeper import LogHolderKeeper
 from ebonyladder.sessions.fleet.watchers import GroupWatcher
@@ -21,6 +24,7 @@
 from ebonyladder.sessions.objects import GROUPS
 from ebonyladder.sessions.store_era import era_start
 from ebonyladder.types import EndpointId, EndpointProcess, Incarnation, Role, Term
+from tests.fleet import run_virtual
 from tests.session_fakes import (
     SERVICE,
     FakeConnector,
@@ -169,6 +173,14 @@
         assert (restored.primary, restored.term) == ("near", 2)
         assert restored.phase is GroupPhase.STABLE
 
+    def test_state_that_a_late_write_has_put_back_is_restored(self):
+        # A write of an earlier era met its revision, which was given out again.
+        world = World()
+        world.leadership.has_restored_groups = True
+        world.know(state("primary", term=1, epoch=9))
+        world.promote("near", 2)
+        assert world.restore().primary == "near"
+
     def test_service_without_a_stored_state_is_restored_too(self):
         # Its first failover may have been lost.
         world = World()
@@ -330,3 +342,36 @@
         (promoted,) = (name for name, _ in world.promoter.calls)
         assert promoted != "near"
         assert world.group.term > 1
+
+
+class TestConfirmationFromTheStore:
+    """Guards against group states of the copy that a VM confirms without a leader."""
+
+    @pytest.mark.parametrize(
+        ("epoch", "has_restored_groups", "is_confirmed"),
+        [(9, False, False), (9, True, False), (LATER + 1, True, True)],
+    )
+    def test_only_restored_states_are_confirmed(
+        self, epoch, has_restored_groups, is_confirmed
+    ):
+        world = World()
+        clock = world.cluster.clock
+        clock.advance(60.0)
+        world.leadership.has_restored_groups = has_restored_groups
+        watch_manager = SimpleNamespace(is_decided=True)
+
+        async def refresh():
+            stored = msgspec.to_builtins(state("primary", term=1, epoch=epoch))
+            await world.store.create(GROUPS, SERVICE, stored)
+            refreshing = world.group_store.refresh(
+                watch_manager=watch_manager,
+                leadership=world.leadership,
+                is_registered=AsyncMock(return_value=True),
+            )
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(GROUP_STATE_REFRESH_S):
+                    await refreshing
+
+        before_s = clock.now_s()
+        run_virtual(refresh(), clock)
+        assert (world.cluster.groups_confirmed_at_s > before_s) is is_confirmed
