Keep the leader through two returns of the store in a row

A leader that had not yet written its record again, or had not yet read the group states, when the store came back once more was replaced after 6 s, though it had led without a break and no other VM could lead meanwhile. It now keeps the time in which it may resume, and a leader that has resumed counts as leading before it has read the groups. A store that refuses the write is asked again every 0.4 s, as for renewals, since refused calls are billed.

Found by reading; the two new tests of TestStoreReturn fail without it at the parent, one for the lost time and one for the missing pause.

--- a/src/ebonyladder/sessions/fleet/leader_record.py
+++ b/src/ebonyladder/sessions/fleet/leader_record.py
@@ -92,7 +92,9 @@
 
     def resume(self) -> None:
         """Take the leadership again that the store has lost, in a task of its own."""
-        if self.renewal is None or self.renewal.done():
+        is_idle = self.renewal is None or self.renewal.done()
+        if is_idle and self.leadership.needs_resumption():
+            self.leadership.record_renewal_attempt()
             self.renewal = self.spawn(self._resume(), name="resumption")
 
     async def _resume(self) -> None:
--- a/src/ebonyladder/sessions/fleet/leadership.py
+++ b/src/ebonyladder/sessions/fleet/leadership.py
@@ -141,9 +141,10 @@
             the leadership again in this time without a pause.
         """
         now_s = self.clock.now_s()
+        if not self.is_resumable:
+            self.resumable_until_s = now_s + lease_remaining_s
         self.era_start = era_start
         self.era_known_at_s = now_s
-        self.resumable_until_s = now_s + lease_remaining_s
         self.has_resumed = False
         self.has_restored_groups = False
         self.record = None
@@ -160,6 +161,13 @@
             and self.clock.now_s() < self.resumable_until_s
         )
 
+    def needs_resumption(self) -> bool:
+        """Tell whether this VM has to write its record again to go on leading."""
+        is_retry_due = (
+            self.clock.now_s() - self.renewal_attempt_at_s >= RENEWAL_RETRY_INTERVAL_S
+        )
+        return self.is_resumable and is_retry_due
+
     @property
     def may_trust_groups(self) -> bool:
         """Whether the group states in the store are the latest ones.
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -325,7 +325,10 @@
         era_start = self.eras.era_start
         if era_start == self.cluster.era_start:
             return
-        is_leading = self.leader.fencing_token is not None
+        # A leader that has just resumed knows the latest groups, though it reads them.
+        is_leading = self.leader.fencing_token is not None or (
+            self.leadership.is_holder and self.leadership.has_resumed
+        )
         self.cluster.record_era(era_start)
         self.leadership.record_era(
             era_start,
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -333,6 +333,28 @@
         found.record_era(era_start(3), lease_remaining_s=0.0)
         assert not found.has_resumed
 
+    def test_second_return_does_not_end_the_resumption(self):
+        # Guards against 6 s without a leader at two returns in a row.
+        clock = ManualClock()
+        found = leader(clock)
+        found.record_era(self.LATER, lease_remaining_s=LEADER_LEASE_S)
+        clock.advance(LEADER_LEASE_S / 2)
+        found.record_era(era_start(3), lease_remaining_s=0.0)
+        assert found.is_resumable
+        clock.advance(LEADER_LEASE_S / 2)
+        assert not found.is_resumable
+
+    def test_refused_resumptions_are_not_repeated_at_once(self):
+        # Guards against a billed call in each turn of a leader that is turned away.
+        clock = ManualClock()
+        found = leader(clock)
+        found.record_era(self.LATER, lease_remaining_s=LEADER_LEASE_S)
+        assert found.needs_resumption()
+        found.record_renewal_attempt()
+        assert not found.needs_resumption()
+        clock.advance(0.5)
+        assert found.needs_resumption()
+
     def test_leader_that_ends_its_leadership_does_not_resume(self):
         found = leader(ManualClock())
         found.is_releasing = True
