Read the list of VMs again when a VM leads once more

The watch of a leader's list of VMs went on after the leadership had ended. A VM that led again before it had found another leader then waited for good for a list that nobody read: it kept the lease, served nothing and ran no failover. It doesn't need a return, but without one a VM mostly follows another leader in between, which ends its watches.

The watch now ends with the leadership. The new test of TestVmList fails without that.

--- a/src/ebonyladder/sessions/fleet/watchers.py
+++ b/src/ebonyladder/sessions/fleet/watchers.py
@@ -79,6 +79,8 @@
         self.kept_until_s = float("-inf")
         self.is_watching = False
         self.watching_started = asyncio.Event()
+        # Ends the watch once another VM leads; None while there is none.
+        self.watch_timeout: asyncio.Timeout | None = None
 
     def start_watching(self) -> None:
         """Read the list again, and watch it from then on."""
@@ -91,6 +93,9 @@
         """Stop watching the list, since another VM leads."""
         self.is_watching = False
         self.watching_started.clear()
+        if self.watch_timeout is not None:
+            self.watch_timeout.reschedule(asyncio.get_running_loop().time())
+            self.watch_timeout = None
 
     def record_return(self) -> None:
         """Keep the known entries for as long as a VM may take to register again.
@@ -125,7 +130,7 @@
 
     async def _watch_changes(self, as_of: int) -> None:
         if self.is_watching:
-            await super()._watch_changes(as_of)
+            await self._watch_until_stopped(as_of)
             return
         try:
             async with asyncio.timeout(LIST_INTERVAL_S):
@@ -133,6 +138,20 @@
         except TimeoutError:
             return
 
+    async def _watch_until_stopped(self, as_of: int) -> None:
+        """Watch while this VM leads.
+
+        A watch that outlasted the leadership would keep the list from being read again
+        when this VM leads once more.
+        """
+        try:
+            async with asyncio.timeout(None) as self.watch_timeout:
+                await super()._watch_changes(as_of)
+        except TimeoutError:
+            return
+        finally:
+            self.watch_timeout = None
+
     def apply(self, objects: Mapping[str, StoreObject]) -> None:
         """Replace the list of VMs.
 
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -121,6 +121,25 @@
         assert store.calls == ["list", "watch"]
         assert watcher.is_listed.is_set()
 
+    def test_vm_that_leads_again_reads_the_list_again(self, clock, store):
+        # Guards against a leader that waits for its list for good: the watch of its
+        # former leadership went on, and nobody read the list (soak seeds 12103, 12204).
+        watcher = VmWatcher(store=store, cluster=cluster(clock))
+
+        async def lead_twice() -> None:
+            running = asyncio.create_task(watcher.run())
+            await asyncio.sleep(1.0)
+            for _ in range(2):
+                watcher.start_watching()
+                await asyncio.sleep(1.0)
+                assert watcher.is_listed.is_set()
+                assert store.calls[-2:] == ["list", "watch"]
+                watcher.stop_watching()
+                await asyncio.sleep(1.0)
+            running.cancel()
+
+        run_virtual(lead_twice(), clock)
+
 
 class TestRetry:
     """Guards against a fleet that overloads an unreachable store with retries."""
