--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ebonyladder.sessions.failover_coordination import FailoverCoordination
-from ebonyladder.sessions.fleet.group_barrier import VM_REPORT_TIMEOUT_S
+from ebonyladder.sessions.fleet.watchers import VM_REPORT_TIMEOUT_S
 from ebonyladder.sessions.plugins.sessions import SessionFactory
 from standins.platform import configuration
 from standins.statement_client import StatementClient
