Don't wait for promotions of an earlier era that never took effect

By then the promotion can't take effect any more: its call left within a second after the return, and the leader has waited for longer. A successor that answers is now a log holder like the others.

A leader whose write of its record was answered too late for it, and which reads it in the next attempt, counts as resumed as well, as its calls may still take effect.

--- a/src/ebonyladder/sessions/fleet/group_restorer.py
+++ b/src/ebonyladder/sessions/fleet/group_restorer.py
@@ -132,7 +132,13 @@
     async def _ask_endpoints(
         self, service: ServiceId, known: GroupState | None
     ) -> GroupState:
-        """Return the state that the endpoints show, MOVING if they don't show it."""
+        """Return the state that the endpoints show, MOVING if they don't show it.
+
+        A promotion that was requested in an earlier era has taken effect by now, or
+        never does: its call was sent within a second after the return, and a leader
+        that has not led since then has waited for longer. So a successor that answers
+        is an endpoint like the others.
+        """
         holders = self.log_holders.current(service)
         term = Term(0) if known is None else known.term
         successor = None if known is None else known.successor
@@ -142,11 +148,12 @@
             found = find_last_leader(
                 control, holders, min_term=term, listed=self._listed(service)
             )
+            if successor in control.endpoints:
+                successor = None
             answers = control.describe(entry.process for entry in holders.latest)
         finally:
             control.close()
-        # A promotion that was requested may take effect after the answers.
-        is_known = found is not None and successor in (None, found.entry.process)
+        is_known = found is not None and successor is None
         logging.info(
             "[fleet] Endpoints are asked which of them led last. service=%s found=%s "
             "successor=%s answers=%s",
--- a/src/ebonyladder/sessions/fleet/leadership.py
+++ b/src/ebonyladder/sessions/fleet/leadership.py
@@ -191,7 +191,10 @@
             # from which the store came back.
             self.apply_unreadable_record(revision)
             return
+        was_resumable = self.is_resumable
         self._set_record(record, revision)
+        # The answer to this VM's own write was lost.
+        self.has_resumed |= was_resumable and self.is_named
 
     def apply_unreadable_record(self, revision: Revision) -> None:
         """Apply a record that another writer has made invalid.
--- a/src/ebonyladder/sessions/log_survey.py
+++ b/src/ebonyladder/sessions/log_survey.py
@@ -145,7 +145,8 @@
             return SurveyBasis.FINAL_POSITION
         if has_all:
             return SurveyBasis.ALL_REPLICAS
-        if newest is not None and {self.primary, *self.missing} <= self.gone:
+        unread = {self.primary, *self.missing} - {None}
+        if newest is not None and unread <= self.gone:
             return SurveyBasis.ALL_THAT_IS_LEFT
         return SurveyBasis.NONE
 
--- a/tests/test_group_restorer.py
+++ b/tests/test_group_restorer.py
@@ -21,9 +21,17 @@
 from ebonyladder.sessions.fleet.watchers import GroupWatcher
 from ebonyladder.sessions.lead_evidence import find_last_leader, find_silent_leader
 from ebonyladder.sessions.log_holders import LogHolders
+from ebonyladder.sessions.lost_logs import LOG_RETURN_TIME_S
 from ebonyladder.sessions.objects import GROUPS
 from ebonyladder.sessions.store_era import era_start
-from ebonyladder.types import EndpointId, EndpointProcess, Incarnation, Role, Term
+from ebonyladder.types import (
+    EndpointId,
+    EndpointProcess,
+    EndpointState,
+    Incarnation,
+    Role,
+    Term,
+)
 from tests.fleet import run_virtual
 from tests.session_fakes import (
     SERVICE,
@@ -207,14 +215,34 @@
         assert restored.phase is GroupPhase.MOVING
         assert (restored.primary, restored.is_incomplete) == (UNKNOWN_PRIMARY, True)
 
-    def test_promotion_under_way_elsewhere_is_waited_for(self):
-        # Guards against a primary that is named while another promotion takes effect.
+    def test_silent_successor_is_waited_for(self):
+        # Guards against a primary that is named although a promotion has replaced it.
         world = World()
         world.know(state("primary", term=1, epoch=9, successor=NEAR))
+        world.near.is_down = True
         restored = world.restore()
         assert restored.phase is GroupPhase.MOVING
         assert restored.successor == NEAR
 
+    def test_successor_that_was_not_promoted_does_not_hold_up_the_service(self):
+        # Guards against a service that waits for good for a promotion which was never
+        # requested: the successor lacks what the former primary has (soak seed 13208).
+        world = World()
+        world.know(state("primary", term=1, epoch=9, successor=NEAR))
+        world.primary.status = msgspec.structs.replace(
+            world.primary.status, role=Role.REPLICA
+        )
+        world.near.set_received(position(1, 4))
+        restored = world.restore()
+        assert restored.phase is GroupPhase.MOVING
+        assert restored.successor is None
+
+    def test_successor_that_was_promoted_leads(self):
+        world = World()
+        world.know(state("primary", term=1, epoch=9, successor=NEAR))
+        world.promote("near", 2)
+        assert world.restore().primary == "near"
+
     def test_outdated_list_of_endpoints_does_not_suffice(self):
         # Guards against a primary that is missing among those asked.
         world = World()
@@ -322,6 +350,21 @@
         assert world.replace_primary(FailoverCause.INTERRUPTED)
         assert [name for name, _ in world.promoter.calls] == ["far"]
 
+    def test_holders_whose_logs_are_gone_for_good_are_not_waited_for(self):
+        # Guards against a service that is down for good after two databases have left.
+        world = self.world()
+        for name in ("primary", "near"):
+            left = world.cluster.endpoints.pop(EndpointId(name))
+            left = msgspec.structs.replace(left, state=EndpointState.LEAVING)
+            world.coordination.departed.append(left)
+            world.coordination.ended.add(left.process)
+            del world.connector.endpoints[EndpointId(name)]
+        assert not world.replace_primary(FailoverCause.INTERRUPTED)
+        later_s = LOG_RETURN_TIME_S + 0.1
+        world.clock.now_s = lambda: SystemClock().now_s() + later_s
+        assert world.replace_primary(FailoverCause.INTERRUPTED)
+        assert [name for name, _ in world.promoter.calls] == ["far"]
+
     def test_two_silent_holders_are_waited_for(self):
         # review/6: both holders of the last commits were down.
         world = self.world()
--- a/tests/test_leadership.py
+++ b/tests/test_leadership.py
@@ -333,6 +333,15 @@
         found.record_era(era_start(3), lease_remaining_s=0.0)
         assert not found.has_resumed
 
+    def test_lost_answer_to_the_resumption_does_not_end_it(self):
+        # The record was written, and is read after the next attempt has conflicted.
+        clock = ManualClock()
+        found = leader(clock)
+        found.record_era(self.LATER, lease_remaining_s=LEADER_LEASE_S)
+        found.apply_record(found.next_record(ADDRESS), self.later_revision(2))
+        assert found.is_holder
+        assert found.has_resumed
+
     def test_second_return_does_not_end_the_resumption(self):
         # Guards against 6 s without a leader at two returns in a row.
         clock = ManualClock()
