Take a group state that was confirmed until the return for the latest

Databases were being replaced as the store came back, and the VM that led was lost. The copy names two log holders that have left since, so no leader that asks the endpoints can know that neither of them led last.

A VM whose group states haven't expired when it learns of the return knows each STABLE state to be the latest: a failover waits for such a VM to apply the state MOVING before it calls the platform, and after the return the store answers no write of the earlier era, so no call follows. Such a state is written again as it is, without asking. This also keeps a working primary that was replaced if one other log holder was silent.

--- a/src/ebonyladder/sessions/fleet/group_restorer.py
+++ b/src/ebonyladder/sessions/fleet/group_restorer.py
@@ -14,6 +14,7 @@
 from ebonyladder.sessions.cluster_view import ClusterView, GroupPhase, GroupState
 from ebonyladder.sessions.connection import EndpointConnector
 from ebonyladder.sessions.endpoint_control import EndpointControl
+from ebonyladder.sessions.endpoint_selector import GROUP_STATE_TTL_S
 from ebonyladder.sessions.failover import UNKNOWN_PRIMARY
 from ebonyladder.sessions.fleet.group_store import GroupStore
 from ebonyladder.sessions.fleet.leadership import Leadership
@@ -53,12 +54,29 @@
         self.group_store = group_store
         self.log_holders = log_holders
         self.connector = connector
+        # States of the earlier era that are known to be the latest ones.
+        self.latest: dict[ServiceId, GroupState] = {}
+
+    def record_return(self) -> None:
+        """Keep the group states that are the latest ones, as the store comes back.
+
+        While its group states haven't expired, a VM is told of each state MOVING before
+        a promotion is called (``BARRIER_TIMEOUT_S``), and nothing is called in the
+        earlier era after the return, since the store answers no write of it any more.
+        A state MOVING doesn't show how its failover ends.
+        """
+        age_s = self.cluster.clock.now_s() - self.cluster.groups_confirmed_at_s
+        self.latest = {
+            group.service: group
+            for group in self.cluster.groups.values()
+            if group.phase is GroupPhase.STABLE and age_s < GROUP_STATE_TTL_S
+        }
 
     async def restore(self, *, has_current_list: bool) -> bool:
         """Write the group states again that the store may have lost.
 
         A leader that has led without a break knows the latest state of every service
-        that has one. Another one asks the endpoints.
+        that has one. Another one asks the endpoints where it doesn't know it.
 
         Parameters
         ----------
@@ -106,6 +124,7 @@
 
     async def _restore(self, service: ServiceId, *, knows_latest: bool) -> None:
         known = self.cluster.groups.get(service)
+        knows_latest |= known is not None and self.latest.get(service) == known
         if knows_latest:
             restored = known
         else:
--- a/src/ebonyladder/sessions/plugins/fleet.py
+++ b/src/ebonyladder/sessions/plugins/fleet.py
@@ -318,10 +318,7 @@
             await self.leader.serve(connection)
 
     def _record_era(self) -> None:
-        """Apply that the store has come back from an older copy.
-
-        What it has lost is kept from this VM's memory until it is written again.
-        """
+        """Apply that the store has come back from an older copy."""
         era_start = self.eras.era_start
         if era_start == self.cluster.era_start:
             return
@@ -334,6 +331,7 @@
             era_start,
             lease_remaining_s=self.lease_remaining_s() if is_leading else 0.0,
         )
+        self.group_restorer.record_return()
         self.vm_watcher.record_return()
         self.log_holder_keeper.record_return()
         self.registration.is_needed.set()
--- a/tests/test_group_restorer.py
+++ b/tests/test_group_restorer.py
@@ -13,6 +13,7 @@
 from ebonyladder.sessions.cause import FailoverCause
 from ebonyladder.sessions.cluster_view import GroupPhase, GroupState
 from ebonyladder.sessions.endpoint_control import EndpointControl
+from ebonyladder.sessions.endpoint_selector import GROUP_STATE_TTL_S
 from ebonyladder.sessions.failover import UNKNOWN_PRIMARY
 from ebonyladder.sessions.fleet.group_restorer import GroupRestorer
 from ebonyladder.sessions.fleet.group_store import GROUP_STATE_REFRESH_S, GroupStore
@@ -258,6 +259,48 @@
         assert world.restore().is_incomplete
 
 
+class TestMemoryOfAConfirmedVm:
+    """Guards against asking endpoints that have left, and against an old memory."""
+
+    @staticmethod
+    def world(group: GroupState, *, age_s: float) -> World:
+        """Return a VM whose group states were confirmed so long before the return."""
+        world = World()
+        world.know(group)
+        world.cluster.clock.advance(age_s)
+        world.restorer.record_return()
+        return world
+
+    def test_stable_state_is_the_latest_one(self):
+        # Guards against a service that waits for holders which have left (soak seeds
+        # 14202 and 14207), and against the replacement of a working primary.
+        world = self.world(state("primary", term=1, epoch=9), age_s=1.0)
+        world.near.is_down = world.far.is_down = True
+        restored = world.restore()
+        assert (restored.phase, restored.primary) == (GroupPhase.STABLE, "primary")
+
+    def test_expired_state_may_have_been_replaced(self):
+        # A failover no longer waits for a VM whose group states have expired.
+        group = state("primary", term=1, epoch=9)
+        world = self.world(group, age_s=GROUP_STATE_TTL_S + 0.1)
+        world.near.is_down = world.far.is_down = True
+        assert world.restore().is_incomplete
+
+    def test_failover_under_way_may_have_promoted(self):
+        group = msgspec.structs.replace(
+            state("primary", term=1, epoch=9), phase=GroupPhase.MOVING
+        )
+        world = self.world(group, age_s=1.0)
+        world.promote("near", 2)
+        assert world.restore().primary == "near"
+
+    def test_later_state_of_the_copy_is_not_the_latest_one(self):
+        world = self.world(state("primary", term=1, epoch=9), age_s=1.0)
+        world.know(state("far", term=2, epoch=12))
+        world.promote("near", 3)
+        assert world.restore().primary == "near"
+
+
 class TestLeadEvidence:
     """Guards against a primary that is named although another one may lead."""
 
